--- /dev/null
+++ b/plantainctl/main.go
@@ -0,0 +1,4 @@
+// Command plantainctl is described in its README section.
+package main
+
+func main() {}
--- /dev/null
+++ b/plantainlane/main.go
@@ -0,0 +1,4 @@
+// Command plantainlane.
+package main
+
+func main() {}
