engine: define the interface towards model engines

Streams are resumed by attempt and offset, KV cache moves between engines directly, cache events carry a sequence, and orders are verified by reading the engine's state back. Passing KV through entry instances was ruled out: its size is that of the prompt times kilobytes a token.

Block hashes are 53 bits, exact as JSON numbers; a collision costs a wrong guess at worst.

--- a/wire/types.go
+++ b/wire/types.go
@@ -70,6 +70,52 @@
 	Units float64 `json:"units" cbor:"units"`
 }
 
+// CacheBlocks lists an engine's prefix cache.
+type CacheBlocks struct {
+	// Hashes of all cached blocks.
+	Blocks []int `json:"blocks" cbor:"blocks"`
+
+	// Its incarnation.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Newest event that the list includes.
+	Sequence int `json:"sequence" cbor:"sequence"`
+
+	// Engine.
+	Upstream string `json:"upstream" cbor:"upstream"`
+}
+
+// CacheEvent is a change of an engine's prefix cache.
+type CacheEvent struct {
+	// Block hashes; empty for cleared.
+	Blocks []int `json:"blocks" cbor:"blocks"`
+
+	// stored, evicted or cleared.
+	Kind string `json:"kind" cbor:"kind"`
+}
+
+// CacheEvents are consecutive changes of one engine's prefix cache.
+type CacheEvents struct {
+	// Events.
+	Events []CacheEvent `json:"events" cbor:"events"`
+
+	// Sequence of the first event; the others follow by one. Sequences start at 1 in
+	// each incarnation.
+	FirstSequence int `json:"firstSequence" cbor:"firstSequence"`
+
+	// Its incarnation.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Engine.
+	Upstream string `json:"upstream" cbor:"upstream"`
+}
+
+// CacheEventsAnswer confirms cache events.
+type CacheEventsAnswer struct {
+	// Sequence expected next.
+	NextSequence int `json:"nextSequence" cbor:"nextSequence"`
+}
+
 // ChangeOutcome is the one outcome of a change.
 type ChangeOutcome struct {
 	// ID of the change.
@@ -242,6 +288,22 @@
 	To string `json:"to" cbor:"to"`
 }
 
+// Continuation is the body of a call that goes on with a stream which another
+// attempt began.
+type Continuation struct {
+	// KV cache to import first, if there is one.
+	Import *KVHandle `json:"import,omitempty,omitzero" cbor:"import,omitempty"`
+
+	// Input of the stage.
+	Input json.RawMessage `json:"input" cbor:"input"`
+
+	// Offset of the first token wanted.
+	Offset int `json:"offset" cbor:"offset"`
+
+	// Text of the tokens before the offset.
+	Text string `json:"text" cbor:"text"`
+}
+
 // Contract declares everything a workspace may ask for; every limit follows from
 // it.
 type Contract struct {
@@ -385,6 +447,48 @@
 	Instance string `json:"instance" cbor:"instance"`
 }
 
+// EngineModel is a model on an engine.
+type EngineModel struct {
+	// Adapters.
+	Adapters []string `json:"adapters" cbor:"adapters"`
+
+	// Model as name@version.
+	Model string `json:"model" cbor:"model"`
+
+	// Why loading failed: weightStore, noRoom or error; empty otherwise.
+	Reason string `json:"reason" cbor:"reason"`
+
+	// When the weight store allows the next try, in milliseconds; 0 if it didn't say.
+	RetryAfterMs int `json:"retryAfterMs" cbor:"retryAfterMs"`
+
+	// loading, loaded, unloading or failed.
+	State string `json:"state" cbor:"state"`
+}
+
+// EngineState is what an engine reads back to the sender of orders.
+type EngineState struct {
+	// Highest fencing number seen; 0 if the engine ignores them.
+	Fencing int `json:"fencing" cbor:"fencing"`
+
+	// Models that still fit.
+	FreeSlots int `json:"freeSlots" cbor:"freeSlots"`
+
+	// Its incarnation.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// ID of the newest order applied; empty if none.
+	LastOrder string `json:"lastOrder" cbor:"lastOrder"`
+
+	// Models.
+	Models []EngineModel `json:"models" cbor:"models"`
+
+	// both, prefill or decode.
+	Role string `json:"role" cbor:"role"`
+
+	// Engine.
+	Upstream string `json:"upstream" cbor:"upstream"`
+}
+
 // EntryAddress is one instance a caller may connect to.
 type EntryAddress struct {
 	// Host and port.
@@ -466,6 +570,9 @@
 // Frame is one message between instances. Exactly one member beside the header is
 // set.
 type Frame struct {
+	// Cache events of an engine.
+	CacheEvents *CacheEvents `json:"cacheEvents,omitempty,omitzero" cbor:"cacheEvents,omitempty"`
+
 	// Call ID; an answer repeats it.
 	Call int `json:"call" cbor:"call"`
 
@@ -686,6 +793,34 @@
 	Replica string `json:"replica" cbor:"replica"`
 }
 
+// KVExportRequest asks an engine to export the KV cache of an attempt and to stop
+// that attempt.
+type KVExportRequest struct {
+	// Attempt ID.
+	Attempt string `json:"attempt" cbor:"attempt"`
+}
+
+// KVHandle names an exported KV cache that another engine may import.
+type KVHandle struct {
+	// Host and port of the exporting engine.
+	Address string `json:"address" cbor:"address"`
+
+	// Size in bytes.
+	Bytes int `json:"bytes" cbor:"bytes"`
+
+	// When the export is dropped, in milliseconds since 1970.
+	ExpiresMs int `json:"expiresMs" cbor:"expiresMs"`
+
+	// ID of the export there.
+	Export string `json:"export" cbor:"export"`
+
+	// Model as name@version.
+	Model string `json:"model" cbor:"model"`
+
+	// Generated tokens that the cache covers.
+	Tokens int `json:"tokens" cbor:"tokens"`
+}
+
 // LeaseAnswer grants or refuses a configuration lease.
 type LeaseAnswer struct {
 	// Length of the lease in milliseconds from when the request was sent.
@@ -763,6 +898,9 @@
 	// Fencing number.
 	Fencing int `json:"fencing" cbor:"fencing"`
 
+	// Order ID; an order sent again keeps it.
+	ID string `json:"id" cbor:"id"`
+
 	// Incarnation of the engine the order is for.
 	Incarnation int `json:"incarnation" cbor:"incarnation"`
 
@@ -779,6 +917,22 @@
 	Upstream string `json:"upstream" cbor:"upstream"`
 }
 
+// OrderAnswer says what an engine did with an order.
+type OrderAnswer struct {
+	// Highest fencing number seen; 0 if the engine ignores them.
+	Fencing int `json:"fencing" cbor:"fencing"`
+
+	// Order ID.
+	ID string `json:"id" cbor:"id"`
+
+	// Why it was refused: staleFencing, expired, incarnation, noRoom, unknownModel or
+	// malformed; empty otherwise.
+	Reason string `json:"reason" cbor:"reason"`
+
+	// taken (the effect shows in the engine's state) or refused.
+	State string `json:"state" cbor:"state"`
+}
+
 // Pipeline is an ordered list of stages under one deadline.
 type Pipeline struct {
 	// Name of the pipeline.
@@ -1025,6 +1179,15 @@
 	Upstreams []UpstreamStatus `json:"upstreams" cbor:"upstreams"`
 }
 
+// StreamEnd closes a whole stream.
+type StreamEnd struct {
+	// Cost units of the attempt.
+	CostUnits float64 `json:"costUnits" cbor:"costUnits"`
+
+	// Tokens of the stream, those before a resumption included.
+	Tokens int `json:"tokens" cbor:"tokens"`
+}
+
 // TimelineAnswer is a part of one instance's time line, or of all.
 type TimelineAnswer struct {
 	// Events that fell out of the bounded ring.
@@ -1061,6 +1224,15 @@
 	Workspace string `json:"workspace" cbor:"workspace"`
 }
 
+// Token is one event of a generated stream.
+type Token struct {
+	// Place in the stream, from 0.
+	Offset int `json:"offset" cbor:"offset"`
+
+	// Text of the token.
+	Text string `json:"text" cbor:"text"`
+}
+
 // UpstreamDelta spreads announcements between instances.
 type UpstreamDelta struct {
 	// Announcements.
@@ -1131,3 +1303,15 @@
 	// Calls the answering instance has in flight to it.
 	OwnInFlight int `json:"ownInFlight" cbor:"ownInFlight"`
 }
+
+// WeightRequest asks the weight store for the weights of a model.
+type WeightRequest struct {
+	// Model as name@version.
+	Model string `json:"model" cbor:"model"`
+
+	// Units of the store's rate that the load takes.
+	Units float64 `json:"units" cbor:"units"`
+
+	// Loading engine.
+	Upstream string `json:"upstream" cbor:"upstream"`
+}
