--- a/wire/prefix/prefix.go
+++ b/wire/prefix/prefix.go
@@ -24,14 +24,11 @@
 	n := min(len(prompt)/BlockBytes, MaxBlocks)
 	hashes := make([]uint64, 0, n)
 	h := xxhash.Sum64String(model)
-	var d xxhash.Digest
-	var link [8]byte
+	var link [8 + BlockBytes]byte
 	for i := range n {
 		binary.LittleEndian.PutUint64(link[:], h)
-		d.Reset()
-		d.Write(link[:])
-		d.Write(prompt[i*BlockBytes : (i+1)*BlockBytes])
-		h = d.Sum64()
+		copy(link[8:], prompt[i*BlockBytes:])
+		h = xxhash.Sum64(link[:])
 		hashes = append(hashes, h&hashMask)
 	}
 	return hashes
