--- a/wire/jsonc/decode.go
+++ b/wire/jsonc/decode.go
@@ -161,7 +161,8 @@
 	if !literal {
 		l = hujson.Literal("null")
 	}
-	expected, ok := "", false
+	var expected string
+	var ok bool
 	switch out.Kind() {
 	case reflect.String:
 		expected, ok = "a string", l.Kind() == '"'
--- a/wire/jsonc/document.go
+++ b/wire/jsonc/document.go
@@ -138,7 +138,8 @@
 
 // commentEnd returns the offset after the comment at i, or after the one byte if there is none.
 func commentEnd(data []byte, i int) int {
-	terminator, start := "", i+2
+	var terminator string
+	start := i + 2
 	switch {
 	case bytes.HasPrefix(data[i:], []byte("//")):
 		terminator = "\n"
