consensus: agree on the order of log entries by Raft

The control log needs agreement that survives loss, delay, crash and lost disks.

Ruled out: Multi-Paxos and Viewstamped Replication (no simpler, membership less spelt out), joint consensus (replacement needs only single steps).

--- a/wire/types.go
+++ b/wire/types.go
@@ -266,6 +266,15 @@
 	// snapshotAnswer or timeoutNow.
 	Kind string `json:"kind" cbor:"kind"`
 
+	// Whether the chunk is the last of its snapshot.
+	Last bool `json:"last" cbor:"last"`
+
+	// ID of the log, set when it was first created.
+	Log string `json:"log" cbor:"log"`
+
+	// Offset in bytes of a snapshot chunk.
+	Offset int `json:"offset" cbor:"offset"`
+
 	// Index before the entries, or the newest index of a candidate.
 	PrevIndex int `json:"prevIndex" cbor:"prevIndex"`
 
@@ -286,6 +295,9 @@
 
 	// Receiving replica ID.
 	To string `json:"to" cbor:"to"`
+
+	// Whether the leader asked for this election.
+	Transfer bool `json:"transfer" cbor:"transfer"`
 }
 
 // Continuation is the body of a call that goes on with a stream which another
