settings: add the settings file and its checks

An instance must refuse every bad value before it starts anything, with file, line and field path. Secrets hide themselves from printing.

--- /dev/null
+++ b/plantainlane/settings/check.go
@@ -0,0 +1,193 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"plantainlane/wire/declaration"
+	"plantainlane/wire/jsonc"
+)
+
+const (
+	minSecretLength = 16
+	maxLease        = 10 * time.Minute
+	maxDuration     = 24 * time.Hour
+	maxBodyBytes    = 1 << 30
+	minHeaderBytes  = 4 << 10
+	maxHeaderBytes  = 1 << 20
+	minEvents       = 16
+	maxEvents       = 1 << 24
+	maxVerbosity    = 9
+)
+
+type checker struct {
+	doc      *jsonc.Document
+	problems []jsonc.Problem
+}
+
+func check(s *Settings, doc *jsonc.Document) []jsonc.Problem {
+	c := &checker{doc: doc}
+	c.name("instance.id", s.Instance.ID)
+	c.name("instance.zone", s.Instance.Zone)
+	c.name("instance.region", s.Instance.Region)
+	c.addresses(s)
+	if s.Data != nil {
+		c.data(*s.Data)
+	}
+	c.credentials(s.Credentials)
+	c.control(s.Control)
+	c.entry(s.Entry)
+	c.duration("upstreams.idleConnectionLimit", s.Upstreams.IdleConnectionLimit, time.Millisecond, maxDuration)
+	c.integer("timeline.events", s.Timeline.Events, minEvents, maxEvents)
+	c.integer("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
+	if s.Log.Format != "json" && s.Log.Format != "text" {
+		c.fail("log.format", `"json" or "text"`, strconv.Quote(s.Log.Format))
+	}
+	return c.problems
+}
+
+func (c *checker) fail(path, expected, found string) {
+	c.problems = append(c.problems, c.doc.Problem(path, expected, found))
+}
+
+func (c *checker) name(path, value string) {
+	if !declaration.IsName(value) {
+		c.fail(path, declaration.NameRule, strconv.Quote(value))
+	}
+}
+
+func (c *checker) duration(path string, value Duration, least, most time.Duration) {
+	if value.Value() < least || value.Value() > most {
+		c.fail(path, fmt.Sprintf("%v to %v", least, most), value.String())
+	}
+}
+
+func (c *checker) integer(path string, value, least, most int) {
+	if value < least || value > most {
+		c.fail(path, fmt.Sprintf("%d to %d", least, most), strconv.Itoa(value))
+	}
+}
+
+func (c *checker) addresses(s *Settings) {
+	listen := map[string]string{}
+	for _, a := range s.Listen.list() {
+		path := "listen." + a.key
+		if !c.address(path, a.value, true) {
+			continue
+		}
+		if other, taken := listen[a.value]; taken {
+			c.fail(path, "another address than listen."+other, strconv.Quote(a.value))
+		}
+		listen[a.value] = a.key
+	}
+	for i, a := range s.Advertise.list() {
+		if a.value != s.Listen.list()[i].value {
+			c.address("advertise."+a.key, a.value, false)
+			continue
+		}
+		if p, err := netip.ParseAddrPort(a.value); err == nil && p.Addr().IsUnspecified() {
+			c.fail("advertise."+a.key, "the IP number that others connect to, since listen."+a.key+" names none", "")
+		}
+	}
+	for i, a := range s.Join {
+		c.address(fmt.Sprintf("join[%d]", i), a, false)
+	}
+}
+
+type keyedAddress struct{ key, value string }
+
+func (a Addresses) list() []keyedAddress {
+	return []keyedAddress{
+		{"callers", a.Callers},
+		{"upstreams", a.Upstreams},
+		{"operators", a.Operators},
+		{"peers", a.Peers},
+	}
+}
+
+func (c *checker) address(path, value string, unspecified bool) bool {
+	p, err := netip.ParseAddrPort(value)
+	switch {
+	case err != nil || p.Port() == 0:
+		c.fail(path, `an IP number and a port, such as "192.0.2.1:8080"`, strconv.Quote(value))
+	case p.Addr().IsUnspecified() && !unspecified:
+		c.fail(path, "an IP number that others can connect to", strconv.Quote(value))
+	default:
+		return true
+	}
+	return false
+}
+
+func (c *checker) data(d Data) {
+	if d.Folder == "" {
+		c.fail("data.folder", "the path of a folder", `""`)
+	}
+	switch d.Voters {
+	case 1, 3, 5, 7:
+	default:
+		c.fail("data.voters", "1, 3, 5 or 7", strconv.Itoa(d.Voters))
+	}
+}
+
+func (c *checker) credentials(all Credentials) {
+	if n := len(all.Peer); n < minSecretLength {
+		c.fail("credentials.peer", fmt.Sprintf("at least %d characters", minSecretLength), fmt.Sprintf("%d", n))
+	}
+	seen := map[string]bool{}
+	for i, u := range all.Upstreams {
+		path := fmt.Sprintf("credentials.upstreams[%d]", i)
+		c.credential(path, u.Name, u.SHA256, seen)
+		if len(u.Services) == 0 {
+			c.fail(path+".services", `at least one service, or "*"`, "none")
+		}
+		for j, s := range u.Services {
+			if s != "*" {
+				c.name(fmt.Sprintf("%s.services[%d]", path, j), s)
+			}
+		}
+	}
+	if len(all.Operators) == 0 {
+		c.fail("credentials.operators", "at least one credential", "none")
+	}
+	clear(seen)
+	for i, o := range all.Operators {
+		c.credential(fmt.Sprintf("credentials.operators[%d]", i), o.Name, o.SHA256, seen)
+	}
+}
+
+func (c *checker) credential(path, name, sha256 string, seen map[string]bool) {
+	c.name(path+".name", name)
+	if seen[name] {
+		c.fail(path+".name", "each name once", "a second "+strconv.Quote(name))
+	}
+	seen[name] = true
+	if !declaration.IsHash(sha256) {
+		c.fail(path+".sha256", declaration.HashRule, "")
+	}
+}
+
+func (c *checker) control(t Control) {
+	c.duration("control.tick", t.Tick, time.Millisecond, time.Second)
+	c.duration("control.heartbeat", t.Heartbeat, time.Millisecond, time.Minute)
+	c.duration("control.electionTimeout", t.ElectionTimeout, 10*time.Millisecond, time.Minute)
+	c.duration("control.lease", t.Lease, 10*time.Millisecond, maxLease)
+	c.duration("control.silentAfter", t.SilentAfter, time.Millisecond, maxLease)
+	if t.ElectionTimeout < 2*t.Tick {
+		c.fail("control.electionTimeout", "at least twice control.tick", t.ElectionTimeout.String())
+	}
+	if t.Lease <= 2*t.ElectionTimeout {
+		c.fail("control.lease", "more than twice control.electionTimeout", t.Lease.String())
+	}
+	if t.SilentAfter < 2*t.Heartbeat {
+		c.fail("control.silentAfter", "at least twice control.heartbeat", t.SilentAfter.String())
+	}
+}
+
+func (c *checker) entry(e Entry) {
+	c.duration("entry.keepFor", e.KeepFor, time.Millisecond, maxDuration)
+	c.duration("entry.drainLimit", e.DrainLimit, time.Millisecond, maxDuration)
+	c.integer("entry.maxBodyBytes", e.MaxBodyBytes, 1, maxBodyBytes)
+	c.integer("entry.maxHeaderBytes", e.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+}
--- /dev/null
+++ b/plantainlane/settings/value.go
@@ -0,0 +1,41 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Duration is a time.Duration written as text, such as "500ms" or "1m30s".
+type Duration time.Duration
+
+// UnmarshalText reads the form that time.ParseDuration takes.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.New(`a duration such as "500ms" or "10s"`)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes the form that UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// String returns the duration in time.Duration's form.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Value returns d as a time.Duration.
+func (d Duration) Value() time.Duration { return time.Duration(d) }
+
+// Secret is text that is never printed; convert it to a string to use it.
+type Secret string
+
+// String hides the secret.
+func (Secret) String() string { return "[secret]" }
+
+// GoString hides the secret.
+func (Secret) GoString() string { return "[secret]" }
+
+// MarshalText hides the secret.
+func (Secret) MarshalText() ([]byte, error) { return []byte("[secret]"), nil }
