--- a/wire/types.go
+++ b/wire/types.go
@@ -570,6 +570,62 @@
 	BeforeMs int `json:"beforeMs" cbor:"beforeMs"`
 }
 
+// Fault is how a fake upstream misbehaves. Shares are of calls, 0 to 1; the zero
+// value is a healthy upstream.
+type Fault struct {
+	// Calls that run and whose connection is closed without an answer.
+	CloseShare float64 `json:"closeShare" cbor:"closeShare"`
+
+	// Calls answered with the attempt ID of another call.
+	CrossShare float64 `json:"crossShare" cbor:"crossShare"`
+
+	// Calls answered 500 after they ran.
+	FailAfterShare float64 `json:"failAfterShare" cbor:"failAfterShare"`
+
+	// Calls answered 503 not run, without running.
+	FailBeforeShare float64 `json:"failBeforeShare" cbor:"failBeforeShare"`
+
+	// Delay of late answers in milliseconds.
+	LateMs int `json:"lateMs" cbor:"lateMs"`
+
+	// Calls answered lateMs after they ran.
+	LateShare float64 `json:"lateShare" cbor:"lateShare"`
+
+	// Connections are closed before a request is read.
+	Refuse bool `json:"refuse" cbor:"refuse"`
+
+	// Calls that run and are never answered.
+	SilentShare float64 `json:"silentShare" cbor:"silentShare"`
+
+	// Service times are multiplied by this; 0 means 1.
+	SlowFactor float64 `json:"slowFactor" cbor:"slowFactor"`
+
+	// Announcements are not renewed.
+	StopRenewing bool `json:"stopRenewing" cbor:"stopRenewing"`
+
+	// Calls whose answer or stream breaks off half way.
+	TruncateShare float64 `json:"truncateShare" cbor:"truncateShare"`
+}
+
+// FaultAnswer names the fake upstreams that took a fault.
+type FaultAnswer struct {
+	// Upstream IDs.
+	Upstreams []string `json:"upstreams" cbor:"upstreams"`
+}
+
+// FaultOrder sets the fault of some fake upstreams of one process; the others keep
+// theirs.
+type FaultOrder struct {
+	// New fault; it replaces the one before.
+	Fault Fault `json:"fault" cbor:"fault"`
+
+	// Share of these upstreams, rounded up, the first ones in order; 0 means all.
+	Share *float64 `json:"share,omitempty,omitzero" cbor:"share,omitempty"`
+
+	// Upstream IDs; empty for all of the process.
+	Upstreams []string `json:"upstreams,omitempty,omitzero" cbor:"upstreams,omitempty"`
+}
+
 // FencingAdvance takes the next fencing numbers for a leader.
 type FencingAdvance struct {
 	// Leader's instance ID.
@@ -866,6 +922,66 @@
 	Sequence int `json:"sequence" cbor:"sequence"`
 }
 
+// Ledger is what fake upstreams have run.
+type Ledger struct {
+	// Executions beyond the bound on rows; they are in the totals.
+	Dropped int `json:"dropped" cbor:"dropped"`
+
+	// Executions.
+	Rows []LedgerRow `json:"rows" cbor:"rows"`
+
+	// Totals by workspace and path.
+	Totals []LedgerTotal `json:"totals" cbor:"totals"`
+}
+
+// LedgerRow is one execution at a fake upstream.
+type LedgerRow struct {
+	// Attempt ID.
+	Attempt string `json:"attempt" cbor:"attempt"`
+
+	// Digest of the input.
+	Input string `json:"input" cbor:"input"`
+
+	// Path of the call.
+	Path string `json:"path" cbor:"path"`
+
+	// Request ID.
+	Request string `json:"request" cbor:"request"`
+
+	// When it started, in microseconds since 1970.
+	StartedUs int `json:"startedUs" cbor:"startedUs"`
+
+	// Cost units.
+	Units float64 `json:"units" cbor:"units"`
+
+	// Upstream ID.
+	Upstream string `json:"upstream" cbor:"upstream"`
+
+	// Workspace.
+	Workspace string `json:"workspace" cbor:"workspace"`
+}
+
+// LedgerTotal counts the calls of a workspace at a path.
+type LedgerTotal struct {
+	// Calls that ran.
+	Executions int `json:"executions" cbor:"executions"`
+
+	// Path of the calls.
+	Path string `json:"path" cbor:"path"`
+
+	// Calls that did not run.
+	Refusals int `json:"refusals" cbor:"refusals"`
+
+	// Service.
+	Service string `json:"service" cbor:"service"`
+
+	// Cost units.
+	Units float64 `json:"units" cbor:"units"`
+
+	// Workspace.
+	Workspace string `json:"workspace" cbor:"workspace"`
+}
+
 // LogEntry is an entry of the control log on the wire and on disk.
 type LogEntry struct {
 	// Encoded command or membership.
