standin: run fake upstreams

Outputs form a digest chain over the stages, so that a caller can tell a whole answer of its own from any other.

--- /dev/null
+++ b/standin/chain/chain.go
@@ -0,0 +1,105 @@
+package chain
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Paths that shape the output of a stage. Any other path answers with a plain result.
+const (
+	PathEncode   = "/encode"
+	PathRetrieve = "/retrieve"
+	PathRerank   = "/rerank"
+	PathGenerate = "/generate"
+)
+
+const (
+	digestBytes    = 16
+	vectorLength   = 8
+	documentsCount = 4
+)
+
+// ErrNotJSON marks an input that is no JSON value.
+var ErrNotJSON = errors.New("input is not JSON")
+
+// Output is what a fake stage answers. Digest depends on the path and the whole input; exactly one
+// of the other fields is set, by path.
+type Output struct {
+	Digest    string   `json:"digest"`
+	Vector    []int    `json:"vector,omitempty"`
+	Documents []string `json:"documents,omitempty"`
+	Ranked    []string `json:"ranked,omitempty"`
+	Result    string   `json:"result,omitempty"`
+}
+
+// InputDigest returns the digest of an input, independent of white space between its tokens.
+// It returns ErrNotJSON for an input that is no JSON value.
+func InputDigest(input json.RawMessage) (string, error) {
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, input); err != nil {
+		return "", errors.Mark(err, ErrNotJSON)
+	}
+	sum := sha256.Sum256(compact.Bytes())
+	return hex.EncodeToString(sum[:digestBytes]), nil
+}
+
+// Derive returns the output of the stage at a path for an input digest.
+func Derive(path, inputDigest string) Output {
+	sum := sha256.Sum256([]byte(path + " " + inputDigest))
+	out := Output{Digest: hex.EncodeToString(sum[:digestBytes])}
+	switch path {
+	case PathEncode:
+		for _, b := range sum[:vectorLength] {
+			out.Vector = append(out.Vector, int(b))
+		}
+	case PathRetrieve:
+		out.Documents = documents(sum)
+	case PathRerank:
+		out.Ranked = documents(sum)
+	default:
+		out.Result = "done " + out.Digest[:8]
+	}
+	return out
+}
+
+func documents(sum [sha256.Size]byte) []string {
+	docs := make([]string, 0, documentsCount)
+	for i := range documentsCount {
+		docs = append(docs, fmt.Sprintf("document-%d", binary.BigEndian.Uint16(sum[2*i:])))
+	}
+	return docs
+}
+
+// Token returns the text of the token at an offset of the stream for an output digest.
+func Token(digest string, offset int) string {
+	at := (offset * 4) % (len(digest) - 3)
+	return fmt.Sprintf("w%d-%s ", offset, digest[at:at+4])
+}
+
+// Text returns the joined text of the first count tokens.
+func Text(digest string, count int) string {
+	var b strings.Builder
+	for i := range count {
+		b.WriteString(Token(digest, i))
+	}
+	return b.String()
+}
+
+// TokenCount returns how many tokens a stream has: between half and one and a half of the mean,
+// by digest, and no more than limit if limit is more than 0.
+func TokenCount(digest string, mean, limit int) int {
+	sum := sha256.Sum256([]byte("tokens " + digest))
+	count := mean/2 + int(binary.BigEndian.Uint32(sum[:])%uint32(max(mean, 1)))
+	count = max(count, 1)
+	if limit > 0 {
+		count = min(count, limit)
+	}
+	return count
+}
--- /dev/null
+++ b/standin/fake/group.go
@@ -0,0 +1,95 @@
+package fake
+
+import (
+	"math"
+	"net/http"
+	"slices"
+	"sync"
+
+	"plantainlane/wire"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v5"
+)
+
+// ErrUnknownUpstream marks a fault order for an upstream that is not in the group.
+var ErrUnknownUpstream = errors.New("unknown upstream")
+
+// Group is the fakes of one process.
+type Group struct {
+	mu    sync.Mutex
+	fakes []*Fake
+}
+
+// NewGroup returns a group of fakes.
+func NewGroup(fakes ...*Fake) *Group { return &Group{fakes: fakes} }
+
+// Ledger returns what all fakes of the group have run.
+func (g *Group) Ledger() wire.Ledger {
+	out := wire.Ledger{Rows: []wire.LedgerRow{}, Totals: []wire.LedgerTotal{}}
+	for _, f := range g.fakes {
+		f.ledger.appendTo(&out)
+	}
+	out.Totals = MergeTotals(out.Totals)
+	return out
+}
+
+// Apply sets the fault of the fakes an order names and returns their IDs.
+func (g *Group) Apply(order wire.FaultOrder) ([]string, error) {
+	chosen, err := g.choose(order)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ids := make([]string, 0, len(chosen))
+	for _, f := range chosen {
+		f.SetFault(order.Fault)
+		ids = append(ids, f.id)
+	}
+	return ids, nil
+}
+
+func (g *Group) choose(order wire.FaultOrder) ([]*Fake, error) {
+	chosen := g.fakes
+	if len(order.Upstreams) > 0 {
+		chosen = nil
+		for _, id := range order.Upstreams {
+			i := slices.IndexFunc(g.fakes, func(f *Fake) bool { return f.id == id })
+			if i < 0 {
+				return nil, errors.Wrapf(ErrUnknownUpstream, "%s", id)
+			}
+			chosen = append(chosen, g.fakes[i])
+		}
+	}
+	if order.Share != nil && *order.Share > 0 && *order.Share < 1 {
+		chosen = chosen[:int(math.Ceil(*order.Share*float64(len(chosen))))]
+	}
+	return chosen, nil
+}
+
+// Handler serves GET /ledger and POST /faults.
+func (g *Group) Handler() http.Handler {
+	e := echo.New()
+	e.GET("/ledger", func(c *echo.Context) error { return c.JSON(http.StatusOK, g.Ledger()) })
+	e.POST("/faults", g.serveFaults)
+	return e
+}
+
+func (g *Group) serveFaults(c *echo.Context) error {
+	var order wire.FaultOrder
+	if err := c.Bind(&order); err != nil {
+		return c.JSON(http.StatusBadRequest, problem(http.StatusBadRequest, "malformed fault order"))
+	}
+	ids, err := g.Apply(order)
+	if err != nil {
+		return c.JSON(http.StatusNotFound, problem(http.StatusNotFound, err.Error()))
+	}
+	return c.JSON(http.StatusOK, wire.FaultAnswer{Upstreams: ids})
+}
+
+func problem(status int, detail string) wire.Problem {
+	return wire.Problem{
+		Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail, Execution: NotRun,
+	}
+}
