wire: carry clock readings and instance rows between instances

Frames carry the sender's hybrid logical clock, so that effects never come before their cause on a merged time line. Instance rows go out with lease answers, only those that changed, in place of the whole list with every configuration.

--- a/wire/types.go
+++ b/wire/types.go
@@ -202,6 +202,9 @@
 	// Change of configuration.
 	Change *ChangeSet `json:"change,omitempty,omitzero" cbor:"change,omitempty"`
 
+	// Problems the leader found in the change; it is then recorded as invalid.
+	ChangeProblems []string `json:"changeProblems,omitempty,omitzero" cbor:"changeProblems,omitempty"`
+
 	// Claim.
 	Claim *Claim `json:"claim,omitempty,omitzero" cbor:"claim,omitempty"`
 
@@ -232,9 +235,6 @@
 	// Revision the update applies to; 0 for a whole configuration.
 	FromRevision int `json:"fromRevision" cbor:"fromRevision"`
 
-	// Instances known to the leader.
-	Instances []InstanceInfo `json:"instances" cbor:"instances"`
-
 	// Declarations removed.
 	Remove []DeclarationName `json:"remove" cbor:"remove"`
 
@@ -701,6 +701,9 @@
 	// Status query.
 	StatusQuery *bool `json:"statusQuery,omitempty,omitzero" cbor:"statusQuery,omitempty"`
 
+	// Sender's hybrid logical clock.
+	Time HLC `json:"time" cbor:"time"`
+
 	// Time line answer.
 	Timeline *TimelineAnswer `json:"timeline,omitempty,omitzero" cbor:"timeline,omitempty"`
 
@@ -836,6 +839,9 @@
 	// Region.
 	Region string `json:"region" cbor:"region"`
 
+	// Whether the leader has not heard from it lately.
+	Silent bool `json:"silent" cbor:"silent"`
+
 	// Address for upstreams.
 	UpstreamAddress string `json:"upstreamAddress" cbor:"upstreamAddress"`
 
@@ -897,9 +903,18 @@
 	// Whether the lease was granted.
 	Granted bool `json:"granted" cbor:"granted"`
 
+	// Instance rows that changed since the request's instancesVersion.
+	Instances []InstanceInfo `json:"instances" cbor:"instances"`
+
+	// Version of the instance rows after these.
+	InstancesVersion int `json:"instancesVersion" cbor:"instancesVersion"`
+
 	// Leader to ask if the answering instance isn't.
 	Leader string `json:"leader" cbor:"leader"`
 
+	// Peer address of the leader.
+	LeaderAddress string `json:"leaderAddress" cbor:"leaderAddress"`
+
 	// Newest committed revision.
 	Revision int `json:"revision" cbor:"revision"`
 
@@ -918,6 +933,12 @@
 	// Requesting instance.
 	Info InstanceInfo `json:"info" cbor:"info"`
 
+	// Term that instancesVersion belongs to.
+	InstancesTerm int `json:"instancesTerm" cbor:"instancesTerm"`
+
+	// Version of the instance rows the sender has from this term; 0 for none.
+	InstancesVersion int `json:"instancesVersion" cbor:"instancesVersion"`
+
 	// Counts requests; the lease counts from when this one was sent.
 	Sequence int `json:"sequence" cbor:"sequence"`
 }
