--- /dev/null
+++ b/plantainlane/state/config.go
@@ -0,0 +1,81 @@
+package state
+
+import (
+	"plantainlane/plantainlane/table"
+	"plantainlane/wire"
+)
+
+// Kinds of declarations, as wire.DeclarationName names them.
+const (
+	KindContract       = "contract"
+	KindPipeline       = "pipeline"
+	KindUpstreamPolicy = "upstreamPolicy"
+	KindModel          = "model"
+)
+
+// Config is the declarations in force at a revision. It is immutable.
+type Config struct {
+	// Revision counts accepted change sets. It never falls.
+	Revision int
+	// Contracts by workspace.
+	Contracts table.Table[*wire.Contract]
+	// Pipelines by name.
+	Pipelines table.Table[*wire.Pipeline]
+	// Policies by service.
+	Policies table.Table[*wire.UpstreamPolicy]
+	// Models by name.
+	Models table.Table[*wire.Model]
+}
+
+// With returns the configuration after a change set, at the given revision.
+func (c Config) With(set wire.Declarations, remove []wire.DeclarationName, revision int) Config {
+	c.Revision = revision
+	for _, n := range remove {
+		c = c.without(n)
+	}
+	for i := range set.Contracts {
+		c.Contracts = c.Contracts.With(set.Contracts[i].Workspace, &set.Contracts[i])
+	}
+	for i := range set.Pipelines {
+		c.Pipelines = c.Pipelines.With(set.Pipelines[i].Name, &set.Pipelines[i])
+	}
+	for i := range set.UpstreamPolicies {
+		c.Policies = c.Policies.With(set.UpstreamPolicies[i].Service, &set.UpstreamPolicies[i])
+	}
+	for i := range set.Models {
+		c.Models = c.Models.With(set.Models[i].Name, &set.Models[i])
+	}
+	return c
+}
+
+func (c Config) without(n wire.DeclarationName) Config {
+	switch n.Kind {
+	case KindContract:
+		c.Contracts = c.Contracts.Without(n.Name)
+	case KindPipeline:
+		c.Pipelines = c.Pipelines.Without(n.Name)
+	case KindUpstreamPolicy:
+		c.Policies = c.Policies.Without(n.Name)
+	case KindModel:
+		c.Models = c.Models.Without(n.Name)
+	}
+	return c
+}
+
+// Declarations returns all declarations.
+func (c Config) Declarations() wire.Declarations {
+	return wire.Declarations{
+		Contracts:        values(c.Contracts),
+		Pipelines:        values(c.Pipelines),
+		UpstreamPolicies: values(c.Policies),
+		Models:           values(c.Models),
+	}
+}
+
+func values[V any](t table.Table[*V]) []V {
+	out := make([]V, 0, t.Len())
+	for _, v := range t.All() {
+		out = append(out, *v)
+	}
+	return out
+}
