--- /dev/null
+++ b/plantainlane/roster/roster.go
@@ -0,0 +1,210 @@
+// Package roster keeps what upstreams announce of themselves and spreads it between instances by delta,
+// with periodic anti-entropy for what a delta missed.
+package roster
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"plantainlane/plantainlane/table"
+	"plantainlane/wire"
+)
+
+// ErrStale reports an announcement whose incarnation and sequence are not newer than what is known.
+var ErrStale = errors.New("roster: stale announcement")
+
+// ErrForeign reports an announcement for an upstream that another credential announced.
+var ErrForeign = errors.New("roster: upstream belongs to another credential")
+
+// rememberLapsed is how long a lapsed row is kept.
+const rememberLapsed = 10 * time.Minute
+
+// buckets is the number of parts that two instances compare in a digest.
+const buckets = 64
+
+// Row is what is known of one upstream.
+type Row struct {
+	// Announcement is the newest one. Its (Incarnation, Sequence) never falls while the row lives.
+	Announcement wire.Announcement
+	// Until is when the row lapses without renewal.
+	Until time.Time
+	// Credential that announced the upstream here; empty if another instance did.
+	Credential string
+	// Lapsed tells that the upstream was not renewed in time. The row stays for a while, so that a late
+	// or replayed announcement can't revive the upstream.
+	Lapsed bool
+}
+
+// Usable tells whether the upstream takes new work.
+func (r *Row) Usable() bool {
+	return !r.Lapsed && !r.Announcement.Leaving
+}
+
+// View is an immutable version of a Roster.
+type View struct {
+	// Rows by upstream ID, with those that left or lapsed of late.
+	Rows table.Table[*Row]
+}
+
+// Roster is the upstreams one instance knows. It is used by one goroutine.
+type Roster struct {
+	view    View
+	hashes  [buckets]uint64
+	changed map[string]bool
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{changed: make(map[string]bool)}
+}
+
+// View returns the current version.
+func (r *Roster) View() View {
+	return r.view
+}
+
+// Announce takes an announcement that an upstream sent here. It returns ErrStale or ErrForeign for one
+// that changes nothing.
+func (r *Roster) Announce(a wire.Announcement, credential string, now time.Time) error {
+	old, ok := r.view.Rows.Get(a.ID)
+	if ok && old.Credential != "" && old.Credential != credential {
+		return errors.Wrapf(ErrForeign, "upstream %s", a.ID)
+	}
+	if ok && !newer(a, old.Announcement) {
+		return errors.Wrapf(ErrStale, "upstream %s has %d.%d", a.ID, old.Announcement.Incarnation, old.Announcement.Sequence)
+	}
+	r.put(&Row{Announcement: a, Until: now.Add(ttl(a)), Credential: credential})
+	r.changed[a.ID] = true
+	return nil
+}
+
+// Leave marks an upstream as leaving. It returns ErrStale if something newer is known.
+func (r *Roster) Leave(id string, incarnation, sequence int, now time.Time) error {
+	old, ok := r.view.Rows.Get(id)
+	if !ok {
+		return errors.Wrapf(ErrStale, "upstream %s is not known", id)
+	}
+	a := old.Announcement
+	a.Incarnation, a.Sequence, a.Leaving = incarnation, sequence, true
+	return r.Announce(a, old.Credential, now)
+}
+
+// Merge takes announcements from another instance and returns the IDs that were news.
+func (r *Roster) Merge(list []wire.Announcement, now time.Time) []string {
+	var news []string
+	for _, a := range list {
+		old, ok := r.view.Rows.Get(a.ID)
+		if ok && !newer(a, old.Announcement) {
+			continue
+		}
+		row := &Row{Announcement: a, Until: now.Add(ttl(a))}
+		if ok {
+			row.Credential = old.Credential
+		}
+		r.put(row)
+		news = append(news, a.ID)
+	}
+	return news
+}
+
+// Expire marks rows whose time to live is over as lapsed and drops those that lapsed long ago. It returns
+// the IDs of the upstreams that lapsed.
+func (r *Roster) Expire(now time.Time) []string {
+	var lapsed, old []string
+	for id, row := range r.view.Rows.All() {
+		switch {
+		case now.Before(row.Until):
+		case !row.Lapsed:
+			lapsed = append(lapsed, id)
+		case now.Sub(row.Until) > rememberLapsed:
+			old = append(old, id)
+		}
+	}
+	for _, id := range lapsed {
+		row, _ := r.view.Rows.Get(id)
+		r.toggle(row.Announcement)
+		gone := *row
+		gone.Lapsed = true
+		r.view.Rows = r.view.Rows.With(id, &gone)
+	}
+	for _, id := range old {
+		r.view.Rows = r.view.Rows.Without(id)
+	}
+	return lapsed
+}
+
+// TakeChanged returns the announcements that were made here since the last call.
+func (r *Roster) TakeChanged() []wire.Announcement {
+	out := make([]wire.Announcement, 0, len(r.changed))
+	for id := range r.changed {
+		if row, ok := r.view.Rows.Get(id); ok {
+			out = append(out, row.Announcement)
+		}
+	}
+	clear(r.changed)
+	return out
+}
+
+// Digest returns a hash of each bucket.
+func (r *Roster) Digest() []int {
+	out := make([]int, buckets)
+	for i, h := range r.hashes {
+		out[i] = int(h)
+	}
+	return out
+}
+
+// Differing returns the announcements of the buckets in which another instance's digest differs. A digest
+// of another length differs in all.
+func (r *Roster) Differing(digest []int) []wire.Announcement {
+	own := r.Digest()
+	var out []wire.Announcement
+	for id, row := range r.view.Rows.All() {
+		b := bucketOf(id)
+		if row.Lapsed {
+			continue
+		}
+		if len(digest) != buckets || digest[b] != own[b] {
+			out = append(out, row.Announcement)
+		}
+	}
+	return out
+}
+
+func (r *Roster) put(row *Row) {
+	if old, ok := r.view.Rows.Get(row.Announcement.ID); ok && !old.Lapsed {
+		r.toggle(old.Announcement)
+	}
+	r.toggle(row.Announcement)
+	r.view.Rows = r.view.Rows.With(row.Announcement.ID, row)
+}
+
+// toggle adds an announcement to its bucket's hash, or takes it out again.
+func (r *Roster) toggle(a wire.Announcement) {
+	var d xxhash.Digest
+	d.ResetWithSeed(0)
+	_, _ = d.WriteString(a.ID)
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], uint64(a.Incarnation))
+	binary.LittleEndian.PutUint64(b[8:], uint64(a.Sequence))
+	_, _ = d.Write(b[:])
+	r.hashes[bucketOf(a.ID)] ^= d.Sum64()
+}
+
+func bucketOf(id string) int {
+	return int(xxhash.Sum64String(id) % buckets)
+}
+
+func newer(a, b wire.Announcement) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+func ttl(a wire.Announcement) time.Duration {
+	return time.Duration(a.TTLMs) * time.Millisecond
+}
