--- /dev/null
+++ b/plantainlane/peer/handshake.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+
+	"plantainlane/wire"
+)
+
+const bearer = "Bearer "
+
+// connect opens a connection to an address and serves it.
+func (n *Net) connect(address string) error {
+	ctx, cancel := context.WithTimeout(n.ctx, n.timing.SilentAfter)
+	defer cancel()
+	ws, answer, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+		HTTPClient: n.client,
+		HTTPHeader: http.Header{"Authorization": {bearer + n.credential}},
+	})
+	if answer != nil && answer.Body != nil {
+		defer answer.Body.Close()
+	}
+	if err != nil {
+		return errors.Wrap(err, "dial")
+	}
+	c, err := n.greet(ctx, ws)
+	if err != nil {
+		_ = ws.CloseNow()
+		return err
+	}
+	n.wait.Go(c.serve)
+	return nil
+}
+
+// ServeHTTP takes a connection from another instance. A client without the credential gets 401 before
+// anything is read from it.
+func (n *Net) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !sameSecret(strings.TrimPrefix(r.Header.Get("Authorization"), bearer), n.credential) {
+		http.Error(w, "unknown credential", http.StatusUnauthorized)
+		return
+	}
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, n.timing.SilentAfter)
+	c, err := n.greet(ctx, ws)
+	cancel()
+	if err != nil {
+		_ = ws.CloseNow()
+		return
+	}
+	c.serve()
+}
+
+// greet exchanges hellos.
+func (n *Net) greet(ctx context.Context, ws *websocket.Conn) (*conn, error) {
+	ws.SetReadLimit(wire.MaxFrameBytes)
+	c := &conn{net: n, ws: ws, out: make(chan wire.Frame, queueSize)}
+	hello := wire.Frame{Hello: &wire.Hello{Info: n.self, Protocol: wire.Protocol}}
+	if err := c.writeFrame(ctx, hello); err != nil {
+		return nil, err
+	}
+	f, err := c.readFrame(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if f.Hello == nil || f.Hello.Protocol != wire.Protocol || f.Hello.Info.ID == "" {
+		return nil, errors.Wrap(ErrRefused, "no hello of this protocol version")
+	}
+	if f.Hello.Info.ID == n.self.ID {
+		return nil, errors.Wrap(ErrRefused, "connection to this instance itself")
+	}
+	c.info = f.Hello.Info
+	n.clock.Observe(f.Time)
+	return c, nil
+}
+
+// sameSecret compares in a time that doesn't depend on where the two differ.
+func sameSecret(a, b string) bool {
+	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
+}
--- /dev/null
+++ b/plantainlane/peer/net.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"plantainlane/wire"
+)
+
+// ErrRefused reports a peer that refused the connection.
+var ErrRefused = errors.New("peer: connection refused by the other instance")
+
+// Path is the HTTP path of the peer endpoint.
+const Path = "/v1/peer"
+
+// Timing is the periods of a connection.
+type Timing struct {
+	// Heartbeat is the period at which a heartbeat is sent.
+	Heartbeat time.Duration
+	// SilentAfter is how long a connection may bring nothing, or a write may take, before it is closed.
+	// It is more than twice Heartbeat.
+	SilentAfter time.Duration
+	// Redial is the pause between two tries to connect to an instance.
+	Redial time.Duration
+}
+
+// Handler takes what connections bring. Its methods are called from several goroutines.
+type Handler interface {
+	Frame(f wire.Frame)
+	Connected(i wire.InstanceInfo)
+	Lost(id string)
+}
+
+// Clock stamps frames with a hybrid logical clock and learns from those that arrive.
+type Clock interface {
+	Stamp() wire.HLC
+	Observe(wire.HLC)
+}
+
+// Net is this instance's connections to others.
+type Net struct {
+	self       wire.InstanceInfo
+	credential string
+	timing     Timing
+	handler    Handler
+	clock      Clock
+	client     *http.Client
+
+	mu sync.Mutex
+	// conns holds the open connections to each instance; the last one is used for sending.
+	conns map[string][]*conn
+	// known holds what is known of other instances.
+	known map[string]wire.InstanceInfo
+	// dialing holds the addresses that a goroutine keeps trying.
+	dialing map[string]bool
+	ctx     context.Context
+	wait    sync.WaitGroup
+}
+
+// New returns a Net without connections. Its goroutines end with ctx.
+func New(ctx context.Context, self wire.InstanceInfo, credential string, t Timing, h Handler, c Clock) *Net {
+	return &Net{
+		self:       self,
+		credential: credential,
+		timing:     t,
+		handler:    h,
+		clock:      c,
+		client:     &http.Client{},
+		conns:      make(map[string][]*conn),
+		known:      make(map[string]wire.InstanceInfo),
+		dialing:    make(map[string]bool),
+		ctx:        ctx,
+	}
+}
+
+// Join keeps trying to connect to the instance at an address until there is a connection to it.
+func (n *Net) Join(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dial(address, "")
+}
+
+// Know takes the address of an instance, and connects to it if there is no connection yet.
+func (n *Net) Know(i wire.InstanceInfo) {
+	if i.ID == n.self.ID || i.PeerAddress == "" {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.known[i.ID] = i
+	if len(n.conns[i.ID]) == 0 && !i.Silent {
+		n.dial(i.PeerAddress, i.ID)
+	}
+}
+
+// Send queues a frame on the newest connection to an instance. Without one the frame is lost and a
+// connection is tried.
+func (n *Net) Send(to string, f wire.Frame) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := n.conns[to]
+	if len(list) > 0 {
+		list[len(list)-1].queue(f)
+		return
+	}
+	if i, ok := n.known[to]; ok {
+		n.dial(i.PeerAddress, to)
+	}
+}
+
+// Wait returns when all goroutines have ended, after the context did.
+func (n *Net) Wait() {
+	n.wait.Wait()
+}
+
+// dial starts a goroutine that connects to an address, unless one is at it. The lock is held.
+func (n *Net) dial(address, id string) {
+	if n.dialing[address] {
+		return
+	}
+	n.dialing[address] = true
+	n.wait.Go(func() {
+		n.keepDialing(address, id)
+		n.mu.Lock()
+		delete(n.dialing, address)
+		n.mu.Unlock()
+	})
+}
+
+// keepDialing tries until there is a connection. A connection to a known instance is tried for as long as
+// somebody sends to it, one by address alone for good.
+func (n *Net) keepDialing(address, id string) {
+	for n.ctx.Err() == nil {
+		err := n.connect(address)
+		if err == nil || (id != "" && !errors.Is(err, context.Canceled)) {
+			return
+		}
+		klog.V(2).InfoS("peer not reached", "address", address, "err", err)
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-time.After(n.timing.Redial):
+		}
+	}
+}
+
+func (n *Net) add(c *conn) {
+	n.mu.Lock()
+	n.conns[c.info.ID] = append(n.conns[c.info.ID], c)
+	n.known[c.info.ID] = c.info
+	n.mu.Unlock()
+	n.handler.Connected(c.info)
+}
+
+func (n *Net) remove(c *conn) {
+	n.mu.Lock()
+	list := n.conns[c.info.ID]
+	for i := range list {
+		if list[i] == c {
+			list = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	n.conns[c.info.ID] = list
+	n.mu.Unlock()
+	if len(list) == 0 {
+		n.handler.Lost(c.info.ID)
+	}
+}
