control: run leases, configuration and upstream spread in one goroutine

An instance takes new work only under a configuration lease, counted from when it asked. The leader reports a change as accepted once every registered instance applied it or its lease lapsed; a new leader assumes that everybody it has not heard holds a lease for one more lease length. The log is a single replica in memory until consensus is put beneath it.

--- /dev/null
+++ b/plantainlane/control/core.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"plantainlane/plantainlane/roster"
+	"plantainlane/plantainlane/state"
+	"plantainlane/plantainlane/table"
+	"plantainlane/wire"
+)
+
+// Outbound is a frame for another instance.
+type Outbound struct {
+	// To is the receiving instance.
+	To    string
+	Frame wire.Frame
+}
+
+// Recorder takes events for the time line. It must not block.
+type Recorder interface {
+	Record(now time.Time, e wire.Event)
+}
+
+// Core is the control state of one instance and the systems that run over it. It does no I/O and reads no
+// clock: Step is given the time and the inputs, and returns the frames to send. It is used by one
+// goroutine.
+type Core struct {
+	timing   Timing
+	log      Log
+	recorder Recorder
+	random   *rand.Rand
+
+	// self is this instance as the leader should know it.
+	self wire.InstanceInfo
+	// state is the replicated state; nil on an instance without a replica.
+	state *state.State
+	// applied is the index of the newest entry that state includes.
+	applied int
+	// deltas holds recent change sets by the revision they made.
+	deltas map[int]*wire.ChangeSet
+
+	config    state.Config
+	leader    string
+	term      int
+	leases    leaseHolder
+	instances instanceRows
+	peers     map[string]wire.InstanceInfo
+	roster    *roster.Roster
+	proposals proposals
+	queries   queries
+	lead      *leadership
+	draining  bool
+	digestAt  time.Time
+
+	now      time.Time
+	out      []Outbound
+	loopback []wire.Frame
+	view     *View
+	dirty    bool
+}
+
+// Option changes a Core under construction.
+type Option func(*Core)
+
+// WithLog gives the instance a replica of the control log and the state that the log's snapshot holds.
+func WithLog(l Log, s *state.State, applied int) Option {
+	return func(c *Core) {
+		c.log, c.state, c.applied = l, s, applied
+		c.config = s.Config
+	}
+}
+
+// WithTiming replaces the default periods.
+func WithTiming(t Timing) Option {
+	return func(c *Core) { c.timing = t }
+}
+
+// WithRecorder sends the core's events to r.
+func WithRecorder(r Recorder) Option {
+	return func(c *Core) { c.recorder = r }
+}
+
+// WithSeed seeds the choice of peers.
+func WithSeed(seed uint64) Option {
+	return func(c *Core) { c.random = rand.New(rand.NewPCG(seed, 0)) }
+}
+
+// New returns the control state of an instance that has just started.
+func New(self wire.InstanceInfo, opts ...Option) *Core {
+	c := &Core{
+		timing:    DefaultTiming(),
+		self:      self,
+		random:    rand.New(rand.NewPCG(uint64(self.Incarnation), 0)),
+		deltas:    make(map[int]*wire.ChangeSet),
+		peers:     make(map[string]wire.InstanceInfo),
+		roster:    roster.New(),
+		instances: instanceRows{rows: table.Table[wire.InstanceInfo]{}},
+		proposals: newProposals(),
+		queries:   newQueries(),
+		dirty:     true,
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Step takes inputs, runs the systems, and returns the frames to send. Time never goes back between calls.
+func (c *Core) Step(now time.Time, inputs ...Input) []Outbound {
+	c.now = now
+	c.out = nil
+	for _, in := range inputs {
+		c.take(in)
+	}
+	c.runReplication()
+	c.runLeadership()
+	c.runInstances()
+	c.runLeases()
+	c.runConfig()
+	c.runProposals()
+	c.runQueries()
+	c.runRoster()
+	for len(c.loopback) > 0 {
+		f := c.loopback[0]
+		c.loopback = c.loopback[1:]
+		c.takeFrame(f)
+		c.runReplication()
+	}
+	return c.out
+}
+
+// View returns the state for traffic goroutines, and whether it changed since the last call.
+func (c *Core) View() (*View, bool) {
+	if !c.dirty {
+		return c.view, false
+	}
+	c.dirty = false
+	c.view = &View{
+		Self:       c.self,
+		Config:     c.config,
+		LeaseUntil: c.leases.until,
+		Draining:   c.draining,
+		Instances:  c.instances.rows,
+		Upstreams:  c.roster.View(),
+		Leader:     c.leader,
+	}
+	return c.view, true
+}
+
+func (c *Core) take(in Input) {
+	switch in := in.(type) {
+	case FrameReceived:
+		c.takeFrame(in.Frame)
+	case PeerConnected:
+		c.peers[in.Info.ID] = in.Info
+	case PeerLost:
+		delete(c.peers, in.ID)
+	case Proposed:
+		c.propose(in)
+	case Announced:
+		in.Reply <- c.announce(in)
+	case Left:
+		in.Reply <- c.roster.Leave(in.ID, in.Incarnation, in.Sequence, c.now)
+		c.dirty = true
+	case DrainRequested:
+		c.requestDrain(in)
+	case StatusRequested:
+		c.requestStatus(in)
+	case QueryRequested:
+		c.query(in.To, in.Frame, in.Until, in.Reply)
+	case LoadMeasured:
+		c.self.Load = quantizeLoad(in.Share)
+	}
+}
+
+func (c *Core) takeFrame(f wire.Frame) {
+	switch {
+	case f.Consensus != nil && c.log != nil:
+		c.log.Step(*f.Consensus, c.now)
+	case f.LeaseRequest != nil:
+		c.takeLeaseRequest(f.From, *f.LeaseRequest)
+	case f.LeaseAnswer != nil:
+		c.takeLeaseAnswer(f.From, *f.LeaseAnswer)
+	case f.Config != nil:
+		c.takeConfig(*f.Config)
+	case f.Propose != nil:
+		c.leadProposal(origin{f.From, f.Call}, f.Propose.Command)
+	case f.ProposeAnswer != nil:
+		c.finishProposal(f.Call, *f.ProposeAnswer)
+	case f.Upstreams != nil:
+		c.takeUpstreams(f.From, *f.Upstreams)
+	case f.Digest != nil:
+		c.takeDigest(f.From, *f.Digest)
+	case f.Drain != nil:
+		c.startDrain()
+	case f.StatusQuery != nil:
+		c.answerStatus(origin{f.From, f.Call})
+	default:
+		c.finishQuery(f)
+	}
+}
+
+// send queues a frame for an instance; one for this instance itself is taken within the same step.
+func (c *Core) send(to string, f wire.Frame) {
+	f.From, f.Incarnation = c.self.ID, c.self.Incarnation
+	if to == c.self.ID {
+		c.loopback = append(c.loopback, f)
+		return
+	}
+	c.out = append(c.out, Outbound{To: to, Frame: f})
+}
+
+func (c *Core) record(e wire.Event) {
+	if c.recorder != nil {
+		c.recorder.Record(c.now, e)
+	}
+}
--- /dev/null
+++ b/plantainlane/control/query.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"time"
+
+	"plantainlane/wire"
+)
+
+// statusWait is how long before the asker gives up a status is answered without the leader.
+const statusWait = 200 * time.Millisecond
+
+// pendingQuery is a frame sent to another instance that waits for its answer.
+type pendingQuery struct {
+	until time.Time
+	reply chan<- wire.Frame
+}
+
+type queries struct {
+	rows map[int]pendingQuery
+	call int
+}
+
+func newQueries() queries {
+	return queries{rows: make(map[int]pendingQuery)}
+}
+
+func (c *Core) query(to string, f wire.Frame, until time.Time, reply chan<- wire.Frame) {
+	c.queries.call++
+	f.Call = c.queries.call
+	c.queries.rows[f.Call] = pendingQuery{until: until, reply: reply}
+	c.send(to, f)
+}
+
+func (c *Core) runQueries() {
+	for call, q := range c.queries.rows {
+		if c.now.After(q.until) {
+			delete(c.queries.rows, call)
+			q.reply <- wire.Frame{}
+		}
+	}
+}
+
+func (c *Core) finishQuery(f wire.Frame) {
+	q, ok := c.queries.rows[f.Call]
+	if !ok {
+		return
+	}
+	delete(c.queries.rows, f.Call)
+	q.reply <- f
+}
+
+// requestStatus asks the leader for the status of all instances; without a leader it tells what is known
+// here.
+func (c *Core) requestStatus(in StatusRequested) {
+	if c.leader == "" {
+		in.Reply <- c.ownStatus()
+		return
+	}
+	reply := make(chan wire.Frame, 1)
+	c.query(c.leader, wire.Frame{StatusQuery: ptr(true)}, in.Until.Add(-statusWait), reply)
+	own := c.ownStatus()
+	go func() {
+		f := <-reply
+		if f.Status == nil {
+			in.Reply <- own
+			return
+		}
+		f.Status.Upstreams = own.Upstreams
+		in.Reply <- *f.Status
+	}()
+}
+
+func (c *Core) answerStatus(to origin) {
+	s := c.ownStatus()
+	c.send(to.instance, wire.Frame{Call: to.call, Status: &s})
+}
+
+// ownStatus is the status as this instance knows it: complete on the leader.
+func (c *Core) ownStatus() wire.StatusAnswer {
+	s := wire.StatusAnswer{Revision: c.config.Revision, Leader: c.leader, Term: c.term}
+	for _, row := range c.roster.View().Rows.All() {
+		if !row.Lapsed {
+			s.Upstreams = append(s.Upstreams, wire.UpstreamStatus{Announcement: row.Announcement})
+		}
+	}
+	if c.lead == nil {
+		for _, i := range c.instances.rows.All() {
+			s.Instances = append(s.Instances, wire.InstanceStatus{Info: i, Lease: "unknown", Replica: "unknown", Leader: i.ID == c.leader})
+		}
+		return s
+	}
+	s.Revision, s.AcceptedRevision = c.state.Config.Revision, c.lead.accepted
+	roles := replicaRoles(c.log.Replicas())
+	for id, row := range c.lead.rows {
+		i := wire.InstanceStatus{
+			Info:            row.info,
+			AppliedRevision: row.applied,
+			Lease:           "lapsed",
+			Replica:         roles.of(row.info),
+			Leader:          id == c.self.ID,
+		}
+		if c.now.Before(row.until) {
+			i.Lease = "held"
+		}
+		s.Instances = append(s.Instances, i)
+	}
+	return s
+}
+
+// roleSet holds the replica role of each instance in a membership.
+type roleSet struct {
+	roles map[string]string
+}
+
+func replicaRoles(r wire.ReplicaSet) roleSet {
+	out := roleSet{make(map[string]string)}
+	for _, id := range r.Learners {
+		out.roles[InstanceOf(id)] = "learner"
+	}
+	for _, id := range r.Voters {
+		out.roles[InstanceOf(id)] = "voter"
+	}
+	return out
+}
+
+func (r roleSet) of(i wire.InstanceInfo) string {
+	if role := r.roles[i.ID]; role != "" {
+		return role
+	}
+	if i.HasData {
+		return "spare"
+	}
+	return "none"
+}
+
+func ptr[T any](v T) *T {
+	return &v
+}
--- /dev/null
+++ b/plantainlane/control/solo.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"time"
+
+	"plantainlane/wire"
+)
+
+// Solo is the log of an instance that is the only replica. It keeps entries in memory only.
+type Solo struct {
+	replica   string
+	committed []wire.LogEntry
+	last      int
+	term      int
+}
+
+// NewSolo returns the log of a single replica.
+func NewSolo(replica string, term int) *Solo {
+	return &Solo{replica: replica, term: term}
+}
+
+// Propose commits at once.
+func (s *Solo) Propose(data []byte, _ time.Time) (int, bool) {
+	s.last++
+	s.committed = append(s.committed, wire.LogEntry{Index: s.last, Term: s.term, Data: data})
+	return s.last, true
+}
+
+// Step ignores messages: there are no other replicas.
+func (s *Solo) Step(wire.ConsensusMessage, time.Time) {}
+
+// Tick does nothing.
+func (s *Solo) Tick(time.Time) {}
+
+// Take returns the entries proposed since the last call.
+func (s *Solo) Take() LogOutput {
+	out := LogOutput{Committed: s.committed}
+	s.committed = nil
+	return out
+}
+
+// Leadership tells that this replica leads.
+func (s *Solo) Leadership() Leadership {
+	return Leadership{Replica: s.replica, Term: s.term, Self: true}
+}
+
+// ConfirmedSince is always true: the replica is its own quorum.
+func (s *Solo) ConfirmedSince(time.Time) bool { return true }
+
+// Compact does nothing: entries aren't kept.
+func (s *Solo) Compact(int, []byte) {}
+
+// Replicas returns the one replica.
+func (s *Solo) Replicas() wire.ReplicaSet {
+	return wire.ReplicaSet{Voters: []string{s.replica}}
+}
