--- a/wire/declaration/name.go
+++ b/wire/declaration/name.go
@@ -2,7 +2,7 @@
 // control: contracts, pipelines, upstream policies and models.
 package declaration
 
-import "regexp"
+import "encoding/hex"
 
 // NameRule says in words what IsName takes.
 const NameRule = "1 to 64 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
@@ -10,14 +10,29 @@
 // HashRule says in words what IsHash takes.
 const HashRule = "64 lower-case hexadecimal digits (SHA-256)"
 
-var (
-	name = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
-	hash = regexp.MustCompile(`^[0-9a-f]{64}$`)
+const (
+	maxNameLength = 64
+	hashLength    = 64
 )
 
 // IsName reports whether s may name an instance, zone, region, workspace, pipeline, stage, service,
 // upstream, model or key.
-func IsName(s string) bool { return name.MatchString(s) }
+func IsName(s string) bool {
+	if s == "" || len(s) > maxNameLength {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		alphanumeric := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !alphanumeric && (i == 0 || c != '.' && c != '_' && c != '-') {
+			return false
+		}
+	}
+	return true
+}
 
 // IsHash reports whether s has the form of a SHA-256 in lower-case hexadecimal digits.
-func IsHash(s string) bool { return hash.MatchString(s) }
+func IsHash(s string) bool {
+	b, err := hex.DecodeString(s)
+	return err == nil && len(s) == hashLength && hex.EncodeToString(b) == s
+}
