limit: admit within grants and share services fairly

A Ledger on the leader splits contracts into grants that expire by themselves; what an instance may still use stays reserved until it confirms less or the grant ends, so that the sum never exceeds the contract. Gates share a service by weight, earliest deadline first, and refuse what can't finish.

wire.GrantRequest gains the answer in use and the grants held, which a new leader needs to keep shares as they are until all instances have asked.

--- /dev/null
+++ b/plantainlane/limit/limiter.go
@@ -0,0 +1,252 @@
+package limit
+
+import (
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"plantainlane/wire"
+)
+
+const (
+	// maxRetryAfter bounds the advice when to ask again.
+	maxRetryAfter = 30 * time.Second
+	grantWait     = time.Second
+)
+
+// Limiter admits requests within the grants of this instance. SetContracts, Grant and Demands belong to one
+// goroutine; Admit, TryAdmit and Ticket.Done may be called from any.
+type Limiter struct {
+	start      time.Time
+	processors *processors
+	cells      int
+	workspaces atomic.Pointer[map[string]*workspace]
+	wanted     chan struct{}
+	// sent are the grant requests that were not yet answered, by sequence.
+	sent map[int]sentRequest
+	// applied is the sequence of the newest answer in use.
+	applied int
+	// leader is the instance that was asked last.
+	leader   string
+	sequence int
+}
+
+// New returns a Limiter without contracts.
+func New(now time.Time) *Limiter {
+	l := &Limiter{
+		start: now.Add(-time.Nanosecond), processors: newProcessors(), cells: cellCount(),
+		wanted: make(chan struct{}, 1), sent: map[int]sentRequest{},
+	}
+	l.workspaces.Store(&map[string]*workspace{})
+	return l
+}
+
+func (l *Limiter) since(now time.Time) int64 {
+	return int64(now.Sub(l.start))
+}
+
+func (l *Limiter) workspace(name string) *workspace {
+	return (*l.workspaces.Load())[name]
+}
+
+// workspace is the state of one contract on this instance.
+type workspace struct {
+	name     string
+	limiter  *Limiter
+	contract atomic.Pointer[wire.Contract]
+	cells    []cell
+	requests bucket
+	tokens   bucket
+	permits  credits
+	// expires is when the grant ends, in nanoseconds since the Limiter's start.
+	expires atomic.Int64
+	// granted is the newest grant.
+	granted wire.Grant
+	// units are thousandths of cost units left in the grant. Used units are those issued less those left.
+	units       credits
+	unitsIssued int64
+	concurrency int64
+	meter       meter
+	room        room
+}
+
+func newWorkspace(l *Limiter, c *wire.Contract) *workspace {
+	w := &workspace{name: c.Workspace, limiter: l, cells: make([]cell, l.cells)}
+	w.contract.Store(c)
+	w.requests.cells, w.requests.field = w.cells, func(c *cell) *atomic.Int64 { return &c.requests }
+	w.tokens.cells, w.tokens.field = w.cells, func(c *cell) *atomic.Int64 { return &c.tokens }
+	w.permits.cells, w.permits.field = w.cells, func(c *cell) *atomic.Int64 { return &c.permits }
+	w.units.cells, w.units.field = w.cells, func(c *cell) *atomic.Int64 { return &c.units }
+	w.room.workspace = w
+	return w
+}
+
+// SetContracts replaces the contracts. A share held of a contract that changed is scaled with it, so that the
+// new limit holds at once over all instances.
+func (l *Limiter) SetContracts(now time.Time, contracts []wire.Contract) {
+	at := l.since(now)
+	old := *l.workspaces.Load()
+	next := make(map[string]*workspace, len(contracts))
+	for i := range contracts {
+		c := contracts[i]
+		w := old[c.Workspace]
+		if w == nil {
+			next[c.Workspace] = newWorkspace(l, &c)
+			continue
+		}
+		next[c.Workspace] = w
+		if before := w.contract.Swap(&c); limitsDiffer(before, &c) {
+			w.use(at, scale(w.granted, before, &c))
+		}
+	}
+	l.workspaces.Store(&next)
+	for name, w := range old {
+		if next[name] == nil {
+			w.expires.Store(0)
+			w.room.wake(now)
+		}
+	}
+}
+
+func limitsDiffer(a, b *wire.Contract) bool {
+	return a.Rate != b.Rate || a.Tokens != b.Tokens || a.Concurrency != b.Concurrency || a.Budget != b.Budget
+}
+
+// Ask describes a request to admit.
+type Ask struct {
+	Workspace string
+	Deadline  time.Time
+	// Needs is the time the request is expected to take once admitted.
+	Needs time.Duration
+	// Tokens is the largest number of tokens the request may generate; 0 if unknown.
+	Tokens int
+	// Units is the cost expected in cost units.
+	Units float64
+}
+
+// Ticket is an admitted request. Done must be called once.
+type Ticket struct {
+	workspace *workspace
+	tokens    int
+	units     float64
+}
+
+// TryAdmit admits the request now or returns a Refusal.
+func (l *Limiter) TryAdmit(now time.Time, a Ask) (Ticket, error) {
+	w := l.workspace(a.Workspace)
+	if w == nil {
+		return Ticket{}, unknownWorkspace
+	}
+	if reason := w.arrive(now, &a); reason != nil {
+		return Ticket{}, refuse(reason, w.retryAfter(reason))
+	}
+	return w.ticket(&a), nil
+}
+
+// arrive counts a request and admits it, or says what is missing.
+func (w *workspace) arrive(now time.Time, a *Ask) error {
+	at := w.limiter.processors.current()
+	w.cells[at%uint32(len(w.cells))].arrivals.Add(1)
+	return w.admit(w.limiter.since(now), at, a)
+}
+
+func (w *workspace) ticket(a *Ask) Ticket {
+	return Ticket{workspace: w, tokens: a.Tokens, units: a.Units}
+}
+
+var unknownWorkspace = refuse(ErrUnknownWorkspace, 0)
+
+// admit takes everything the request needs, or nothing and says what is missing.
+func (w *workspace) admit(now int64, at uint32, a *Ask) error {
+	if w.expires.Load() <= now {
+		return ErrNoGrant
+	}
+	units := int64(a.Units * milli)
+	if !w.units.takeAll(at, max(units, 1)) {
+		return ErrBudget
+	}
+	w.units.give(at, max(units, 1)-units)
+	if !w.permits.takeAll(at, 1) {
+		w.units.give(at, units)
+		return ErrConcurrency
+	}
+	if !w.requests.takeAt(now, at, milli) {
+		w.permits.give(at, 1)
+		w.units.give(at, units)
+		return ErrRate
+	}
+	if !w.takeTokens(now, at, a.Tokens) {
+		w.requests.give(at, milli)
+		w.permits.give(at, 1)
+		w.units.give(at, units)
+		return ErrTokens
+	}
+	return nil
+}
+
+// takeTokens takes the tokens a request may generate. One that may generate more than a whole burst needs a
+// full bucket and leaves it in debt.
+func (w *workspace) takeTokens(now int64, at uint32, n int) bool {
+	want := int64(n) * milli
+	capacity := w.tokens.capacity.Load()
+	if want <= capacity && want > 0 {
+		return w.tokens.takeAt(now, at, want)
+	}
+	need := min(max(want, 1), capacity)
+	if !w.tokens.takeAt(now, at, need) {
+		return false
+	}
+	w.tokens.give(at, need-want)
+	return true
+}
+
+// Usage is what a request used.
+type Usage struct {
+	Tokens int
+	Units  float64
+}
+
+// Done ends the request and settles what it used against what was expected. Tokens and units over the
+// expectation are owed: they hold back later requests.
+func (t Ticket) Done(now time.Time, used Usage) {
+	w := t.workspace
+	at := w.limiter.processors.current()
+	if t.units != used.Units {
+		w.units.give(at, int64(t.units*milli)-int64(used.Units*milli))
+	}
+	if t.tokens != used.Tokens {
+		w.tokens.give(at, int64(t.tokens-used.Tokens)*milli)
+	}
+	if used.Tokens > 0 {
+		w.cells[at%uint32(len(w.cells))].generated.Add(int64(used.Tokens))
+	}
+	w.permits.give(at, 1)
+	if w.room.waiting.Load() > 0 {
+		w.room.wake(now)
+	}
+}
+
+func (w *workspace) retryAfter(reason error) time.Duration {
+	switch {
+	case errors.Is(reason, ErrRate):
+		return w.requests.wait(milli)
+	case errors.Is(reason, ErrTokens):
+		return w.tokens.wait(milli)
+	case errors.Is(reason, ErrNoGrant):
+		return grantWait
+	case errors.Is(reason, ErrBudget):
+		return maxRetryAfter
+	}
+	return 0
+}
+
+// Workspaces returns the contracts in use, by workspace.
+func (l *Limiter) Workspaces() map[string]wire.Contract {
+	contracts := map[string]wire.Contract{}
+	for name, w := range maps.All(*l.workspaces.Load()) {
+		contracts[name] = *w.contract.Load()
+	}
+	return contracts
+}
--- /dev/null
+++ b/plantainlane/limit/limiter_test.go
@@ -0,0 +1,261 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/wire"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func contract(workspace string) wire.Contract {
+	return wire.Contract{
+		Workspace: workspace, Rate: wire.Rate{PerSecond: 100, Burst: 20}, Concurrency: 10,
+		Tokens: wire.Rate{PerSecond: 1000, Burst: 500}, Budget: wire.Budget{Units: 50, PeriodHours: 24},
+	}
+}
+
+func whole1(c wire.Contract) wire.Grant {
+	return wire.Grant{
+		Workspace: c.Workspace, Requests: c.Rate, Tokens: c.Tokens, Concurrency: c.Concurrency, UnitsLeft: c.Budget.Units,
+	}
+}
+
+// granted returns a Limiter that holds the whole of each contract, with full buckets.
+func granted(now time.Time, contracts ...wire.Contract) *Limiter {
+	l := New(now)
+	l.SetContracts(now, contracts)
+	answer := wire.GrantAnswer{DurationMs: 3600_000}
+	for _, c := range contracts {
+		answer.Grants = append(answer.Grants, whole1(c))
+	}
+	answer.Sequence = l.Request(now, "leader", "i", 1).Sequence
+	l.Grant(now, answer)
+	for _, c := range contracts {
+		w := l.workspace(c.Workspace)
+		w.requests.centre.Store(w.requests.capacity.Load())
+		w.tokens.centre.Store(w.tokens.capacity.Load())
+	}
+	return l
+}
+
+func TestTryAdmitRefuses(t *testing.T) {
+	tests := []struct {
+		name   string
+		ask    Ask
+		done   bool
+		admits int
+		want   error
+	}{
+		{"rate", Ask{}, true, 20, ErrRate},
+		{"concurrency", Ask{}, false, 10, ErrConcurrency},
+		{"tokens", Ask{Tokens: 100}, true, 5, ErrTokens},
+		{"tokens over a burst leave a debt", Ask{Tokens: 800}, true, 1, ErrTokens},
+		{"budget", Ask{Units: 10}, true, 5, ErrBudget},
+		{"unknown", Ask{Workspace: "other"}, true, 0, ErrUnknownWorkspace},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			l := granted(epoch, contract("w"))
+			if test.ask.Workspace == "" {
+				test.ask.Workspace = "w"
+			}
+			admits := 0
+			for {
+				ticket, err := l.TryAdmit(epoch, test.ask)
+				if err != nil {
+					is.True(errors.Is(err, test.want))
+					break
+				}
+				admits++
+				if test.done {
+					ticket.Done(epoch, Usage{Tokens: test.ask.Tokens, Units: test.ask.Units})
+				}
+			}
+			is.Equal(admits, test.admits)
+		})
+	}
+}
+
+func TestRefusalTakesNothing(t *testing.T) {
+	is := is.New(t)
+	l := granted(epoch, contract("w"))
+	for range 5 {
+		_, err := l.TryAdmit(epoch, Ask{Workspace: "w", Tokens: 100, Units: 1})
+		is.NoErr(err)
+	}
+	for range 100 {
+		_, err := l.TryAdmit(epoch, Ask{Workspace: "w", Tokens: 100, Units: 1})
+		is.True(errors.Is(err, ErrTokens))
+	}
+	w := l.workspace("w")
+	is.Equal(w.permits.total(), int64(5))
+	is.Equal(w.requests.total(), int64(15*milli))
+	is.Equal(w.spent(), int64(5*milli))
+}
+
+func TestRateHoldsOverTime(t *testing.T) {
+	is := is.New(t)
+	l := granted(epoch, contract("w"))
+	admits := 0
+	for i := range 10_000 { // a request a millisecond, ten times the rate
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		if ticket, err := l.TryAdmit(now, Ask{Workspace: "w"}); err == nil {
+			ticket.Done(now, Usage{})
+			admits++
+		}
+	}
+	is.True(admits <= 20+1000)
+	is.True(admits >= 20+990)
+}
+
+func TestUsageIsSettled(t *testing.T) {
+	is := is.New(t)
+	l := granted(epoch, contract("w"))
+	ticket, err := l.TryAdmit(epoch, Ask{Workspace: "w", Tokens: 100, Units: 1})
+	is.NoErr(err)
+	ticket.Done(epoch, Usage{Tokens: 700, Units: 3})
+	_, err = l.TryAdmit(epoch, Ask{Workspace: "w"})
+	is.True(errors.Is(err, ErrTokens)) // 200 tokens in debt
+	_, err = l.TryAdmit(epoch.Add(201*time.Millisecond), Ask{Workspace: "w"})
+	is.NoErr(err)
+	is.Equal(l.Request(epoch, "leader", "i", 1).Demands[0].UnitsUsed, 3.0)
+}
+
+func TestGrantExpiresFromWhenItWasAskedFor(t *testing.T) {
+	is := is.New(t)
+	c := contract("w")
+	l := New(epoch)
+	l.SetContracts(epoch, []wire.Contract{c})
+	sequence := l.Request(epoch, "leader", "i", 1).Sequence
+	arrival := epoch.Add(2 * time.Second)
+	l.Grant(arrival, wire.GrantAnswer{Sequence: sequence, DurationMs: 3000, Grants: []wire.Grant{whole1(c)}})
+	_, err := l.TryAdmit(arrival, Ask{Workspace: "w"})
+	is.True(errors.Is(err, ErrRate)) // a new share starts empty
+	_, err = l.TryAdmit(arrival.Add(900*time.Millisecond), Ask{Workspace: "w"})
+	is.NoErr(err)
+	_, err = l.TryAdmit(epoch.Add(3*time.Second), Ask{Workspace: "w"})
+	is.True(errors.Is(err, ErrNoGrant))
+}
+
+func TestLateAnswersAreIgnored(t *testing.T) {
+	is := is.New(t)
+	c := contract("w")
+	l := New(epoch)
+	l.SetContracts(epoch, []wire.Contract{c})
+	answer := func(sequence int) wire.GrantAnswer {
+		return wire.GrantAnswer{Sequence: sequence, DurationMs: 9000, Grants: []wire.Grant{whole1(c)}}
+	}
+	held := func() int { return len(l.Request(epoch, "b", "i", 1).Held) }
+	first := l.Request(epoch, "a", "i", 1).Sequence
+	second := l.Request(epoch, "b", "i", 1).Sequence
+	l.Grant(epoch, answer(first)) // another leader's
+	is.Equal(held(), 0)
+	l.Grant(epoch, answer(second))
+	is.Equal(held(), 1)
+	l.Release("i", 1)
+	l.Grant(epoch, answer(second+1))
+	is.Equal(held(), 0)
+}
+
+func TestLoweredContractHoldsAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := contract("w")
+	l := granted(epoch, c)
+	c.Rate, c.Concurrency = wire.Rate{PerSecond: 50, Burst: 5}, 2
+	l.SetContracts(epoch, []wire.Contract{c})
+	admits := 0
+	for range 50 {
+		if ticket, err := l.TryAdmit(epoch, Ask{Workspace: "w"}); err == nil {
+			ticket.Done(epoch, Usage{})
+			admits++
+		}
+	}
+	is.Equal(admits, 5)
+	l.SetContracts(epoch, nil)
+	_, err := l.TryAdmit(epoch, Ask{Workspace: "w"})
+	is.True(errors.Is(err, ErrUnknownWorkspace))
+}
+
+func TestAdmitWaitsByDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		c := contract("w")
+		c.Concurrency = 1
+		l := granted(start, c)
+		first, err := l.TryAdmit(start, Ask{Workspace: "w"})
+		is.NoErr(err)
+		var order []int
+		admitted := make(chan int)
+		for i, deadline := range []time.Duration{900, 500, 700} {
+			go func() {
+				ask := Ask{Workspace: "w", Deadline: start.Add(deadline * time.Millisecond), Needs: 50 * time.Millisecond}
+				ticket, err := l.Admit(t.Context(), time.Now(), ask)
+				if err != nil {
+					i = -1
+				} else {
+					time.Sleep(10 * time.Millisecond)
+					ticket.Done(time.Now(), Usage{})
+				}
+				admitted <- i
+			}()
+		}
+		synctest.Wait()
+		first.Done(time.Now(), Usage{})
+		for range 3 {
+			order = append(order, <-admitted)
+		}
+		is.Equal(order, []int{1, 2, 0})
+		is.Equal(l.workspace("w").room.waiting.Load(), int32(0))
+	})
+}
+
+func TestAdmitRefusesWhatCanNotBeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := contract("w")
+		c.Rate = wire.Rate{PerSecond: 1, Burst: 1}
+		l := granted(time.Now(), c)
+		start := time.Now()
+		ask := Ask{Workspace: "w", Deadline: start.Add(500 * time.Millisecond)}
+		_, err := l.Admit(t.Context(), start, ask)
+		is.NoErr(err)
+		_, err = l.Admit(t.Context(), start, ask)
+		var refusal *Refusal
+		is.True(errors.As(err, &refusal))
+		is.True(refusal.RetryAfter >= 900*time.Millisecond)
+		is.Equal(time.Now(), start) // at once
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, err = l.Admit(ctx, time.Now(), Ask{Workspace: "w", Deadline: start.Add(time.Minute)})
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.Equal(l.workspace("w").room.waiting.Load(), int32(0))
+	})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	c := contract("w")
+	c.Rate = wire.Rate{PerSecond: 1e9, Burst: 1e9}
+	c.Tokens, c.Concurrency, c.Budget.Units = c.Rate, 1e6, 1e12
+	l := granted(epoch, c)
+	ask := Ask{Workspace: "w", Tokens: 10, Units: 0.5}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			ticket, err := l.TryAdmit(epoch, ask)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			ticket.Done(epoch, Usage{Tokens: 10, Units: 0.5})
+		}
+	})
+}
--- /dev/null
+++ b/plantainlane/limit/share.go
@@ -0,0 +1,141 @@
+package limit
+
+import (
+	"math"
+	"time"
+
+	"plantainlane/wire"
+)
+
+const (
+	// floorShare is the part of a limit that is split evenly, whatever the demand.
+	floorShare = 0.1
+	// rotateEvery is how long a limit smaller than the number of instances stays with one of them.
+	rotateEvery = 2 * time.Second
+	// unitShare is the part of a budget that is handed out at once.
+	unitShare = 0.02
+)
+
+// Demand is what one instance asks for of one contract, and what it may be using.
+type Demand struct {
+	wire.GrantDemand
+	// Outstanding is the most that the instance may use now under the grants it was given.
+	Outstanding wire.Grant
+}
+
+// Divide returns the share of the instance at position i in demands, whose order must be the same at
+// every call. Reserved is what instances that no longer ask may still use; left is the cost units left in the period. The
+// share and everything outstanding elsewhere never exceed the contract.
+func Divide(now time.Time, c *wire.Contract, demands []Demand, i int, reserved wire.Grant, left float64) wire.Grant {
+	others := reserved
+	for j, d := range demands {
+		if j != i {
+			others = addGrants(others, d.Outstanding)
+		}
+	}
+	w := weigh(demands, i)
+	turn := takesTurn(now, len(demands), i)
+	g := wire.Grant{Workspace: c.Workspace}
+	g.Requests.PerSecond = part(c.Rate.PerSecond, reserved.Requests.PerSecond, others.Requests.PerSecond, w.requests)
+	g.Requests.Burst = whole(c.Rate.Burst, reserved.Requests.Burst, others.Requests.Burst, w.requests, len(demands), turn)
+	g.Tokens.PerSecond = part(c.Tokens.PerSecond, reserved.Tokens.PerSecond, others.Tokens.PerSecond, w.tokens)
+	g.Tokens.Burst = part(c.Tokens.Burst, reserved.Tokens.Burst, others.Tokens.Burst, w.tokens)
+	g.Concurrency = int(whole(float64(c.Concurrency), float64(reserved.Concurrency), float64(others.Concurrency),
+		w.inFlight, len(demands), turn))
+	if c.Budget.Units > 0 {
+		g.UnitsLeft = unitsFor(c, left-reserved.UnitsLeft, left-others.UnitsLeft, w.requests, len(demands))
+	}
+	return g
+}
+
+// weights are the parts of the limits that fall to one instance; each adds up to 1 over all instances.
+type weights struct {
+	requests, tokens, inFlight float64
+}
+
+func weigh(demands []Demand, i int) weights {
+	var sum wire.GrantDemand
+	for _, d := range demands {
+		sum.RequestsPerSecond += d.RequestsPerSecond
+		sum.TokensPerSecond += d.TokensPerSecond
+		sum.InFlight += d.InFlight
+	}
+	d, n := demands[i], len(demands)
+	requests := quotient(d.RequestsPerSecond, sum.RequestsPerSecond, n)
+	// Tokens and calls in flight follow requests late, so requests count for half.
+	tokens := requests
+	if sum.TokensPerSecond > 0 {
+		tokens = (requests + quotient(d.TokensPerSecond, sum.TokensPerSecond, n)) / 2
+	}
+	inFlight := requests
+	if sum.InFlight > 0 {
+		inFlight = (requests + quotient(float64(d.InFlight), float64(sum.InFlight), n)) / 2
+	}
+	return weights{withFloor(requests, n), withFloor(tokens, n), withFloor(inFlight, n)}
+}
+
+func quotient(part, sum float64, n int) float64 {
+	if sum <= 0 {
+		return 1 / float64(n)
+	}
+	return part / sum
+}
+
+func withFloor(weight float64, n int) float64 {
+	return floorShare/float64(n) + (1-floorShare)*weight
+}
+
+// part splits a limit that can be split at will.
+func part(limit, reserved, others, weight float64) float64 {
+	return max(min((limit-reserved)*weight, limit-others), 0)
+}
+
+// whole splits a limit of which less than 1 is of no use. Each instance gets 1 before demand counts; a limit
+// smaller than the number of instances goes around between them.
+func whole(limit, reserved, others, weight float64, n int, turn func(limit int) bool) float64 {
+	free := math.Floor(limit - reserved)
+	share := 1 + math.Floor((free-float64(n))*weight)
+	if free < float64(n) {
+		share = 0
+		if turn(int(free)) {
+			share = 1
+		}
+	}
+	return max(math.Floor(min(share, limit-others)), 0)
+}
+
+// takesTurn tells whether instance i of n is among the few that have a scarce limit now.
+func takesTurn(now time.Time, n, i int) func(limit int) bool {
+	return func(limit int) bool {
+		round := int(now.UnixNano() / int64(rotateEvery))
+		return (i+round)%n < limit
+	}
+}
+
+// unitsFor hands out a budget in small parts, since what an instance holds when it dies counts as used.
+func unitsFor(c *wire.Contract, shared, free, weight float64, n int) float64 {
+	step := c.Budget.Units * unitShare
+	share := max(step*weight, min(shared/float64(2*n), step))
+	return max(min(share, free), 0)
+}
+
+func addGrants(a, b wire.Grant) wire.Grant {
+	a.Requests.PerSecond += b.Requests.PerSecond
+	a.Requests.Burst += b.Requests.Burst
+	a.Tokens.PerSecond += b.Tokens.PerSecond
+	a.Tokens.Burst += b.Tokens.Burst
+	a.Concurrency += b.Concurrency
+	a.UnitsLeft += b.UnitsLeft
+	return a
+}
+
+// maxGrants takes the larger of each limit.
+func maxGrants(a, b wire.Grant) wire.Grant {
+	a.Requests.PerSecond = max(a.Requests.PerSecond, b.Requests.PerSecond)
+	a.Requests.Burst = max(a.Requests.Burst, b.Requests.Burst)
+	a.Tokens.PerSecond = max(a.Tokens.PerSecond, b.Tokens.PerSecond)
+	a.Tokens.Burst = max(a.Tokens.Burst, b.Tokens.Burst)
+	a.Concurrency = max(a.Concurrency, b.Concurrency)
+	a.UnitsLeft = max(a.UnitsLeft, b.UnitsLeft)
+	return a
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -767,9 +767,15 @@
 
 // GrantRequest asks for shares of the contracts' limits.
 type GrantRequest struct {
-	// Workspaces with demand.
+	// Sequence of the newest answer in use; 0 for none.
+	Applied int `json:"applied" cbor:"applied"`
+
+	// Workspaces with demand. One that is left out gives up its share.
 	Demands []GrantDemand `json:"demands" cbor:"demands"`
 
+	// Grants in use.
+	Held []Grant `json:"held" cbor:"held"`
+
 	// Incarnation.
 	Incarnation int `json:"incarnation" cbor:"incarnation"`
 
