plantainctl: add the operator's commands

validate, diff, apply, get, status, drain, cost, timeline, hash-key and completion, one a file, over a client that goes on to the next instance. Exit codes tell a conflict, invalid declarations and an unknown outcome apart. The time line also draws one lane for each instance as SVG or a page.

--- /dev/null
+++ b/plantainctl/command/command.go
@@ -0,0 +1,84 @@
+// Package command holds the commands of plantainctl, one a file.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// commands holds the constructors that the files of the commands register.
+var commands []func() *cli.Command
+
+func register(newCommand func() *cli.Command) {
+	commands = append(commands, newCommand)
+}
+
+const description = `Operators change and watch plantainlane with it. Commands that talk to instances go on to the next
+--instance when one can't answer. The credential is read from --credential-file, or else from
+PLANTAINCTL_CREDENTIAL.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 revision conflict, 4 invalid declarations, 5 outcome pending
+or unknown, 6 credential refused, 7 not found, 8 differences found (diff --exit-code).`
+
+// Run runs the command line args, whose first element is the program's name, and returns the exit code.
+func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	root := newRoot()
+	root.Reader, root.Writer, root.ErrWriter = in, out, errOut
+	err := root.Run(ctx, args)
+	if err != nil && !errors.Is(err, ErrDiffers) {
+		fmt.Fprintln(errOut, "plantainctl: "+err.Error())
+	}
+	return exitCode(err)
+}
+
+func newRoot() *cli.Command {
+	root := &cli.Command{
+		Name:                  "plantainctl",
+		Usage:                 "change and watch plantainlane",
+		Description:           description,
+		Flags:                 rootFlags(),
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+			c.Usage = "print a completion script for bash, zsh, fish or pwsh"
+		},
+		Suggest:        true,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return errors.Wrapf(ErrUsage, "unknown command %q", c.Args().First())
+			}
+			return cli.ShowRootCommandHelp(c)
+		},
+	}
+	for _, newCommand := range commands {
+		root.Commands = append(root.Commands, newCommand())
+	}
+	slices.SortFunc(root.Commands, func(a, b *cli.Command) int { return strings.Compare(a.Name, b.Name) })
+	for _, c := range append(root.Commands, root) {
+		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return errors.Mark(err, ErrUsage)
+		}
+	}
+	return root
+}
+
+// examples formats the examples that a command's help ends with.
+func examples(text string, lines ...string) string {
+	return text + "\n\nExamples:\n   " + strings.Join(lines, "\n   ")
+}
+
+// arguments returns the command's arguments if there are at least least and at most most.
+func arguments(c *cli.Command, least, most int) ([]string, error) {
+	n := c.Args().Len()
+	if n < least || n > most {
+		return nil, errors.Wrapf(ErrUsage, "%s takes %s, got %d arguments", c.Name, c.ArgsUsage, n)
+	}
+	return c.Args().Slice(), nil
+}
--- /dev/null
+++ b/plantainctl/command/hashkey.go
@@ -0,0 +1,98 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	generatedKeyBytes = 32
+	maxKeyBytes       = 4 << 10
+)
+
+func init() { register(newHashKey) }
+
+func newHashKey() *cli.Command {
+	return &cli.Command{
+		Name:      "hash-key",
+		Usage:     "print the SHA-256 of a key, as contracts and settings hold it",
+		ArgsUsage: "[FILE]",
+		Description: examples(
+			"Reads the key from FILE or from the standard input; white space around it doesn't count. With --generate,\n"+
+				"makes a new key of 256 random bits and prints both.",
+			"plantainctl hash-key < hostel.key",
+			"plantainctl hash-key --generate --json",
+		),
+		Flags:  []cli.Flag{&cli.BoolFlag{Name: "generate", Usage: "make a new key"}},
+		Action: runHashKey,
+	}
+}
+
+// hashedKey is what hash-key prints as JSON.
+type hashedKey struct {
+	Key    string `json:"key,omitempty"`
+	SHA256 string `json:"sha256"`
+}
+
+func runHashKey(_ context.Context, c *cli.Command) error {
+	args, err := arguments(c, 0, 1)
+	if err != nil {
+		return err
+	}
+	if c.Bool("generate") && len(args) > 0 {
+		return errors.Wrap(ErrUsage, "--generate takes no FILE")
+	}
+	key, err := keyOf(c, args)
+	if err != nil {
+		return err
+	}
+	sum := sha256.Sum256([]byte(key))
+	h := hashedKey{SHA256: hex.EncodeToString(sum[:])}
+	if c.Bool("generate") {
+		h.Key = key
+	}
+	if c.Bool("json") {
+		return printJSON(c.Root().Writer, h)
+	}
+	if h.Key != "" {
+		fmt.Fprintln(c.Root().Writer, h.Key)
+	}
+	_, err = fmt.Fprintln(c.Root().Writer, h.SHA256)
+	return err
+}
+
+func keyOf(c *cli.Command, args []string) (string, error) {
+	if c.Bool("generate") {
+		b := make([]byte, generatedKeyBytes)
+		_, err := rand.Read(b)
+		return base64.RawURLEncoding.EncodeToString(b), errors.Wrap(err, "make key")
+	}
+	in := c.Root().Reader
+	if len(args) > 0 {
+		f, err := os.Open(args[0])
+		if err != nil {
+			return "", errors.Wrap(err, "read key")
+		}
+		defer f.Close()
+		in = f
+	}
+	text, err := io.ReadAll(io.LimitReader(in, maxKeyBytes))
+	if err != nil {
+		return "", errors.Wrap(err, "read key")
+	}
+	key := strings.TrimSpace(string(text))
+	if key == "" {
+		return "", errors.Wrap(ErrUsage, "the key is empty")
+	}
+	return key, nil
+}
--- /dev/null
+++ b/plantainctl/command/status.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"plantainlane/wire"
+)
+
+func init() { register(newStatus) }
+
+func newStatus() *cli.Command {
+	return &cli.Command{
+		Name:      "status",
+		Usage:     "show which revision is in force where, and the upstreams",
+		ArgsUsage: "no arguments",
+		Description: examples("Shows the leader, every instance with its lease and revision, and every upstream.",
+			"plantainctl -i 127.0.0.1:7003 status",
+			"plantainctl -i 127.0.0.1:7003 status --json",
+		),
+		Action: runStatus,
+	}
+}
+
+func runStatus(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c, 0, 0); err != nil {
+		return err
+	}
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	s, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(c.Root().Writer, s)
+	}
+	return printStatus(c.Root().Writer, s)
+}
+
+func printStatus(w io.Writer, s wire.StatusAnswer) error {
+	fmt.Fprintf(w, "revision %d, in force everywhere %d, leader %s, term %d\n\n", s.Revision, s.AcceptedRevision, dash(s.Leader), s.Term)
+	t := newTable(w, "INSTANCE", "ZONE", "REGION", "LEASE", "REVISION", "REPLICA", "STATE")
+	for _, i := range s.Instances {
+		state := "serving"
+		if i.Info.Draining {
+			state = "draining"
+		}
+		t.row(i.Info.ID, i.Info.Zone, i.Info.Region, i.Lease, strconv.Itoa(i.AppliedRevision), i.Replica, state)
+	}
+	if err := t.end(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	t = newTable(w, "UPSTREAM", "SERVICE", "ZONE", "ADDRESS", "IN FLIGHT", "QUEUED", "STATE")
+	for _, u := range s.Upstreams {
+		a := u.Announcement
+		t.row(a.ID, a.Service, a.Zone, a.Address, strconv.Itoa(a.Load.InFlight), strconv.Itoa(a.Load.Queued), upstreamState(u))
+	}
+	return t.end()
+}
+
+func upstreamState(u wire.UpstreamStatus) string {
+	switch {
+	case u.Announcement.Leaving:
+		return "leaving"
+	case u.Ejected:
+		return "ejected"
+	}
+	return "serving"
+}
--- /dev/null
+++ b/plantainctl/command/timeline.go
@@ -0,0 +1,194 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"plantainlane/plantainctl/lane"
+	"plantainlane/plantainctl/operator"
+	"plantainlane/wire"
+	"plantainlane/wire/timeline"
+)
+
+const (
+	defaultEvents = 1000
+	// followOverlap is how long an event may take to reach the instance that is asked.
+	followOverlap  = 5 * time.Second
+	followInterval = 500 * time.Millisecond
+)
+
+func init() { register(newTimeline) }
+
+func newTimeline() *cli.Command {
+	return &cli.Command{
+		Name:      "timeline",
+		Usage:     "show the events of all instances in one order",
+		ArgsUsage: "no arguments",
+		Description: examples(
+			"Shows one event a line, causes before their effects. Filters hold together. With --json, one JSON object;\n"+
+				"with --follow and --json, one event a line. --svg and --html draw one lane for each instance.",
+			"plantainctl -i 127.0.0.1:7003 timeline --request 7f8d...",
+			"plantainctl -i 127.0.0.1:7003 timeline --since 10m --workspace hostel --html hostel.html",
+			"plantainctl -i 127.0.0.1:7003 timeline --follow --upstream phrase-3",
+		),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "only this request `ID`"},
+			&cli.StringFlag{Name: "workspace", Usage: "only this `WORKSPACE`"},
+			&cli.StringFlag{Name: "upstream", Usage: "only this upstream `ID`"},
+			&cli.StringFlag{Name: "on", Usage: "only events of this instance `ID`"},
+			&cli.IntFlag{Name: "revision", Usage: "only this `REVISION`"},
+			&cli.DurationFlag{Name: "since", Usage: "only events of the last `DURATION`"},
+			&cli.IntFlag{Name: "limit", Usage: "at most the newest `COUNT` events", Value: defaultEvents},
+			&cli.BoolFlag{Name: "follow", Usage: "go on with new events until interrupted"},
+			&cli.StringFlag{Name: "svg", Usage: "draw to `FILE` as SVG"},
+			&cli.StringFlag{Name: "html", Usage: "draw to `FILE` as a page of its own"},
+		},
+		Action: runTimeline,
+	}
+}
+
+func runTimeline(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c, 0, 0); err != nil {
+		return err
+	}
+	if c.Int("limit") < 1 || c.Int("revision") < 0 || c.Duration("since") < 0 {
+		return errors.Wrap(ErrUsage, "--limit must be at least 1, --revision and --since not negative")
+	}
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	query := wire.TimelineQuery{
+		Request:   c.String("request"),
+		Workspace: c.String("workspace"),
+		Upstream:  c.String("upstream"),
+		Instance:  c.String("on"),
+		Revision:  c.Int("revision"),
+		Limit:     c.Int("limit"),
+	}
+	if since := c.Duration("since"); since > 0 {
+		query.SinceMs = int(time.Now().Add(-since).UnixMilli())
+	}
+	if c.Bool("follow") {
+		return follow(ctx, c, client, query)
+	}
+	answer, err := client.Timeline(ctx, query)
+	if err != nil {
+		return err
+	}
+	answer.Events = timeline.Merge(answer.Events)
+	return printTimeline(c, answer)
+}
+
+func printTimeline(c *cli.Command, answer wire.TimelineAnswer) error {
+	if answer.Dropped > 0 || len(answer.Unreachable) > 0 {
+		fmt.Fprintf(c.Root().ErrWriter, "not whole: %d events dropped, instances not reached: %s\n",
+			answer.Dropped, dash(strings.Join(answer.Unreachable, ", ")))
+	}
+	svg, page := c.String("svg"), c.String("html")
+	if svg != "" {
+		if err := writeFile(svg, func(w io.Writer) error { return lane.WriteSVG(w, answer.Events) }); err != nil {
+			return err
+		}
+	}
+	if page != "" {
+		err := writeFile(page, func(w io.Writer) error { return lane.WriteHTML(w, "plantainlane time line", answer.Events) })
+		if err != nil {
+			return err
+		}
+	}
+	if c.Bool("json") {
+		return printJSON(c.Root().Writer, answer)
+	}
+	if svg != "" || page != "" {
+		return nil
+	}
+	return printEvents(c, answer.Events)
+}
+
+func printEvents(c *cli.Command, events []wire.Event) error {
+	for _, e := range events {
+		if _, err := fmt.Fprintln(c.Root().Writer, timeline.Line(e)); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return nil
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "draw")
+	}
+	return errors.CombineErrors(write(f), errors.Wrap(f.Close(), "draw"))
+}
+
+// follow prints events as they arrive. It asks again for a while before the newest event, since events
+// of other instances may arrive late, and prints each event once.
+func follow(ctx context.Context, c *cli.Command, client *operator.Client, query wire.TimelineQuery) error {
+	shown := make(map[string]int)
+	for {
+		answer, err := client.Timeline(ctx, query)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, operator.ErrUnreachable):
+			fmt.Fprintln(c.Root().ErrWriter, "plantainctl: "+err.Error())
+		case err != nil:
+			return err
+		}
+		fresh := unseen(shown, timeline.Merge(answer.Events))
+		if err := printFollowed(c, fresh); err != nil {
+			return err
+		}
+		for _, e := range fresh {
+			query.SinceMs = max(query.SinceMs, e.Time.WallMs-int(followOverlap.Milliseconds()))
+		}
+		forget(shown, query.SinceMs)
+		if !pause(ctx, followInterval) {
+			return nil
+		}
+	}
+}
+
+// unseen returns the events whose line isn't in shown yet, and adds them with their time.
+func unseen(shown map[string]int, events []wire.Event) []wire.Event {
+	var fresh []wire.Event
+	for _, e := range events {
+		line := timeline.Line(e)
+		if _, known := shown[line]; !known {
+			shown[line] = e.Time.WallMs
+			fresh = append(fresh, e)
+		}
+	}
+	return fresh
+}
+
+func forget(shown map[string]int, beforeMs int) {
+	for line, at := range shown {
+		if at < beforeMs {
+			delete(shown, line)
+		}
+	}
+}
+
+func printFollowed(c *cli.Command, events []wire.Event) error {
+	if !c.Bool("json") {
+		return printEvents(c, events)
+	}
+	encoder := json.NewEncoder(c.Root().Writer)
+	for _, e := range events {
+		if err := encoder.Encode(e); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return nil
+}
--- a/plantainctl/main.go
+++ b/plantainctl/main.go
@@ -1,4 +1,18 @@
-// Command plantainctl is described in its README section.
+// Command plantainctl lets operators change and watch plantainlane.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"plantainlane/plantainctl/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- a/wire/declaration/diff.go
+++ b/wire/declaration/diff.go
@@ -26,7 +26,7 @@
 	// Action is ActionAdd, ActionChange or ActionRemove.
 	Action string `json:"action"`
 	// Fields holds what differs, for ActionChange alone.
-	Fields []FieldChange `json:"fields"`
+	Fields []FieldChange `json:"fields,omitempty"`
 }
 
 // FieldChange is a value that differs.
