--- /dev/null
+++ b/plantainlane/engine/index_test.go
@@ -0,0 +1,188 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/wire"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func chain(first, n int) []uint64 {
+	blocks := make([]uint64, n)
+	for i := range blocks {
+		blocks[i] = uint64(first + i)
+	}
+	return blocks
+}
+
+func storedEvents(engine string, sequence int, blocks ...uint64) *wire.CacheEvents {
+	ev := wire.CacheEvent{Kind: kindStored}
+	for _, b := range blocks {
+		ev.Blocks = append(ev.Blocks, int(b))
+	}
+	return &wire.CacheEvents{Upstream: engine, Incarnation: 1, FirstSequence: sequence, Events: []wire.CacheEvent{ev}}
+}
+
+func evictedEvents(engine string, sequence int, blocks ...uint64) *wire.CacheEvents {
+	m := storedEvents(engine, sequence, blocks...)
+	m.Events[0].Kind = kindEvicted
+	return m
+}
+
+func TestMatchPrefersLongerPrefixes(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(start)
+	prompt := chain(100, 10)
+	x.Apply(start, storedEvents("e1", 1, prompt[:4]...))
+	x.Apply(start, storedEvents("e2", 1, prompt[:8]...))
+	is.Equal(x.Match(start, prompt), []Match{{"e2", 8}, {"e1", 4}})
+	is.Equal(len(x.Match(start, chain(900, 5))), 0)
+	x.Apply(start, evictedEvents("e2", 2, prompt[2:8]...))
+	is.Equal(x.Match(start, prompt), []Match{{"e1", 4}, {"e2", 2}})
+	x.Forget("e1")
+	is.Equal(x.Match(start, prompt), []Match{{"e2", 2}})
+}
+
+func TestGapMakesViewUncertainUntilResync(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(start)
+	random := rand.New(rand.NewPCG(1, 1))
+	a, b, c := chain(100, 4), chain(200, 4), chain(300, 4)
+	x.Apply(start, storedEvents("e1", 1, a...))
+	is.Equal(len(x.NeedResync(start, 8, random)), 0)
+	x.Apply(start, storedEvents("e1", 3, b...)) // event 2 is missing: it may have evicted a
+	is.Equal(len(x.Match(start, a)), 0)
+	is.Equal(x.Stats().Uncertain, 1)
+	x.Sent(start, "e1", c)
+	is.Equal(x.Match(start, c), []Match{{"e1", 4}}) // what was sent still counts
+	is.Equal(x.NeedResync(start, 8, random), []string{"e1"})
+	is.Equal(len(x.NeedResync(start.Add(resyncBackoff/2-time.Millisecond), 8, random)), 0) // no read storm
+
+	// A list older than the missing event leaves the view uncertain.
+	x.Resync(start, &wire.CacheBlocks{Upstream: "e1", Incarnation: 1, Sequence: 1, Blocks: ints(a)})
+	is.Equal(len(x.Match(start, a)), 0)
+	// One that covers it restores the view, with the event after it taken once more.
+	x.Resync(start, &wire.CacheBlocks{Upstream: "e1", Incarnation: 1, Sequence: 2, Blocks: []int{}})
+	is.Equal(len(x.Match(start, a)), 0)
+	is.Equal(x.Match(start, b), []Match{{"e1", 4}})
+	is.Equal(x.Stats().Uncertain, 0)
+	x.Apply(start, storedEvents("e1", 3, a...)) // late repetition of a seen sequence
+	is.Equal(len(x.Match(start, a)), 0)
+}
+
+func ints(blocks []uint64) []int {
+	list := make([]int, len(blocks))
+	for i, b := range blocks {
+		list[i] = int(b)
+	}
+	return list
+}
+
+func TestLostTailIsSeenByAnnouncedSequence(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(start)
+	a := chain(100, 4)
+	x.Apply(start, storedEvents("e1", 1, a...))
+	ahead := &wire.Announcement{ID: "e1", Incarnation: 1, CacheSequence: 2}
+	x.Announced(start, ahead)
+	x.Announced(start.Add(eventLateness-time.Millisecond), ahead)
+	is.Equal(len(x.Match(start, a)), 1) // the event may only be late
+	x.Announced(start.Add(eventLateness), ahead)
+	is.Equal(len(x.Match(start, a)), 0)
+}
+
+func TestNewIncarnationHasEmptyCache(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(start)
+	a := chain(100, 4)
+	x.Apply(start, storedEvents("e1", 1, a...))
+	x.Announced(start, &wire.Announcement{ID: "e1", Incarnation: 2})
+	is.Equal(len(x.Match(start, a)), 0)
+	x.Apply(start, storedEvents("e1", 2, a...)) // late event of the old incarnation
+	is.Equal(len(x.Match(start, a)), 0)
+}
+
+func TestGuessEndsUnlessConfirmed(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(start)
+	a, b := chain(100, 4), chain(200, 4)
+	x.Announced(start, &wire.Announcement{ID: "e1", Incarnation: 1})
+	x.Sent(start, "e1", a)
+	x.Sent(start, "e1", b)
+	x.Apply(start, storedEvents("e1", 1, b...))
+	is.Equal(len(x.Match(start, a)), 1)
+	late := start.Add(guessFor)
+	is.Equal(len(x.Match(late, a)), 0)
+	is.Equal(len(x.Match(late, b)), 1)
+}
+
+func TestMemoryIsBoundedPerEngineAndOverall(t *testing.T) {
+	is := is.New(t)
+	const total, each = 1000, 300
+	x := NewIndex(start, WithTotalBlocks(total), WithEngineBlocks(each))
+	random := rand.New(rand.NewPCG(7, 7))
+	for i := range 20000 {
+		engine := fmt.Sprintf("e%d", random.IntN(2+i/500))
+		x.Sent(start, engine, chain(random.IntN(5000), 1+random.IntN(20)))
+		is.True(len(x.entries)-len(x.free) <= total)
+		if random.IntN(200) == 0 {
+			x.Forget(engine)
+		}
+	}
+	known := 0
+	for _, n := range x.ids {
+		is.True(x.engines[n].blocks <= each)
+		known += x.engines[n].blocks
+	}
+	is.Equal(known, len(x.at))
+	is.Equal(known, len(x.entries)-len(x.free))
+}
+
+const conversations = 12000
+
+func conversation(i int) []uint64 { return append(chain(1, 4), chain(1000+i*16, 16)...) }
+
+// filled returns an index in which engines hold 12,000 conversations that begin with one system prompt.
+func filled(engines int) *Index {
+	x := NewIndex(start, WithTotalBlocks(1<<18))
+	for i := range conversations {
+		x.Sent(start, fmt.Sprintf("e%d", i%engines), conversation(i))
+	}
+	return x
+}
+
+func BenchmarkMatch(b *testing.B) {
+	for _, engines := range []int{100, 12000} {
+		x := filled(engines)
+		prompts := make([][]uint64, conversations)
+		for i := range prompts {
+			prompts[i] = conversation(i)
+		}
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			i := 0
+			for b.Loop() {
+				i = (i + 7919) % len(prompts)
+				x.Match(start, prompts[i])
+			}
+		})
+	}
+}
+
+func BenchmarkBytesPerBlock(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		x := filled(12000)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(x.Stats().Blocks), "B/block")
+	}
+}
