--- a/standin/announce/announce.go
+++ b/standin/announce/announce.go
@@ -60,6 +60,9 @@
 	return func(a *Announcer) { a.at = i % len(a.targets) }
 }
 
+// WithIncarnation sets the incarnation; the default is the time of construction.
+func WithIncarnation(n int) Option { return func(a *Announcer) { a.incarnation = n } }
+
 // WithCredential sets the credential to present.
 func WithCredential(credential string) Option {
 	return func(a *Announcer) { a.credential = credential }
--- /dev/null
+++ b/standin/engine/stream.go
@@ -0,0 +1,64 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v5"
+
+	"plantainlane/wire"
+)
+
+// aliveEvery is how often a stream without tokens shows that it lives.
+const aliveEvery = 500 * time.Millisecond
+
+// writeStream sends a stream's tokens and its end. Without the end the connection is broken off.
+func writeStream(w http.ResponseWriter, r *http.Request, s *Stream) error {
+	h := w.Header()
+	h.Set(echo.HeaderContentType, "text/event-stream")
+	h.Set("Trailer", headerCost+", "+headerCached)
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	if err := flush.Flush(); err != nil {
+		return nil
+	}
+	for {
+		t, more, err := nextWithin(r.Context(), s)
+		switch {
+		case errors.Is(err, context.DeadlineExceeded) && r.Context().Err() == nil:
+			_, err = fmt.Fprint(w, ": alive\n\n")
+		case err != nil:
+			panic(http.ErrAbortHandler)
+		case more:
+			err = writeEvent(w, "token", t)
+		default:
+			end := s.End()
+			h.Set(headerCost, strconv.FormatFloat(end.CostUnits, 'g', -1, 64))
+			h.Set(headerCached, strconv.Itoa(s.Cached()))
+			return writeEvent(w, "end", end)
+		}
+		if err != nil || flush.Flush() != nil {
+			return nil
+		}
+	}
+}
+
+func nextWithin(ctx context.Context, s *Stream) (wire.Token, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, aliveEvery)
+	defer cancel()
+	return s.Next(ctx)
+}
+
+func writeEvent(w http.ResponseWriter, name string, data any) error {
+	b, err := json.Marshal(data)
+	if err != nil {
+		return errors.Wrap(err, "encode event")
+	}
+	_, err = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", name, b)
+	return err
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,8 @@
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
+
+	"plantainlane/standin/engine"
 )
 
 func main() {
@@ -21,7 +23,7 @@
 		Name:                  "standin",
 		Usage:                 "fakes of upstreams, and load, for plantainlane",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{upstreamCommand()},
+		Commands:              []*cli.Command{upstreamCommand(), engine.Command(), engine.StoreCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
