--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -33,7 +33,14 @@
 	return e, address
 }
 
-func post(is *is.I, address, path string, body any, header ...string) *http.Response {
+// reply is an answer read whole.
+type reply struct {
+	status          int
+	header, trailer http.Header
+	body            []byte
+}
+
+func post(is *is.I, address, path string, body any, header ...string) reply {
 	b, err := json.Marshal(body)
 	is.NoErr(err)
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, bytes.NewReader(b))
@@ -43,14 +50,15 @@
 	}
 	answer, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
-	return answer
+	defer answer.Body.Close()
+	b, err = io.ReadAll(answer.Body)
+	is.NoErr(err)
+	return reply{status: answer.StatusCode, header: answer.Header, trailer: answer.Trailer, body: b}
 }
 
 // texts joins the tokens of an answer and reports whether it ended.
-func texts(answer *http.Response) (text string, ended bool) {
-	defer answer.Body.Close()
-	b, _ := io.ReadAll(answer.Body)
-	for event := range strings.SplitSeq(string(b), "\n\n") {
+func texts(answer reply) (text string, ended bool) {
+	for event := range strings.SplitSeq(string(answer.body), "\n\n") {
 		name, data, _ := strings.Cut(event, "\ndata: ")
 		var token wire.Token
 		if name == "event: token" && json.Unmarshal([]byte(data), &token) == nil {
@@ -68,24 +76,22 @@
 	input := map[string]string{"prompt": strings.Repeat("a pharmacy in Bergamo ", 20)}
 
 	answer := post(is, first, "/generate", input, headerAttempt, "a1")
-	is.Equal(answer.Header.Get(headerAttempt), "a1")
+	is.Equal(answer.header.Get(headerAttempt), "a1")
 	whole, ended := texts(answer)
 	is.True(ended)
-	is.True(answer.Trailer.Get(headerCost) != "")
+	is.True(answer.trailer.Get(headerCost) != "")
 
 	// The rest from an offset, on the same engine.
 	answer = post(is, first, "/generate", input, headerAttempt, "a1", headerOffset, "4")
 	rest, ended := texts(answer)
 	is.True(ended && strings.HasSuffix(whole, rest) && len(rest) < len(whole))
 	unknown := post(is, second, "/generate", input, headerAttempt, "a1", headerOffset, "4")
-	unknown.Body.Close()
-	is.Equal(unknown.StatusCode, http.StatusNotFound)
+	is.Equal(unknown.status, http.StatusNotFound)
 
 	// The rest on another engine, with the KV cache of the first.
 	exported := post(is, first, "/v1/kv/exports", wire.KVExportRequest{Attempt: "a1"})
 	var handle wire.KVHandle
-	is.NoErr(json.NewDecoder(exported.Body).Decode(&handle))
-	exported.Body.Close()
+	is.NoErr(json.Unmarshal(exported.body, &handle))
 	raw, err := json.Marshal(input)
 	is.NoErr(err)
 	more := wire.Continuation{Input: raw, Offset: 4, Text: strings.TrimSuffix(whole, rest), Import: &handle}
@@ -101,9 +107,8 @@
 	is.Equal(moved, rest)
 	more.Text = chain.Token("00112233", 0)
 	wrong := post(is, second, "/generate", more, headerAttempt, "a4", "Content-Type", continuationType)
-	wrong.Body.Close()
-	is.Equal(wrong.StatusCode, http.StatusBadRequest)
-	is.Equal(wrong.Header.Get(headerExecution), notRun)
+	is.Equal(wrong.status, http.StatusBadRequest)
+	is.Equal(wrong.header.Get(headerExecution), notRun)
 }
 
 func TestOrdersOverHTTP(t *testing.T) {
@@ -115,8 +120,7 @@
 	}
 	answer := post(is, address, "/v1/orders", order)
 	var said wire.OrderAnswer
-	is.NoErr(json.NewDecoder(answer.Body).Decode(&said))
-	answer.Body.Close()
+	is.NoErr(json.Unmarshal(answer.body, &said))
 	is.Equal(said, wire.OrderAnswer{ID: "o1", State: taken, Fencing: 1})
 	state, err := http.Get("http://" + address + "/v1/engine")
 	is.NoErr(err)
