control: ask the leader for grants each second

The leader answers from a limit.Ledger while a quorum confirms it; what a workspace spent in its budget's period is replicated, so that a new leader goes on from there.

--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -44,6 +44,7 @@
 	leader    string
 	term      int
 	leases    leaseHolder
+	grants    grants
 	instances instanceRows
 	peers     map[string]wire.InstanceInfo
 	roster    *roster.Roster
@@ -118,6 +119,7 @@
 	c.runInstances()
 	c.runLeases()
 	c.runConfig()
+	c.runGrants()
 	c.runProposals()
 	c.runQueries()
 	c.runRoster()
@@ -184,6 +186,10 @@
 		c.takeLeaseAnswer(f.From, *f.LeaseAnswer)
 	case f.Config != nil:
 		c.takeConfig(*f.Config)
+	case f.GrantRequest != nil:
+		c.takeGrantRequest(f.From, *f.GrantRequest)
+	case f.GrantAnswer != nil:
+		c.takeGrantAnswer(f.From, *f.GrantAnswer)
 	case f.Propose != nil:
 		c.leadProposal(origin{f.From, f.Call}, f.Propose.Command)
 	case f.ProposeAnswer != nil:
--- /dev/null
+++ b/plantainlane/control/grants.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"time"
+
+	"plantainlane/plantainlane/limit"
+	"plantainlane/wire"
+)
+
+// soonAgain is the least time between two requests for grants.
+const soonAgain = 100 * time.Millisecond
+
+// grants is an instance's side of the shares of contracts.
+type grants struct {
+	limiter *limit.Limiter
+	// asked is when grants were asked for last.
+	asked time.Time
+	// revision whose contracts the limiter has.
+	revision int
+}
+
+// WithLimiter keeps the limiter in contracts and grants.
+func WithLimiter(l *limit.Limiter) Option {
+	return func(c *Core) { c.grants.limiter = l }
+}
+
+// runGrants asks the leader for shares of the contracts, each GrantInterval or sooner if a request waits for
+// one.
+func (c *Core) runGrants() {
+	g := &c.grants
+	if g.limiter == nil {
+		return
+	}
+	if g.revision != c.config.Revision {
+		g.revision = c.config.Revision
+		g.limiter.SetContracts(c.now, c.config.Declarations().Contracts)
+	}
+	due := c.timing.GrantInterval
+	select {
+	case <-g.limiter.Wanted():
+		due = soonAgain
+	default:
+	}
+	if c.leader == "" || c.now.Sub(g.asked) < due {
+		return
+	}
+	g.asked = c.now
+	request := g.limiter.Request(c.now, c.leader, c.self.ID, c.self.Incarnation)
+	c.send(c.leader, wire.Frame{GrantRequest: &request})
+}
+
+// takeGrantRequest answers an instance that may hold a lease, if a quorum confirmed this leader of late.
+func (c *Core) takeGrantRequest(from string, r wire.GrantRequest) {
+	if c.lead == nil || !c.log.ConfirmedSince(c.now.Add(-c.timing.QuorumFresh)) {
+		return
+	}
+	row := c.lead.rows[from]
+	if row == nil || row.info.Incarnation != r.Incarnation {
+		return
+	}
+	if answer, ok := c.lead.ledger(c).Answer(c.now, r, c.state.Config.Revision); ok {
+		c.send(from, wire.Frame{GrantAnswer: &answer})
+	}
+}
+
+// ledger returns the leader's record of grants, with the contracts of the newest revision.
+func (l *leadership) ledger(c *Core) *limit.Ledger {
+	if l.grants == nil {
+		ids := make([]string, 0, len(l.rows))
+		for id := range l.rows {
+			ids = append(ids, id)
+		}
+		l.grants = limit.NewLedger(c.now, ids...)
+	}
+	if l.grantsRevision != c.state.Config.Revision {
+		l.grantsRevision = c.state.Config.Revision
+		l.grants.SetContracts(c.now, c.state.Config.Declarations().Contracts, func(contract *wire.Contract) float64 {
+			return c.state.SpentIn(contract, int(c.now.UnixMilli()))
+		})
+	}
+	return l.grants
+}
+
+func (c *Core) takeGrantAnswer(from string, a wire.GrantAnswer) {
+	if c.grants.limiter != nil && from == c.leader {
+		c.grants.limiter.Grant(c.now, a)
+	}
+}
--- /dev/null
+++ b/plantainlane/control/grants_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/limit"
+	"plantainlane/plantainlane/state"
+	"plantainlane/wire"
+)
+
+// grantSite is a leader and followers whose frames are passed on by hand.
+type grantSite struct {
+	cores    map[string]*Core
+	limiters map[string]*limit.Limiter
+	now      time.Time
+}
+
+func newGrantSite(contract wire.Contract, ids ...string) *grantSite {
+	s := &grantSite{
+		cores: map[string]*Core{}, limiters: map[string]*limit.Limiter{},
+		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+	}
+	for i, id := range ids {
+		s.limiters[id] = limit.New(s.now)
+		options := []Option{WithLimiter(s.limiters[id])}
+		if i == 0 {
+			options = append(options, WithLog(NewSolo(id, 1), &state.State{}, 0))
+		}
+		s.cores[id] = New(wire.InstanceInfo{ID: id, Incarnation: 1}, options...)
+		for _, other := range ids {
+			if other != id {
+				s.step(id, PeerConnected{Info: wire.InstanceInfo{ID: other}})
+			}
+		}
+	}
+	reply := make(chan wire.ProposeAnswer, 1)
+	change := wire.ChangeSet{ChangeID: "c", Set: wire.Declarations{Contracts: []wire.Contract{contract}}}
+	s.step(ids[0], Proposed{Command: wire.Command{Change: &change}, Until: s.now.Add(time.Minute), Reply: reply})
+	return s
+}
+
+func (s *grantSite) step(id string, inputs ...Input) {
+	for _, o := range s.cores[id].Step(s.now, inputs...) {
+		if s.cores[o.To] != nil {
+			s.step(o.To, FrameReceived{Frame: o.Frame})
+		}
+	}
+}
+
+func (s *grantSite) run(period time.Duration) {
+	for end := s.now.Add(period); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+		for _, id := range slices.Sorted(maps.Keys(s.cores)) {
+			s.step(id)
+		}
+	}
+}
+
+// admits counts the requests admitted in a period, of many offered.
+func (s *grantSite) admits(id string, period time.Duration) int {
+	admitted := 0
+	for end := s.now.Add(period); s.now.Before(end); {
+		for range 10 {
+			if ticket, err := s.limiters[id].TryAdmit(s.now, limit.Ask{Workspace: "w"}); err == nil {
+				ticket.Done(s.now, limit.Usage{})
+				admitted++
+			}
+		}
+		s.run(100 * time.Millisecond)
+	}
+	return admitted
+}
+
+func TestGrantsReachInstancesAndFollowDemand(t *testing.T) {
+	is := is.New(t)
+	s := newGrantSite(wire.Contract{
+		Workspace: "w", Rate: wire.Rate{PerSecond: 40, Burst: 10}, Concurrency: 10,
+		Tokens: wire.Rate{PerSecond: 1000, Burst: 1000}, DefaultDeadlineMs: 1000, MaxDeadlineMs: 1000,
+		MaxBodyBytes: 1000, MaxResultBytes: 1000, Pipelines: []string{},
+	}, "a", "b", "c")
+	s.run(2 * time.Second)
+	s.admits("b", 4*time.Second)
+	is.True(s.admits("b", 5*time.Second) >= 5*30)
+	s.admits("c", 4*time.Second)
+	is.True(s.admits("c", 5*time.Second) >= 5*30)
+	total := s.admits("c", 10*time.Second)
+	is.True(total <= 40*10+10)
+}
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/state"
 	"plantainlane/wire"
 )
@@ -41,6 +42,10 @@
 	changes []waitingChange
 	// registering holds instances whose registration is under way.
 	registering map[string]int
+	// grants records what instances may be using of the contracts; nil until the first request.
+	grants *limit.Ledger
+	// grantsRevision is the revision whose contracts grants has.
+	grantsRevision int
 }
 
 type waitingChange struct {
--- a/plantainlane/control/timing.go
+++ b/plantainlane/control/timing.go
@@ -22,6 +22,8 @@
 	ProposalRetry time.Duration
 	// AcceptWait is how long an operator waits for a change to be in force before it is told pending.
 	AcceptWait time.Duration
+	// GrantInterval is the period of requests for shares of the contracts.
+	GrantInterval time.Duration
 	// DigestInterval is the period of anti-entropy between instances.
 	DigestInterval time.Duration
 }
@@ -37,6 +39,7 @@
 		ForgetAfter:    30 * time.Second,
 		ProposalRetry:  500 * time.Millisecond,
 		AcceptWait:     14 * time.Second,
+		GrantInterval:  time.Second,
 		DigestInterval: time.Second,
 	}
 }
--- a/plantainlane/limit/ledger.go
+++ b/plantainlane/limit/ledger.go
@@ -81,15 +81,15 @@
 	return l
 }
 
-// SetContracts replaces the contracts. Used returns the cost units a workspace has used in its budget's
-// period so far; it is asked for workspaces that are new to the Ledger.
-func (l *Ledger) SetContracts(now time.Time, contracts []wire.Contract, used func(workspace string) float64) {
+// SetContracts replaces the contracts. Used returns the cost units used in the budget's period so far; it is
+// asked for workspaces that are new to the Ledger.
+func (l *Ledger) SetContracts(now time.Time, contracts []wire.Contract, used func(c *wire.Contract) float64) {
 	next := make(map[string]*account, len(contracts))
 	for i := range contracts {
 		c := &contracts[i]
 		a := l.accounts[c.Workspace]
 		if a == nil {
-			a = &account{holders: map[holderKey]*holder{}, used: used(c.Workspace), period: periodOf(now, c)}
+			a = &account{holders: map[holderKey]*holder{}, used: used(c), period: periodOf(now, c)}
 		} else {
 			a.rescale(a.contract, c)
 		}
--- a/plantainlane/limit/ledger_test.go
+++ b/plantainlane/limit/ledger_test.go
@@ -49,7 +49,7 @@
 
 func (s *site) setContract(c wire.Contract) {
 	s.contract = c
-	s.ledger.SetContracts(s.now, []wire.Contract{c}, func(string) float64 { return 0 })
+	s.ledger.SetContracts(s.now, []wire.Contract{c}, func(*wire.Contract) float64 { return 0 })
 }
 
 // ask lets each instance ask for its grant; answers are lost or late as lossy says.
@@ -223,7 +223,7 @@
 	is := is.New(t)
 	c := contract("w") // 50 units a day
 	ledger := NewLedger(epoch)
-	ledger.SetContracts(epoch, []wire.Contract{c}, func(string) float64 { return 10 })
+	ledger.SetContracts(epoch, []wire.Contract{c}, func(*wire.Contract) float64 { return 10 })
 	spent := 0
 	var limiters [4]*Limiter
 	for i := range limiters {
--- a/plantainlane/state/claim.go
+++ b/plantainlane/state/claim.go
@@ -83,7 +83,7 @@
 	if old.State == ClaimRan {
 		return wire.ClaimState{State: ClaimRan, Attempt: r.Attempt, RequestID: old.Claim.RequestID, Result: old.Result}
 	}
-	s.addResolvedCost(old.Claim, r.Cost)
+	s.addResolvedCost(old.Claim, r.Cost, r.AtMs)
 	if r.State == ClaimNotRun {
 		s.Claims = s.Claims.Without(id)
 		return wire.ClaimState{State: ClaimNotRun, Attempt: r.Attempt}
--- a/plantainlane/state/cost.go
+++ b/plantainlane/state/cost.go
@@ -28,17 +28,19 @@
 		old, _ := s.Costs.Get(key)
 		if old.Sequence < t.Sequence {
 			s.Costs = s.Costs.With(key, CostRow{Sequence: t.Sequence, Row: r})
+			s.spend(r.Workspace, t.AtMs, units(r)-units(old.Row))
 		}
 	}
 }
 
 // addResolvedCost adds the cost that came with the end of a claim. It runs once a claim.
-func (s *State) addResolvedCost(c wire.Claim, rows []wire.CostRow) {
+func (s *State) addResolvedCost(c wire.Claim, rows []wire.CostRow, atMs int) {
 	for _, r := range rows {
 		r.Workspace, r.Pipeline = c.Workspace, c.Pipeline
 		key := costKey(claimCostHolder, 0, r)
 		old, _ := s.Costs.Get(key)
 		s.Costs = s.Costs.With(key, CostRow{Row: SumCost(old.Row, r)})
+		s.spend(r.Workspace, atMs, units(r))
 	}
 }
 
--- a/plantainlane/state/snapshot.go
+++ b/plantainlane/state/snapshot.go
@@ -15,6 +15,7 @@
 	Instances    []wire.InstanceInfo  `cbor:"instances"`
 	Fencing      int                  `cbor:"fencing"`
 	Costs        []keyedCost          `cbor:"costs"`
+	Spent        []keyedSpent         `cbor:"spent"`
 }
 
 type expiredClaim struct {
@@ -27,6 +28,11 @@
 	Row CostRow `cbor:"row"`
 }
 
+type keyedSpent struct {
+	Workspace string `cbor:"workspace"`
+	Spent     Spent  `cbor:"spent"`
+}
+
 // Freeze returns a copy that later commands don't change. It costs no more than a few words, so that a
 // snapshot can be encoded on another goroutine.
 func (s *State) Freeze() *State {
@@ -58,6 +64,9 @@
 	for k, c := range s.Costs.All() {
 		im.Costs = append(im.Costs, keyedCost{k, c})
 	}
+	for w, spent := range s.Spent.All() {
+		im.Spent = append(im.Spent, keyedSpent{w, spent})
+	}
 	return wire.Encode(im)
 }
 
@@ -82,6 +91,9 @@
 		s.Instances = s.Instances.With(i.ID, i)
 	}
 	s.Costs = costTable(im.Costs)
+	for _, k := range im.Spent {
+		s.Spent = s.Spent.With(k.Workspace, k.Spent)
+	}
 	return s, nil
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -407,6 +407,9 @@
 
 // CostTotals is the cumulative cost an instance incarnation has counted.
 type CostTotals struct {
+	// When it was counted, by the instance's clock, in milliseconds since 1970.
+	AtMs int `json:"atMs" cbor:"atMs"`
+
 	// Incarnation.
 	Incarnation int `json:"incarnation" cbor:"incarnation"`
 
