--- a/wire/doc.go
+++ b/wire/doc.go
@@ -4,3 +4,4 @@
 package wire
 
 //go:generate go-jsonschema --only-models --tags json,cbor --capitalization ID,HLC,TTL,SHA256 -p wire -o types.go schema/wire.json
+//go:generate go run ./typedoc
