--- a/standin/fake/call_test.go
+++ b/standin/fake/call_test.go
@@ -90,7 +90,7 @@
 			is.Equal(got.header.Get(HeaderExecution), tt.execution)
 			is.Equal(got.header.Get(HeaderAttempt), tt.attempt)
 			is.Equal(got.err == nil && got.body == string(whole), tt.isWhole)
-			is.Equal(len(NewGroup(f).Ledger().Rows), tt.executions)
+			is.Equal(len(NewGroup(f).Ledger(0).Rows), tt.executions)
 		})
 	}
 }
--- a/standin/fake/fake.go
+++ b/standin/fake/fake.go
@@ -71,7 +71,7 @@
 func (f *Fake) Announcement() wire.Announcement {
 	return wire.Announcement{
 		ID: f.id, Service: f.service, Zone: f.zone, Region: f.region, Address: f.address,
-		Capacity: f.profile.Capacity, Models: []string{}, Adapters: []string{},
+		Capacity: f.profile.Capacity, Models: f.profile.Models, Adapters: []string{},
 		Load: wire.UpstreamLoad{InFlight: f.gate.inFlight(), Queued: f.gate.waiting()},
 	}
 }
--- a/standin/fake/group.go
+++ b/standin/fake/group.go
@@ -24,16 +24,27 @@
 // NewGroup returns a group of fakes.
 func NewGroup(fakes ...*Fake) *Group { return &Group{fakes: fakes} }
 
-// Ledger returns what all fakes of the group have run.
-func (g *Group) Ledger() wire.Ledger {
+// Ledger returns what all fakes of the group have run. Rows are those that started at or after a
+// time in microseconds since 1970; totals and dropped rows are of all time.
+func (g *Group) Ledger(sinceUs int) wire.Ledger {
 	out := wire.Ledger{Rows: []wire.LedgerRow{}, Totals: []wire.LedgerTotal{}}
 	for _, f := range g.fakes {
 		f.ledger.appendTo(&out)
 	}
+	out.Rows = slices.DeleteFunc(out.Rows, func(r wire.LedgerRow) bool { return r.StartedUs < sinceUs })
 	out.Totals = MergeTotals(out.Totals)
 	return out
 }
 
+// Announcements returns what the fakes say of themselves.
+func (g *Group) Announcements() []wire.Announcement {
+	all := make([]wire.Announcement, 0, len(g.fakes))
+	for _, f := range g.fakes {
+		all = append(all, f.Announcement())
+	}
+	return all
+}
+
 // Apply sets the fault of the fakes an order names and returns their IDs.
 func (g *Group) Apply(order wire.FaultOrder) ([]string, error) {
 	chosen, err := g.choose(order)
@@ -68,14 +79,23 @@
 	return chosen, nil
 }
 
-// Handler serves GET /ledger and POST /faults.
+// Handler serves GET /ledger[?sinceUs=N], GET /upstreams and POST /faults.
 func (g *Group) Handler() http.Handler {
 	e := echo.New()
-	e.GET("/ledger", func(c *echo.Context) error { return c.JSON(http.StatusOK, g.Ledger()) })
+	e.GET("/ledger", g.serveLedger)
+	e.GET("/upstreams", func(c *echo.Context) error { return c.JSON(http.StatusOK, g.Announcements()) })
 	e.POST("/faults", g.serveFaults)
 	return e
 }
 
+func (g *Group) serveLedger(c *echo.Context) error {
+	sinceUs, err := echo.QueryParamOr(c, "sinceUs", 0)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, problem(http.StatusBadRequest, "sinceUs is no number"))
+	}
+	return c.JSON(http.StatusOK, g.Ledger(sinceUs))
+}
+
 func (g *Group) serveFaults(c *echo.Context) error {
 	var order wire.FaultOrder
 	if err := c.Bind(&order); err != nil {
--- a/standin/fake/options.go
+++ b/standin/fake/options.go
@@ -39,6 +39,8 @@
 	CallUnits float64
 	// TokenUnits is the cost of each token sent.
 	TokenUnits float64
+	// Models are the models announced as loaded, as name@version.
+	Models []string
 	// LedgerRows bounds the executions a fake remembers one by one.
 	LedgerRows int
 }
@@ -70,6 +72,7 @@
 		Distribution: Exponential,
 		Tokens:       32,
 		CallUnits:    1,
+		Models:       []string{},
 		LedgerRows:   200_000,
 	}
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -23,7 +23,9 @@
 		Name:                  "standin",
 		Usage:                 "fakes of upstreams, and load, for plantainlane",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{upstreamCommand(), engine.Command(), engine.StoreCommand()},
+		Commands: []*cli.Command{
+			upstreamCommand(), engine.Command(), engine.StoreCommand(), loadCommand(), experimentCommand(),
+		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
--- /dev/null
+++ b/standin/report/plot.go
@@ -0,0 +1,109 @@
+package report
+
+import (
+	"fmt"
+	"html"
+	"io"
+	"strings"
+)
+
+// Size of the plot in pixels.
+const (
+	plotWidth   = 900
+	panelHeight = 220
+	margin      = 60
+)
+
+var colours = []string{"#1b6ca8", "#c0392b", "#2e8b57", "#8e44ad"}
+
+// panel maps values of one diagram to pixels.
+type panel struct {
+	top     float64
+	seconds int
+	most    float64
+}
+
+func (p panel) x(second float64) float64 {
+	return margin + second*(plotWidth-2*margin)/float64(max(p.seconds, 1))
+}
+
+func (p panel) y(v float64) float64 { return p.top + panelHeight - v/p.most*panelHeight }
+
+// WriteSVG draws attainment and goodput by second, one line a report, with the faults of the first.
+func WriteSVG(w io.Writer, reports []Report) error {
+	if len(reports) == 0 {
+		return nil
+	}
+	most := 1.0
+	for _, r := range reports {
+		for _, s := range r.Seconds {
+			most = max(most, float64(s.Offered))
+		}
+	}
+	seconds := len(reports[0].Seconds)
+	attainment := panel{margin, seconds, 1}
+	goodput := panel{margin*2 + panelHeight, seconds, most}
+	var b strings.Builder
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n",
+		plotWidth, 3*margin+2*panelHeight)
+	b.WriteString(`<rect width="100%" height="100%" fill="white"/>` + "\n")
+	axes(&b, attainment, "attainment by second of arrival")
+	axes(&b, goodput, "offered (dashed) and whole answers in time, a second")
+	offered := make([]float64, seconds)
+	for i, s := range reports[0].Seconds {
+		offered[i] = float64(s.Offered)
+	}
+	line(&b, goodput, offered, "#777", "4 3")
+	for i, r := range reports {
+		drawReport(&b, r, colours[i%len(colours)], attainment, goodput)
+		fmt.Fprintf(&b, `<text x="%d" y="%d" fill="%s">%s</text>`+"\n", margin+i*160, 20, colours[i%len(colours)], html.EscapeString(r.Policy))
+	}
+	for _, f := range reports[0].Faults {
+		fault(&b, f, attainment, goodput)
+	}
+	b.WriteString("</svg>\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func drawReport(b *strings.Builder, r Report, colour string, attainment, goodput panel) {
+	share, whole := make([]float64, len(r.Seconds)), make([]float64, len(r.Seconds))
+	for i, s := range r.Seconds {
+		share[i] = ratio(float64(s.Whole), float64(s.Offered))
+		whole[i] = float64(s.Whole)
+	}
+	line(b, attainment, share, colour, "")
+	line(b, goodput, whole, colour, "")
+}
+
+func axes(b *strings.Builder, p panel, title string) {
+	fmt.Fprintf(b, `<text x="%d" y="%.0f">%s</text>`+"\n", margin, p.top-8, title)
+	fmt.Fprintf(b, `<rect x="%d" y="%.0f" width="%d" height="%d" fill="none" stroke="#999"/>`+"\n",
+		margin, p.top, plotWidth-2*margin, panelHeight)
+	for i := range 5 {
+		v := p.most * float64(i) / 4
+		fmt.Fprintf(b, `<text x="%d" y="%.1f" text-anchor="end">%.4g</text>`+"\n", margin-6, p.y(v)+4, v)
+	}
+	for s := 0; s <= p.seconds; s += max(p.seconds/10, 1) {
+		fmt.Fprintf(b, `<text x="%.1f" y="%.1f" text-anchor="middle">%d s</text>`+"\n", p.x(float64(s)), p.top+panelHeight+16, s)
+	}
+}
+
+func line(b *strings.Builder, p panel, values []float64, colour, dash string) {
+	points := make([]string, 0, len(values))
+	for i, v := range values {
+		points = append(points, fmt.Sprintf("%.1f,%.1f", p.x(float64(i)+0.5), p.y(v)))
+	}
+	fmt.Fprintf(b, `<polyline fill="none" stroke="%s" stroke-width="1.5" stroke-dasharray="%s" points="%s"/>`+"\n",
+		colour, dash, strings.Join(points, " "))
+}
+
+func fault(b *strings.Builder, f FaultLine, panels ...panel) {
+	for _, p := range panels {
+		x := p.x(float64(f.AtMs) / 1000)
+		fmt.Fprintf(b, `<line x1="%.1f" x2="%.1f" y1="%.0f" y2="%.0f" stroke="#e67e22" stroke-dasharray="2 2"/>`+"\n",
+			x, x, p.top, p.top+panelHeight)
+	}
+	fmt.Fprintf(b, `<text x="%.1f" y="%.0f" fill="#e67e22" font-size="10">%s</text>`+"\n",
+		panels[0].x(float64(f.AtMs)/1000)+3, panels[0].top+12, html.EscapeString(f.What))
+}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -61,6 +61,7 @@
 		&cli.FloatFlag{Name: "tokens-per-second", Value: 200, Usage: "speed of one stream; 0 has no pause"},
 		&cli.FloatFlag{Name: "cost", Value: d.CallUnits, Usage: "cost units of a call that runs"},
 		&cli.FloatFlag{Name: "token-cost", Usage: "cost units of a token"},
+		&cli.StringSliceFlag{Name: "model", Usage: "models announced as loaded (name@version)"},
 		&cli.IntFlag{Name: "ledger-rows", Value: d.LedgerRows, Usage: "executions each fake remembers one by one"},
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of service times and faults"},
 	}
@@ -72,6 +73,7 @@
 		Distribution: fake.Distribution(c.String("distribution")), StreamPaths: c.StringSlice("stream-path"),
 		Tokens: c.Int("tokens"), TokensPerSecond: c.Float("tokens-per-second"), CallUnits: c.Float("cost"),
 		TokenUnits: c.Float("token-cost"), LedgerRows: c.Int("ledger-rows"),
+		Models: append([]string{}, c.StringSlice("model")...),
 	}
 	switch p.Distribution {
 	case fake.Constant, fake.Exponential, fake.Lognormal:
