--- a/standin/report/judge.go
+++ b/standin/report/judge.go
@@ -16,7 +16,7 @@
 	verdicts := make([]Verdict, 0, len(r.Scenario.Targets))
 	for _, t := range r.Scenario.Targets {
 		v := Verdict{Target: t, Value: measure(r, rep, t), Partial: partial(r, rep, t.Metric)}
-		v.Met = (t.AtLeast == nil || v.Value >= *t.AtLeast) && (t.AtMost == nil || v.Value <= *t.AtMost)
+		v.Met = v.Partial == "" && (t.AtLeast == nil || v.Value >= *t.AtLeast) && (t.AtMost == nil || v.Value <= *t.AtMost)
 		verdicts = append(verdicts, v)
 	}
 	return verdicts
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -126,6 +126,6 @@
 	Target scenario.Target `json:"target"`
 	Value  float64         `json:"value"`
 	Met    bool            `json:"met"`
-	// Partial says why the value is not of the whole run.
+	// Partial says why the value is not of the whole run; the target is not met then.
 	Partial string `json:"partial,omitempty"`
 }
--- a/standin/report/text.go
+++ b/standin/report/text.go
@@ -90,7 +90,7 @@
 			bound += fmt.Sprintf(" at most %g", *v.Target.AtMost)
 		}
 		if v.Partial != "" {
-			state += " (partial: " + v.Partial + ")"
+			state = "NOT SHOWN: " + v.Partial
 		}
 		fmt.Fprintf(t, "target %s %v%s: %.4g %s\n", v.Target.Metric, v.Target.Workspaces, bound, v.Value, state)
 	}
