--- /dev/null
+++ b/plantainlane/caller/run.go
@@ -0,0 +1,129 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v5"
+
+	"plantainlane/plantainlane/pipeline"
+	"plantainlane/plantainlane/problem"
+	"plantainlane/wire"
+)
+
+var errTrailing = errors.New("text after the JSON value")
+
+func asError[T error](err error, target *T) bool {
+	return errors.As(err, target)
+}
+
+// run answers a pipeline request whole or as a stream.
+func (s *Server) run(c *echo.Context) error {
+	req, stream, refusal := s.admit(c.Request(), c.Response(), c.Param("workspace"), c.Param("pipeline"))
+	if refusal != nil {
+		return problem.Write(c, *refusal)
+	}
+	s.Answers.Start(req.Contract.Workspace, req.ID)
+	if stream {
+		return s.runStream(c, req)
+	}
+	a, err := s.Runner.Run(c.Request().Context(), req)
+	if err != nil {
+		p := failureProblem(req.ID, err)
+		s.Answers.Fail(req.Contract.Workspace, req.ID, p.Execution)
+		return problem.Write(c, p)
+	}
+	s.Answers.Finish(req.Contract.Workspace, req.ID, a)
+	return c.JSON(http.StatusOK, a)
+}
+
+// runStream passes tokens on as they come. The status is 200 once the first one is sent; a failure before
+// that is an ordinary problem.
+func (s *Server) runStream(c *echo.Context, req *pipeline.Request) error {
+	out := &eventWriter{w: c.Response(), control: http.NewResponseController(c.Response())}
+	req.Token = func(offset int, text string) error {
+		return out.write("token", tokenEvent{Offset: offset, Text: text})
+	}
+	a, err := s.Runner.Run(c.Request().Context(), req)
+	if err != nil {
+		p := failureProblem(req.ID, err)
+		s.Answers.Fail(req.Contract.Workspace, req.ID, p.Execution)
+		if !out.started {
+			return problem.Write(c, p)
+		}
+		return out.write("problem", p)
+	}
+	s.Answers.Finish(req.Contract.Workspace, req.ID, a)
+	end := *a
+	end.Output = nil
+	return out.write("end", end)
+}
+
+type tokenEvent struct {
+	Offset int    `json:"offset"`
+	Text   string `json:"text"`
+}
+
+// eventWriter writes server-sent events, each flushed at once.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	started bool
+	buffer  []byte
+}
+
+func (e *eventWriter) write(name string, data any) error {
+	b, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	if !e.started {
+		e.started = true
+		h := e.w.Header()
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-store")
+		e.w.WriteHeader(http.StatusOK)
+	}
+	e.buffer = append(e.buffer[:0], "event: "...)
+	e.buffer = append(e.buffer, name...)
+	e.buffer = append(e.buffer, "\ndata: "...)
+	e.buffer = append(e.buffer, b...)
+	e.buffer = append(e.buffer, "\n\n"...)
+	if _, err := e.w.Write(e.buffer); err != nil {
+		return err
+	}
+	return e.control.Flush()
+}
+
+// kinds gives the status and kind of problem of each reason for a failure.
+var kinds = []struct {
+	reason error
+	status int
+	kind   string
+}{
+	{pipeline.ErrDeadline, http.StatusGatewayTimeout, "deadline"},
+	{pipeline.ErrNoUpstream, http.StatusServiceUnavailable, "no-upstream"},
+	{pipeline.ErrUpstream, http.StatusBadGateway, "upstream-failed"},
+	{pipeline.ErrKeyMismatch, http.StatusUnprocessableEntity, "key-mismatch"},
+	{pipeline.ErrUnresolved, http.StatusConflict, "unresolved"},
+	{pipeline.ErrExpiredKey, http.StatusConflict, "key-expired"},
+	{pipeline.ErrNoClaim, http.StatusServiceUnavailable, "no-claim"},
+	{pipeline.ErrResultSize, http.StatusBadGateway, "result-too-large"},
+	{pipeline.ErrCancelled, http.StatusServiceUnavailable, "cancelled"},
+}
+
+func failureProblem(id string, err error) wire.Problem {
+	var f *pipeline.Failure
+	if !errors.As(err, &f) {
+		return problem.New(http.StatusInternalServerError, "internal", "request failed",
+			problem.WithExecution(pipeline.Unknown), problem.WithRequest(id))
+	}
+	for _, k := range kinds {
+		if errors.Is(f.Reason, k.reason) {
+			return problem.New(k.status, k.kind, f.Error(), problem.WithExecution(f.Execution),
+				problem.WithRequest(id), problem.WithRetryAfter(f.RetryAfter))
+		}
+	}
+	return problem.New(http.StatusBadGateway, "failed", f.Error(), problem.WithExecution(f.Execution), problem.WithRequest(id))
+}
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -52,7 +52,9 @@
 	queries   queries
 	lead      *leadership
 	draining  bool
-	digestAt  time.Time
+	// gone holds upstreams that lapsed and were not taken by TakeUpstreams.
+	gone     []string
+	digestAt time.Time
 
 	now      time.Time
 	out      []Outbound
@@ -163,7 +165,7 @@
 	case Announced:
 		in.Reply <- c.announce(in)
 	case Left:
-		in.Reply <- c.roster.Leave(in.ID, in.Incarnation, in.Sequence, c.now)
+		in.Reply <- c.roster.Leave(in.ID, in.Credential, in.Incarnation, in.Sequence, c.now)
 		c.dirty = true
 	case DrainRequested:
 		c.requestDrain(in)
@@ -200,6 +202,10 @@
 		c.takeDigest(f.From, *f.Digest)
 	case f.Drain != nil:
 		c.startDrain()
+	case f.CostQuery != nil:
+		c.answerCost(origin{f.From, f.Call}, *f.CostQuery)
+	case f.ResultQuery != nil:
+		c.answerResult(origin{f.From, f.Call}, *f.ResultQuery)
 	case f.StatusQuery != nil:
 		c.answerStatus(origin{f.From, f.Call})
 	default:
--- a/plantainlane/control/input.go
+++ b/plantainlane/control/input.go
@@ -44,7 +44,9 @@
 
 // Left is an upstream's word that it leaves.
 type Left struct {
-	ID          string
+	ID string
+	// Credential names the credential it came with.
+	Credential  string
 	Incarnation int
 	Sequence    int
 	Reply       chan<- error
--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"plantainlane/plantainlane/route"
 	"plantainlane/wire"
 )
 
@@ -20,20 +21,37 @@
 	Know(i wire.InstanceInfo)
 }
 
+// Balancer learns of upstreams. It is called by the control goroutine only.
+type Balancer interface {
+	Apply(now time.Time, rows ...wire.Announcement)
+	Remove(ids ...string)
+	SetPolicies(policies []wire.UpstreamPolicy)
+	Review(now time.Time)
+}
+
 // Loop is the control goroutine around a Core.
 type Loop struct {
-	core   *Core
-	sender Sender
-	inbox  chan Input
-	wake   <-chan struct{}
-	done   chan struct{}
+	core     *Core
+	sender   Sender
+	balancer Balancer
+	inbox    chan Input
+	wake     <-chan struct{}
+	done     chan struct{}
+	reviewAt time.Time
 	// Publisher holds the newest View.
 	Publisher Publisher
 }
 
 // NewLoop returns a loop that isn't running yet. Wake may be nil; the core is stepped whenever it delivers.
-func NewLoop(core *Core, sender Sender, wake <-chan struct{}) *Loop {
-	l := &Loop{core: core, sender: sender, wake: wake, inbox: make(chan Input, inboxSize), done: make(chan struct{})}
+func NewLoop(core *Core, sender Sender, balancer Balancer, wake <-chan struct{}) *Loop {
+	l := &Loop{
+		core:     core,
+		sender:   sender,
+		balancer: balancer,
+		wake:     wake,
+		inbox:    make(chan Input, inboxSize),
+		done:     make(chan struct{}),
+	}
 	l.publish()
 	return l
 }
@@ -71,13 +89,30 @@
 }
 
 func (l *Loop) step(inputs []Input) {
-	out := l.core.Step(time.Now(), inputs...)
+	now := time.Now()
+	out := l.core.Step(now, inputs...)
 	l.publish()
+	l.feed(now)
 	for _, o := range out {
 		l.sender.Send(o.To, o.Frame)
 	}
 }
 
+// feed tells the balancer what changed.
+func (l *Loop) feed(now time.Time) {
+	fresh, gone := l.core.TakeUpstreams()
+	if len(fresh) > 0 {
+		l.balancer.Apply(now, fresh...)
+	}
+	if len(gone) > 0 {
+		l.balancer.Remove(gone...)
+	}
+	if !now.Before(l.reviewAt) {
+		l.reviewAt = now.Add(route.ReviewEvery)
+		l.balancer.Review(now)
+	}
+}
+
 func (l *Loop) publish() {
 	v, changed := l.core.View()
 	if !changed {
@@ -85,6 +120,9 @@
 	}
 	old := l.Publisher.View()
 	l.Publisher.publish(v)
+	if old.Config.Revision != v.Config.Revision {
+		l.balancer.SetPolicies(v.Config.Shared().UpstreamPolicies)
+	}
 	for id, i := range v.Instances.All() {
 		if o, ok := old.Instances.Get(id); !ok || o != i {
 			l.sender.Know(i)
--- a/plantainlane/control/proposal.go
+++ b/plantainlane/control/proposal.go
@@ -12,6 +12,9 @@
 	RefusedNoLeader = "noLeader"
 )
 
+// OutcomeOnly as the base revision of a dry run asks for the outcome of an earlier change only.
+const OutcomeOnly = -1
+
 // origin is where the answer to a call goes.
 type origin struct {
 	instance string
@@ -109,6 +112,11 @@
 		c.finishChange(from, old)
 		return true
 	}
+	if change.DryRun && change.BaseRevision == OutcomeOnly {
+		out := wire.ChangeOutcome{ChangeID: change.ChangeID, State: state.ChangeUnknown, CurrentRevision: c.state.Config.Revision}
+		c.answerProposal(from, wire.ProposeAnswer{Committed: true, Change: &out})
+		return true
+	}
 	cmd.ChangeProblems = checkChange(c.state.Config, *change)
 	if !change.DryRun {
 		return false
--- a/plantainlane/control/query.go
+++ b/plantainlane/control/query.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"encoding/json"
 	"time"
 
+	"plantainlane/plantainlane/state"
 	"plantainlane/wire"
 )
 
@@ -75,6 +77,38 @@
 	c.send(to.instance, wire.Frame{Call: to.call, Status: &s})
 }
 
+// answerCost answers with the committed totals, on the leader only.
+func (c *Core) answerCost(to origin, q wire.CostQuery) {
+	if c.lead == nil {
+		return
+	}
+	c.send(to.instance, wire.Frame{Call: to.call, Cost: &wire.CostAnswer{Rows: c.state.CostTotals(q.Workspace)}})
+}
+
+// answerResult answers with the committed outcome of a request that is not idempotent, on the leader only.
+func (c *Core) answerResult(to origin, q wire.ResultQuery) {
+	if c.lead == nil {
+		return
+	}
+	a := wire.ResultAnswer{}
+	if claim, ok := c.state.ClaimOf(q.Workspace, q.RequestID); ok {
+		a.Found = true
+		a.Answer = resultOf(claim)
+	}
+	c.send(to.instance, wire.Frame{Call: to.call, ResultAnswer: &a})
+}
+
+func resultOf(claim state.Claim) *wire.PipelineAnswer {
+	a := wire.PipelineAnswer{RequestID: claim.Claim.RequestID, Status: claim.State}
+	if claim.State != state.ClaimRan {
+		return &a
+	}
+	if err := json.Unmarshal(claim.Result, &a); err != nil {
+		a.Status = state.ClaimUnknown
+	}
+	return &a
+}
+
 // ownStatus is the status as this instance knows it: complete on the leader.
 func (c *Core) ownStatus() wire.StatusAnswer {
 	s := wire.StatusAnswer{Revision: c.config.Revision, Leader: c.leader, Term: c.term}
--- a/plantainlane/control/upstreams.go
+++ b/plantainlane/control/upstreams.go
@@ -1,18 +1,6 @@
 package control
 
-import (
-	"time"
-
-	"github.com/cockroachdb/errors"
-
-	"plantainlane/wire"
-)
-
-// ErrAbsurdAnnouncement reports an announcement with values out of range.
-var ErrAbsurdAnnouncement = errors.New("control: announcement out of range")
-
-// maxTTL bounds an announcement's time to live.
-const maxTTL = 5 * time.Minute
+import "plantainlane/wire"
 
 // fullSpread is the number of peers up to which a delta is sent to every one. Beyond, it is sent to
 // spreadFanout of them, which pass on what was news to them.
@@ -23,9 +11,6 @@
 
 func (c *Core) announce(in Announced) error {
 	a := in.Announcement
-	if a.TTLMs <= 0 || time.Duration(a.TTLMs)*time.Millisecond > maxTTL || a.Capacity < 0 || a.Sequence < 0 || a.Incarnation < 0 {
-		return errors.Wrapf(ErrAbsurdAnnouncement, "upstream %s", a.ID)
-	}
 	old, known := c.roster.View().Rows.Get(a.ID)
 	if err := c.roster.Announce(a, in.Credential, c.now); err != nil {
 		return err
@@ -47,6 +32,7 @@
 	}
 	for _, id := range c.roster.Expire(c.now) {
 		c.dirty = true
+		c.gone = append(c.gone, id)
 		c.record(wire.Event{Kind: "upstreamLapsed", Upstream: &id})
 	}
 	if c.now.Before(c.digestAt) {
@@ -99,3 +85,10 @@
 		c.send(from, wire.Frame{Digest: &wire.UpstreamDigest{Buckets: c.roster.Digest(), Answer: true}})
 	}
 }
+
+// TakeUpstreams returns the announcements that are new since the last call, and the upstreams that lapsed.
+func (c *Core) TakeUpstreams() (fresh []wire.Announcement, gone []string) {
+	fresh, gone = c.roster.TakeFresh(), c.gone
+	c.gone = nil
+	return fresh, gone
+}
--- /dev/null
+++ b/plantainlane/instance/drain.go
@@ -0,0 +1,61 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"plantainlane/plantainlane/control"
+)
+
+const (
+	// drainPoll is the period at which a drain is looked for.
+	drainPoll = 50 * time.Millisecond
+	// spread is how long it takes until no instance names a draining one in its entry answer.
+	spread = 3 * time.Second
+	// closeTimeout bounds the closing of listeners that carry no caller's work.
+	closeTimeout = time.Second
+)
+
+// Drain asks the instance to drain and stop.
+func (x *Instance) Drain(ctx context.Context) {
+	x.loop.Deliver(ctx, control.DrainRequested{Instance: x.self.ID, Reply: make(chan error, 1)})
+}
+
+// waitForDrain returns when a drain is over or ctx ended. A draining instance has left the entry answer and
+// serves on until no caller can hold an answer that names it; then it finishes what is in flight.
+func (x *Instance) waitForDrain(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !x.View().Draining {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	klog.InfoS("draining", "keepFor", x.settings.Entry.KeepFor)
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(time.Duration(x.settings.Entry.KeepFor) + spread):
+	}
+	limit, cancel := context.WithTimeout(ctx, time.Duration(x.settings.Entry.DrainLimit))
+	defer cancel()
+	x.callers().shutdown(limit)
+	x.flushCosts(limit)
+	klog.InfoS("drained")
+}
+
+func (x *Instance) callers() *server {
+	return x.servers[len(x.servers)-1]
+}
+
+func (x *Instance) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, s := range x.servers {
+		s.shutdown(ctx)
+	}
+}
--- /dev/null
+++ b/plantainlane/instance/instance.go
@@ -0,0 +1,176 @@
+// Package instance assembles an entry instance: the control goroutine, connections to other instances and
+// to upstreams, and the listeners for callers, upstreams, operators and peers.
+package instance
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"plantainlane/plantainlane/announce"
+	"plantainlane/plantainlane/caller"
+	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/cost"
+	"plantainlane/plantainlane/operator"
+	"plantainlane/plantainlane/peer"
+	"plantainlane/plantainlane/pipeline"
+	"plantainlane/plantainlane/route"
+	"plantainlane/plantainlane/settings"
+	"plantainlane/plantainlane/state"
+	"plantainlane/plantainlane/timeline"
+	"plantainlane/plantainlane/upstream"
+	"plantainlane/wire"
+	wiretimeline "plantainlane/wire/timeline"
+)
+
+const (
+	// idleConnections is the number of unused connections kept to each upstream.
+	idleConnections = 256
+	// redial is the pause between two tries to connect to another instance.
+	redial = 500 * time.Millisecond
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings *settings.Settings
+	self     wire.InstanceInfo
+	clock    *wiretimeline.Clock
+	ring     *timeline.Ring
+	ledger   *cost.Ledger
+	loop     *control.Loop
+	balancer *route.Balancer
+	net      *peer.Net
+	answers  *caller.Answers
+	servers  []*server
+}
+
+// New assembles an instance that isn't running yet. Its goroutines end with ctx.
+func New(ctx context.Context, s *settings.Settings) (*Instance, error) {
+	now := time.Now()
+	x := &Instance{
+		settings: s,
+		clock:    &wiretimeline.Clock{},
+		ledger:   cost.New(),
+		answers:  caller.NewAnswers(),
+		self: wire.InstanceInfo{
+			ID:              s.Instance.ID,
+			Incarnation:     int(now.UnixMilli()),
+			Zone:            s.Instance.Zone,
+			Region:          s.Instance.Region,
+			CallerAddress:   s.Advertise.Callers,
+			UpstreamAddress: s.Advertise.Upstreams,
+			OperatorAddress: s.Advertise.Operators,
+			PeerAddress:     s.Advertise.Peers,
+			HasData:         s.Data != nil,
+		},
+	}
+	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
+	x.balancer = route.New(now, x.self.Region, x.self.Zone)
+	x.net = peer.New(ctx, x.self, string(s.Credentials.Peer), peer.Timing{
+		Heartbeat:   time.Duration(s.Control.Heartbeat),
+		SilentAfter: time.Duration(s.Control.SilentAfter),
+		Redial:      redial,
+	}, &frames{x, ctx}, clock{x.clock})
+	x.loop = control.NewLoop(x.newCore(), x.net, x.balancer, nil)
+	return x, x.listen(ctx)
+}
+
+func (x *Instance) newCore() *control.Core {
+	t := control.DefaultTiming()
+	t.Tick = time.Duration(x.settings.Control.Tick)
+	t.Lease = time.Duration(x.settings.Control.Lease)
+	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout)
+	opts := []control.Option{control.WithTiming(t), control.WithRecorder(x.ring)}
+	if x.self.HasData {
+		opts = append(opts, control.WithLog(control.NewSolo(x.self.ID, 1), &state.State{}, 0))
+	}
+	return control.New(x.self, opts...)
+}
+
+// View returns the newest control state.
+func (x *Instance) View() *control.View {
+	return x.loop.Publisher.View()
+}
+
+// listen opens the listeners.
+func (x *Instance) listen(ctx context.Context) error {
+	l := x.settings.Listen
+	entry := x.settings.Entry
+	callers := &caller.Server{
+		Views:        x,
+		Runner:       x.newRunner(ctx),
+		Finder:       x,
+		Answers:      x.answers,
+		IDs:          caller.NewIDs(x.self.ID, x.self.Incarnation),
+		KeepFor:      time.Duration(entry.KeepFor),
+		MaxBodyBytes: entry.MaxBodyBytes,
+	}
+	upstreams := &announce.Server{Control: x.loop, Credentials: x.settings.Credentials.Upstreams}
+	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Credentials: x.settings.Credentials.Operators}
+	for _, r := range []struct {
+		address string
+		routes  registrar
+	}{
+		{l.Peers, peerRoutes{x.net}},
+		{l.Upstreams, upstreams},
+		{l.Operators, operators},
+		{l.Callers, callers},
+	} {
+		s, err := newServer(r.address, x, r.routes, entry.MaxHeaderBytes)
+		if err != nil {
+			return err
+		}
+		x.servers = append(x.servers, s)
+	}
+	return nil
+}
+
+func (x *Instance) newRunner(ctx context.Context) *pipeline.Runner {
+	return &pipeline.Runner{
+		Instance:    x.self.ID,
+		Incarnation: x.self.Incarnation,
+		Picker:      x.balancer,
+		Caller:      upstream.NewClient(idleConnections),
+		Committer:   x.loop,
+		Recorder:    x.ring,
+		Ledger:      x.ledger,
+		Background:  ctx,
+		Policies: func(service string) wire.UpstreamPolicy {
+			if p, ok := x.View().Config.Policies.Get(service); ok {
+				return *p
+			}
+			return route.DefaultPolicy
+		},
+	}
+}
+
+// Run serves until ctx ends or the instance was drained. It returns nil after a drain.
+func (x *Instance) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g errgroup.Group
+	g.Go(func() error {
+		x.loop.Run(ctx)
+		return nil
+	})
+	for _, s := range x.servers {
+		g.Go(s.serve)
+	}
+	for _, address := range x.settings.Join {
+		x.net.Join(address)
+	}
+	klog.InfoS("serving", "instance", x.self.ID, "incarnation", x.self.Incarnation, "callers", x.self.CallerAddress)
+	g.Go(func() error {
+		x.reportCosts(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		defer cancel()
+		x.waitForDrain(ctx)
+		x.closeServers()
+		return nil
+	})
+	return g.Wait()
+}
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -22,6 +22,9 @@
 // rememberLapsed is how long a lapsed row is kept.
 const rememberLapsed = 10 * time.Minute
 
+// MaxTTL bounds an announcement's time to live.
+const MaxTTL = 5 * time.Minute
+
 // buckets is the number of parts that two instances compare in a digest.
 const buckets = 64
 
@@ -54,6 +57,7 @@
 	view    View
 	hashes  [buckets]uint64
 	changed map[string]bool
+	fresh   []wire.Announcement
 }
 
 // New returns an empty roster.
@@ -81,15 +85,16 @@
 	return nil
 }
 
-// Leave marks an upstream as leaving. It returns ErrStale if something newer is known.
-func (r *Roster) Leave(id string, incarnation, sequence int, now time.Time) error {
+// Leave marks an upstream as leaving. It returns ErrStale if something newer is known, and ErrForeign to
+// another credential than the one that announced it.
+func (r *Roster) Leave(id, credential string, incarnation, sequence int, now time.Time) error {
 	old, ok := r.view.Rows.Get(id)
 	if !ok {
 		return errors.Wrapf(ErrStale, "upstream %s is not known", id)
 	}
 	a := old.Announcement
 	a.Incarnation, a.Sequence, a.Leaving = incarnation, sequence, true
-	return r.Announce(a, old.Credential, now)
+	return r.Announce(a, credential, now)
 }
 
 // Merge takes announcements from another instance and returns the IDs that were news.
@@ -148,6 +153,13 @@
 	return out
 }
 
+// TakeFresh returns the announcements that came from anywhere since the last call.
+func (r *Roster) TakeFresh() []wire.Announcement {
+	out := r.fresh
+	r.fresh = nil
+	return out
+}
+
 // Digest returns a hash of each bucket.
 func (r *Roster) Digest() []int {
 	out := make([]int, buckets)
@@ -180,6 +192,7 @@
 	}
 	r.toggle(row.Announcement)
 	r.view.Rows = r.view.Rows.With(row.Announcement.ID, row)
+	r.fresh = append(r.fresh, row.Announcement)
 }
 
 // toggle adds an announcement to its bucket's hash, or takes it out again.
--- /dev/null
+++ b/plantainlane/serve.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"plantainlane/plantainlane/instance"
+	"plantainlane/plantainlane/settings"
+)
+
+var errNoSettings = errors.New("one settings file is required")
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name:        "serve",
+		Usage:       "run an instance until it is drained",
+		ArgsUsage:   "SETTINGS",
+		Description: "SIGTERM drains the instance; a second SIGTERM or SIGINT stops it at once.\n\nExample: plantainlane serve /etc/plantainlane/settings.jsonc",
+		Action:      serve,
+	})
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errNoSettings
+	}
+	s, err := settings.Load(c.Args().First())
+	if err != nil {
+		return err
+	}
+	startLogs(s.Log)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT)
+	defer stop()
+	x, err := instance.New(ctx, s)
+	if err != nil {
+		return err
+	}
+	term := make(chan os.Signal, 2)
+	signal.Notify(term, syscall.SIGTERM)
+	go func() {
+		<-term
+		x.Drain(ctx)
+		<-term
+		stop()
+	}()
+	return x.Run(ctx)
+}
+
+// startLogs sends logs to standard error as JSON lines, or as text.
+func startLogs(l settings.Log) {
+	level := slog.Level(-l.Verbosity)
+	var handler slog.Handler = slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	if l.Format != "json" {
+		handler = slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	}
+	klog.SetSlogLogger(slog.New(handler))
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if err := flags.Set("v", strconv.Itoa(l.Verbosity)); err != nil {
+		klog.ErrorS(err, "verbosity not set")
+	}
+}
--- a/plantainlane/state/claim.go
+++ b/plantainlane/state/claim.go
@@ -56,7 +56,10 @@
 		if s.Expired.Has(expiredKey(id)) {
 			return wire.ClaimState{State: ClaimExpired}
 		}
-		s.Claims = s.Claims.With(id, Claim{Claim: c, State: ClaimRunning})
+		if s.Released.Has(c.Attempt) {
+			return wire.ClaimState{State: ClaimNotRun}
+		}
+		s.putClaim(id, Claim{Claim: c, State: ClaimRunning})
 		return wire.ClaimState{State: ClaimWon, Attempt: c.Attempt, RequestID: c.RequestID}
 	}
 	out := wire.ClaimState{Attempt: old.Claim.Attempt, RequestID: old.Claim.RequestID}
@@ -78,6 +81,9 @@
 	id := ClaimKey(r.Workspace, r.Key)
 	old, ok := s.Claims.Get(id)
 	if !ok || old.Claim.Attempt != r.Attempt {
+		if r.State == ClaimNotRun {
+			s.Released = s.Released.With(r.Attempt, r.AtMs)
+		}
 		return wire.ClaimState{State: ClaimAbsent}
 	}
 	if old.State == ClaimRan {
@@ -85,7 +91,7 @@
 	}
 	s.addResolvedCost(old.Claim, r.Cost, r.AtMs)
 	if r.State == ClaimNotRun {
-		s.Claims = s.Claims.Without(id)
+		s.dropClaim(id)
 		return wire.ClaimState{State: ClaimNotRun, Attempt: r.Attempt}
 	}
 	old.State = r.State
@@ -95,6 +101,17 @@
 	return wire.ClaimState{State: r.State, Attempt: r.Attempt, RequestID: old.Claim.RequestID, Result: r.Result}
 }
 
+func (s *State) putClaim(id string, c Claim) {
+	s.Claims = s.Claims.With(id, c)
+	s.requests = s.requests.With(c.Claim.RequestID, id)
+}
+
+func (s *State) dropClaim(id string) {
+	c, _ := s.Claims.Get(id)
+	s.Claims = s.Claims.Without(id)
+	s.requests = s.requests.Without(c.Claim.RequestID)
+}
+
 // abandonClaims marks the running claims of an incarnation that is gone as unknown.
 func (s *State) abandonClaims(i wire.InstanceInfo) {
 	for id, c := range s.Claims.All() {
@@ -114,7 +131,22 @@
 		if c.State == ClaimRunning || c.EndedMs >= beforeMs {
 			continue
 		}
-		s.Claims = s.Claims.Without(id)
+		s.dropClaim(id)
 		s.Expired = s.Expired.With(expiredKey(id), c.EndedMs)
 	}
+	for attempt, atMs := range s.Released.All() {
+		if atMs < beforeMs {
+			s.Released = s.Released.Without(attempt)
+		}
+	}
+}
+
+// ClaimOf returns the claim that a request of a workspace holds.
+func (s *State) ClaimOf(workspace, requestID string) (Claim, bool) {
+	id, ok := s.requests.Get(requestID)
+	if !ok {
+		return Claim{}, false
+	}
+	c, ok := s.Claims.Get(id)
+	return c, ok && c.Claim.Workspace == workspace
 }
--- a/plantainlane/state/config.go
+++ b/plantainlane/state/config.go
@@ -3,14 +3,7 @@
 import (
 	"plantainlane/plantainlane/table"
 	"plantainlane/wire"
-)
-
-// Kinds of declarations, as wire.DeclarationName names them.
-const (
-	KindContract       = "contract"
-	KindPipeline       = "pipeline"
-	KindUpstreamPolicy = "upstreamPolicy"
-	KindModel          = "model"
+	"plantainlane/wire/declaration"
 )
 
 // Config is the declarations in force at a revision. It is immutable.
@@ -50,13 +43,13 @@
 
 func (c Config) without(n wire.DeclarationName) Config {
 	switch n.Kind {
-	case KindContract:
+	case declaration.KindContract:
 		c.Contracts = c.Contracts.Without(n.Name)
-	case KindPipeline:
+	case declaration.KindPipeline:
 		c.Pipelines = c.Pipelines.Without(n.Name)
-	case KindUpstreamPolicy:
+	case declaration.KindUpstreamPolicy:
 		c.Policies = c.Policies.Without(n.Name)
-	case KindModel:
+	case declaration.KindModel:
 		c.Models = c.Models.Without(n.Name)
 	}
 	return c
@@ -64,8 +57,15 @@
 
 // Declarations returns all declarations.
 func (c Config) Declarations() wire.Declarations {
+	out := c.Shared()
+	out.Contracts = values(c.Contracts)
+	return out
+}
+
+// Shared returns the declarations that contracts refer to.
+func (c Config) Shared() wire.Declarations {
 	return wire.Declarations{
-		Contracts:        values(c.Contracts),
+		Contracts:        []wire.Contract{},
 		Pipelines:        values(c.Pipelines),
 		UpstreamPolicies: values(c.Policies),
 		Models:           values(c.Models),
--- a/plantainlane/state/snapshot.go
+++ b/plantainlane/state/snapshot.go
@@ -12,6 +12,7 @@
 	Changes      []wire.ChangeOutcome `cbor:"changes"`
 	Claims       []Claim              `cbor:"claims"`
 	Expired      []expiredClaim       `cbor:"expired"`
+	Released     []expiredClaim       `cbor:"released"`
 	Instances    []wire.InstanceInfo  `cbor:"instances"`
 	Fencing      int                  `cbor:"fencing"`
 	Costs        []keyedCost          `cbor:"costs"`
@@ -58,6 +59,9 @@
 	for k, ended := range s.Expired.All() {
 		im.Expired = append(im.Expired, expiredClaim{k, ended})
 	}
+	for attempt, atMs := range s.Released.All() {
+		im.Released = append(im.Released, expiredClaim{attempt, atMs})
+	}
 	for _, i := range s.Instances.All() {
 		im.Instances = append(im.Instances, i)
 	}
@@ -82,11 +86,14 @@
 		s.remember(c)
 	}
 	for _, c := range im.Claims {
-		s.Claims = s.Claims.With(ClaimKey(c.Claim.Workspace, c.Claim.Key), c)
+		s.putClaim(ClaimKey(c.Claim.Workspace, c.Claim.Key), c)
 	}
 	for _, e := range im.Expired {
 		s.Expired = s.Expired.With(e.Key, e.EndedMs)
 	}
+	for _, r := range im.Released {
+		s.Released = s.Released.With(r.Key, r.EndedMs)
+	}
 	for _, i := range im.Instances {
 		s.Instances = s.Instances.With(i.ID, i)
 	}
--- a/plantainlane/state/state.go
+++ b/plantainlane/state/state.go
@@ -30,6 +30,9 @@
 	Claims table.Table[Claim]
 	// Expired holds the key hashes of claims whose result was forgotten.
 	Expired table.Table[int]
+	// Released holds claim attempts that were taken back before their claim was committed, with the time
+	// in milliseconds since 1970. Their claim, should it still come, is not made.
+	Released table.Table[int]
 	// Instances that may hold a configuration lease, by ID. An instance's incarnation never falls.
 	Instances table.Table[wire.InstanceInfo]
 	// Fencing is the newest fencing number taken.
@@ -40,6 +43,8 @@
 	Spent table.Table[Spent]
 
 	changeOrder []string
+	// requests holds the key of each claim by its request ID.
+	requests table.Table[string]
 }
 
 // Outcome is what a command led to.
--- a/wire/types.go
+++ b/wire/types.go
@@ -381,6 +381,12 @@
 	Rows []CostRow `json:"rows" cbor:"rows"`
 }
 
+// CostQuery asks for cost totals.
+type CostQuery struct {
+	// Only this workspace, if set.
+	Workspace string `json:"workspace" cbor:"workspace"`
+}
+
 // CostRow is a cumulative cost total.
 type CostRow struct {
 	// Attempts.
@@ -653,6 +659,18 @@
 	// Consensus message.
 	Consensus *ConsensusMessage `json:"consensus,omitempty,omitzero" cbor:"consensus,omitempty"`
 
+	// Cost answer.
+	Cost *CostAnswer `json:"cost,omitempty,omitzero" cbor:"cost,omitempty"`
+
+	// Asks an instance to commit its cost totals.
+	CostFlush *bool `json:"costFlush,omitempty,omitzero" cbor:"costFlush,omitempty"`
+
+	// Whether it did.
+	CostFlushed *bool `json:"costFlushed,omitempty,omitzero" cbor:"costFlushed,omitempty"`
+
+	// Cost query.
+	CostQuery *CostQuery `json:"costQuery,omitempty,omitzero" cbor:"costQuery,omitempty"`
+
 	// Digest of announcements.
 	Digest *UpstreamDigest `json:"digest,omitempty,omitzero" cbor:"digest,omitempty"`
 
