control: give the grants test a contract that the leader takes

Changes are now checked by their declarations' own rules, and the test's contract had no key, pipeline or budget period, so that it was refused. The test's bounds stand.

--- a/plantainlane/control/grants_test.go
+++ b/plantainlane/control/grants_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,7 +40,11 @@
 		}
 	}
 	reply := make(chan wire.ProposeAnswer, 1)
-	change := wire.ChangeSet{ChangeID: "c", Set: wire.Declarations{Contracts: []wire.Contract{contract}}}
+	plan := wire.Pipeline{Name: "p", Stages: []wire.Stage{{Name: "s", Service: "s", Path: "/run", DeadlineShare: 1, CostUnits: 1}}}
+	change := wire.ChangeSet{ChangeID: "c", Set: wire.Declarations{
+		Contracts: []wire.Contract{contract},
+		Pipelines: []wire.Pipeline{plan},
+	}}
 	s.step(ids[0], Proposed{Command: wire.Command{Change: &change}, Until: s.now.Add(time.Minute), Reply: reply})
 	return s
 }
@@ -80,7 +85,8 @@
 	s := newGrantSite(wire.Contract{
 		Workspace: "w", Rate: wire.Rate{PerSecond: 40, Burst: 10}, Concurrency: 10,
 		Tokens: wire.Rate{PerSecond: 1000, Burst: 1000}, DefaultDeadlineMs: 1000, MaxDeadlineMs: 1000,
-		MaxBodyBytes: 1000, MaxResultBytes: 1000, Pipelines: []string{},
+		MaxBodyBytes: 1000, MaxResultBytes: 1000, Pipelines: []string{"p"}, Budget: wire.Budget{PeriodHours: 1},
+		Keys: []wire.ContractKey{{ID: "k", Sha256: strings.Repeat("0", 64)}},
 	}, "a", "b", "c")
 	s.run(2 * time.Second)
 	s.admits("b", 4*time.Second)
