declaration: keep one set of default upstream policies

Routing had a second one with other values, so a policy that left a value out and a service without a policy behaved differently. Calls without a byte are given up after 5 s rather than 2 s, since a service that answers at the end of its work sends none before. The command now waits longer for one answer than an instance takes at most to settle a change.

--- a/plantainctl/operator/client.go
+++ b/plantainctl/operator/client.go
@@ -19,7 +19,7 @@
 
 const (
 	// DefaultTimeout bounds one call to one instance.
-	DefaultTimeout = 15 * time.Second
+	DefaultTimeout = 20 * time.Second
 	maxAnswerBytes = 256 << 20
 )
 
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plantainlane/wire"
+	"plantainlane/wire/declaration"
 )
 
 const (
@@ -27,10 +28,7 @@
 )
 
 // DefaultPolicy applies to services without an upstream policy.
-var DefaultPolicy = wire.UpstreamPolicy{
-	RetryBudget: 0.1, MaxAttempts: 2, EjectAfterFailures: 5, EjectForMs: 2000, MaxEjectedShare: 0.5,
-	SilentAfterMs: 2000, QueueLimit: 1000,
-}
+var DefaultPolicy = declaration.DefaultUpstreamPolicy
 
 func (s *service) currentPolicy() *wire.UpstreamPolicy {
 	if p := s.policy.Load(); p != nil {
--- a/wire/declaration/defaults.go
+++ b/wire/declaration/defaults.go
@@ -34,8 +34,8 @@
 	MaxAttempts:        2,
 	HedgeQuantile:      0,
 	EjectAfterFailures: 5,
-	EjectForMs:         5000,
-	MaxEjectedShare:    0.3,
+	EjectForMs:         2000,
+	MaxEjectedShare:    0.5,
 	SilentAfterMs:      5000,
 	QueueLimit:         1000,
 }
--- a/wire/declaration/page_test.go
+++ b/wire/declaration/page_test.go
@@ -1,6 +1,7 @@
 package declaration
 
 import (
+	"fmt"
 	"os"
 	"reflect"
 	"strings"
@@ -25,3 +26,24 @@
 		}
 	}
 }
+
+func TestPageNamesEveryDefault(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/declarations.5.md")
+	is.NoErr(err)
+	c, p, m, s := DefaultContract, DefaultUpstreamPolicy, DefaultModel, DefaultStage
+	for field, v := range map[string]any{
+		"priority": c.Priority, "defaultDeadlineMs": c.DefaultDeadlineMs, "maxDeadlineMs": c.MaxDeadlineMs,
+		"maxBodyBytes": c.MaxBodyBytes, "maxResultBytes": c.MaxResultBytes,
+		"serveIdempotentWhenCutOff": c.ServeIdempotentWhenCutOff,
+		"retryBudget":               p.RetryBudget, "maxAttempts": p.MaxAttempts, "hedgeQuantile": p.HedgeQuantile,
+		"ejectAfterFailures": p.EjectAfterFailures, "ejectForMs": p.EjectForMs, "maxEjectedShare": p.MaxEjectedShare,
+		"silentAfterMs": p.SilentAfterMs, "queueLimit": p.QueueLimit,
+		"replicas": m.Replicas, "loadCost": m.LoadCost,
+		"stages[].idempotent": s.Idempotent, "stages[].costUnits": s.CostUnits, "stages[].deadlineShare": s.DeadlineShare,
+	} {
+		if row := fmt.Sprintf("| `%s` | %v |", field, v); !strings.Contains(string(page), row) {
+			t.Errorf("docs/declarations.5.md lacks %s", row)
+		}
+	}
+}
