--- a/plantainlane/serve.go
+++ b/plantainlane/serve.go
@@ -17,7 +17,7 @@
 	"plantainlane/plantainlane/settings"
 )
 
-var errNoSettings = errors.New("one settings file is required")
+var errNoSettings = errors.Mark(errors.New("a settings file is required"), errUsage)
 
 func init() {
 	commands = append(commands, &cli.Command{
