standin: measure speed through an instance beside direct calls

Rounds of both ways alternate in one run, so that they share the machine's state. One client package now reads and posts JSON; load and report had one each.

--- /dev/null
+++ b/standin/admin/admin.go
@@ -0,0 +1,55 @@
+// Package admin talks to the admin listener of a process of fakes.
+package admin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"plantainlane/standin/fetch"
+	"plantainlane/standin/loopback"
+	"plantainlane/wire"
+)
+
+const (
+	orderTimeout   = 2 * time.Second
+	ledgerTimeout  = 20 * time.Second
+	maxListBytes   = 4 << 20
+	maxLedgerBytes = 512 << 20
+)
+
+// Upstreams returns what the fakes say of themselves. It returns loopback.ErrNotLoopback if one is
+// elsewhere.
+func Upstreams(ctx context.Context, client *http.Client, address string) ([]wire.Announcement, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var list []wire.Announcement
+	if err := fetch.JSON(ctx, client, "http://"+address+"/upstreams", "", maxListBytes, &list); err != nil {
+		return nil, err
+	}
+	for _, a := range list {
+		if err := loopback.Check(a.Address); err != nil {
+			return nil, err
+		}
+	}
+	return list, nil
+}
+
+// Ledger returns what the fakes have run, with the rows that started since a time.
+func Ledger(ctx context.Context, client *http.Client, address string, since time.Time) (wire.Ledger, error) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	var l wire.Ledger
+	url := fmt.Sprintf("http://%s/ledger?sinceUs=%d", address, since.UnixMicro())
+	err := fetch.JSON(ctx, client, url, "", maxLedgerBytes, &l)
+	return l, err
+}
+
+// PostFault posts a fault order.
+func PostFault(ctx context.Context, client *http.Client, address string, order wire.FaultOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var answer wire.FaultAnswer
+	return fetch.Post(ctx, client, "http://"+address+"/faults", order, maxListBytes, &answer)
+}
--- a/standin/drive.go
+++ b/standin/drive.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"plantainlane/standin/admin"
 	"plantainlane/standin/load"
 	"plantainlane/standin/loopback"
 	"plantainlane/standin/report"
@@ -139,7 +140,7 @@
 	order := func(ctx context.Context, f scenario.Fault) {
 		what, err := json.Marshal(f.Order.Fault)
 		if err == nil {
-			err = load.PostFault(ctx, d.client, f.Fakes, f.Order)
+			err = admin.PostFault(ctx, d.client, f.Fakes, f.Order)
 		}
 		if err != nil {
 			klog.ErrorS(err, "fault not set", "fakes", f.Fakes)
@@ -157,7 +158,7 @@
 // heal clears the faults that the scenario set.
 func (d *driver) heal(ctx context.Context) {
 	for _, f := range d.scenario.Faults {
-		if err := load.PostFault(ctx, d.client, f.Fakes, wire.FaultOrder{}); err != nil {
+		if err := admin.PostFault(ctx, d.client, f.Fakes, wire.FaultOrder{}); err != nil {
 			klog.ErrorS(err, "fault not cleared", "fakes", f.Fakes)
 		}
 	}
--- a/standin/load/baseline.go
+++ b/standin/load/baseline.go
@@ -14,8 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"plantainlane/standin/admin"
 	"plantainlane/standin/fake"
-	"plantainlane/standin/loopback"
 	"plantainlane/standin/scenario"
 	"plantainlane/wire"
 )
@@ -23,7 +23,6 @@
 const (
 	// baselineAttempts is how often the baseline tries a stage.
 	baselineAttempts = 3
-	maxUpstreamList  = 4 << 20
 )
 
 // errAttempt marks a failed attempt at a stage.
@@ -51,16 +50,13 @@
 // NewBaseline returns a baseline over the upstreams that the fakes of a scenario tell.
 func NewBaseline(ctx context.Context, s *scenario.Scenario) (*Baseline, error) {
 	b := &Baseline{client: newClient(), services: make(map[string]*ring), nonce: time.Now().UnixNano()}
-	for _, admin := range s.Fakes {
-		var list []wire.Announcement
-		if err := getJSON(ctx, b.client, "http://"+admin+"/upstreams", "", maxUpstreamList, &list); err != nil {
-			klog.ErrorS(err, "upstreams unknown", "fakes", admin)
+	for _, address := range s.Fakes {
+		list, err := admin.Upstreams(ctx, b.client, address)
+		if err != nil {
+			klog.ErrorS(err, "upstreams unknown", "fakes", address)
 			continue
 		}
 		for _, a := range list {
-			if err := loopback.Check(a.Address); err != nil {
-				return nil, err
-			}
 			if b.services[a.Service] == nil {
 				b.services[a.Service] = &ring{}
 			}
--- a/standin/load/directory.go
+++ b/standin/load/directory.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -11,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/standin/fetch"
 	"plantainlane/standin/loopback"
 	"plantainlane/wire"
 )
@@ -91,7 +90,7 @@
 	var answer wire.EntryAnswer
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if err := getJSON(ctx, d.client, "http://"+address+"/v1/entries", "", maxEntryAnswer, &answer); err != nil {
+	if err := fetch.JSON(ctx, d.client, "http://"+address+"/v1/entries", "", maxEntryAnswer, &answer); err != nil {
 		return answer, err
 	}
 	if len(answer.Entries) == 0 {
@@ -146,23 +145,3 @@
 	defer d.mu.Unlock()
 	d.failed[address] = true
 }
-
-// getJSON reads a JSON answer of bounded size.
-func getJSON(ctx context.Context, client *http.Client, url, credential string, bound int64, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return errors.Wrap(err, "request")
-	}
-	if credential != "" {
-		req.Header.Set("Authorization", "Bearer "+credential)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "ask")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("%s answered %s", url, resp.Status)
-	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, bound)).Decode(into), "decode")
-}
--- a/standin/main.go
+++ b/standin/main.go
@@ -25,6 +25,7 @@
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
 			upstreamCommand(), engine.Command(), engine.StoreCommand(), loadCommand(), experimentCommand(),
+			benchCommand(),
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
--- a/standin/report/cost.go
+++ b/standin/report/cost.go
@@ -8,14 +8,16 @@
 	"slices"
 	"time"
 
+	"plantainlane/standin/fetch"
 	"plantainlane/standin/scenario"
 	"plantainlane/wire"
 )
 
 const (
 	// costSettle is how long the system's totals are read again until they stand still.
-	costSettle = 8 * time.Second
-	costPause  = 700 * time.Millisecond
+	costSettle   = 8 * time.Second
+	costPause    = 700 * time.Millisecond
+	maxCostBytes = 64 << 20
 )
 
 // ReadCost reads the system's cost totals. It reads until two readings agree, since instances report
@@ -24,11 +26,12 @@
 	if s.Operator == "" {
 		return nil, nil
 	}
+	url := "http://" + s.Operator + "/v1/cost"
 	var last []wire.CostRow
 	same := 0
 	for end := time.Now().Add(costSettle); ; {
 		var answer wire.CostAnswer
-		if err := getJSON(ctx, client, "http://"+s.Operator+"/v1/cost", s.OperatorCredential, &answer); err != nil {
+		if err := fetch.JSON(ctx, client, url, s.OperatorCredential, maxCostBytes, &answer); err != nil {
 			return nil, err
 		}
 		if last != nil && slices.Equal(last, answer.Rows) {
--- a/standin/report/ledger.go
+++ b/standin/report/ledger.go
@@ -2,23 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"plantainlane/standin/admin"
 	"plantainlane/standin/fake"
 	"plantainlane/wire"
 )
 
-const (
-	readTimeout    = 20 * time.Second
-	maxLedgerBytes = 512 << 20
-)
-
 // Ledgers is what the fakes of a run have counted.
 type Ledgers struct {
 	Ledger wire.Ledger
@@ -30,9 +21,8 @@
 func ReadLedgers(ctx context.Context, client *http.Client, fakes []string, since time.Time) Ledgers {
 	out := Ledgers{Unreadable: []string{}}
 	for _, address := range fakes {
-		var l wire.Ledger
-		url := fmt.Sprintf("http://%s/ledger?sinceUs=%d", address, since.UnixMicro())
-		if err := getJSON(ctx, client, url, "", &l); err != nil {
+		l, err := admin.Ledger(ctx, client, address, since)
+		if err != nil {
 			out.Unreadable = append(out.Unreadable, address)
 			continue
 		}
@@ -55,24 +45,3 @@
 	l.Ledger.Dropped -= before.Ledger.Dropped
 	return l
 }
-
-func getJSON(ctx context.Context, client *http.Client, url, credential string, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return errors.Wrap(err, "request")
-	}
-	if credential != "" {
-		req.Header.Set("Authorization", "Bearer "+credential)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "read")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("%s answered %s", url, resp.Status)
-	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxLedgerBytes)).Decode(into), "decode")
-}
--- a/standin/scenario/read.go
+++ b/standin/scenario/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -50,13 +51,24 @@
 		if !filepath.IsAbs(name) {
 			name = filepath.Join(dir, name)
 		}
-		source, err := declaration.Read(name)
+		more, err := ReadPipelines(name)
 		if err != nil {
 			return nil, err
 		}
-		for _, p := range source.Set.Pipelines {
-			pipelines[p.Name] = p
-		}
+		maps.Copy(pipelines, more)
+	}
+	return pipelines, nil
+}
+
+// ReadPipelines reads the pipelines of a file or folder of declarations, by name.
+func ReadPipelines(path string) (map[string]wire.Pipeline, error) {
+	source, err := declaration.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	pipelines := make(map[string]wire.Pipeline)
+	for _, p := range source.Set.Pipelines {
+		pipelines[p.Name] = p
 	}
 	return pipelines, nil
 }
--- /dev/null
+++ b/standin/speed/doc.go
@@ -0,0 +1,2 @@
+// Package speed measures calls through one instance beside direct calls to the same upstream.
+package speed
--- /dev/null
+++ b/standin/speed/stream.go
@@ -0,0 +1,117 @@
+package speed
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Stream is how the tokens of streams arrived.
+type Stream struct {
+	Way    string `json:"way"`
+	Tokens int    `json:"tokens"`
+	// Gaps between tokens of a stream.
+	GapP50 time.Duration `json:"gapP50Ns"`
+	GapP99 time.Duration `json:"gapP99Ns"`
+	// Bunched counts tokens that arrived less than a tenth of the median gap after the one before, as
+	// tokens that were held back do.
+	Bunched int `json:"bunched"`
+}
+
+const bunchedShare = 0.1
+
+// MeasureStream reads streams one after another.
+func MeasureStream(ctx context.Context, client *http.Client, w Way, input json.RawMessage, streams int) (Stream, error) {
+	var gaps []time.Duration
+	s := Stream{Way: w.Name()}
+	for range streams {
+		var last time.Time
+		err := readStream(ctx, client, w, input, func() {
+			now := time.Now()
+			if !last.IsZero() {
+				gaps = append(gaps, now.Sub(last))
+			}
+			last = now
+			s.Tokens++
+		})
+		if err != nil {
+			return s, err
+		}
+	}
+	if len(gaps) == 0 {
+		return s, errors.Newf("%s streamed no tokens", w.Name())
+	}
+	slices.Sort(gaps)
+	s.GapP50, s.GapP99 = gaps[len(gaps)/2], gaps[len(gaps)*99/100]
+	for _, g := range gaps {
+		if float64(g) < bunchedShare*float64(s.GapP50) {
+			s.Bunched++
+		}
+	}
+	return s, nil
+}
+
+// readStream reads a stream to its end event and calls token at each token.
+func readStream(ctx context.Context, client *http.Client, w Way, input json.RawMessage, token func()) error {
+	r, err := w.Request(ctx, input, true)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return errors.Wrap(err, w.Name())
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s answered %s", w.Name(), resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		switch {
+		case bytes.Equal(lines.Bytes(), []byte("event: token")):
+			token()
+		case bytes.Equal(lines.Bytes(), []byte("event: end")):
+			return nil
+		}
+	}
+	return errors.Newf("%s broke a stream off", w.Name())
+}
+
+// HoldStreams opens streams, waits until each has a token, calls during and reads them to their end.
+// It returns how many were open at once.
+func HoldStreams(ctx context.Context, client *http.Client, w Way, input json.RawMessage, streams int, wait time.Duration, during func()) (int, error) {
+	var open, failed atomic.Int64
+	var running sync.WaitGroup
+	for range streams {
+		running.Go(func() {
+			started := false
+			err := readStream(ctx, client, w, input, func() {
+				if !started {
+					started = true
+					open.Add(1)
+				}
+			})
+			if err != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	for end := time.Now().Add(wait); time.Now().Before(end) && open.Load()+failed.Load() < int64(streams); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	count := int(open.Load())
+	during()
+	running.Wait()
+	if n := failed.Load(); n > 0 {
+		return count, errors.Newf("%d of %d streams failed", n, streams)
+	}
+	return count, nil
+}
--- /dev/null
+++ b/standin/speed/throughput.go
@@ -0,0 +1,91 @@
+package speed
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plantainlane/standin/chain"
+)
+
+// Rate is whole answers a second of one way.
+type Rate struct {
+	Way       string  `json:"way"`
+	PerSecond float64 `json:"perSecond"`
+	Answers   int64   `json:"answers"`
+	Failures  int64   `json:"failures"`
+	// Failure is the first failure.
+	Failure string `json:"failure,omitempty"`
+}
+
+// MeasureRate keeps a number of calls in flight for a time.
+func MeasureRate(ctx context.Context, client *http.Client, w Way, input json.RawMessage, path string, calls int, d time.Duration) Rate {
+	want, err := wantOf(input, path)
+	if err != nil {
+		return Rate{Way: w.Name(), Failures: 1, Failure: err.Error()}
+	}
+	var answers, failures atomic.Int64
+	var first sync.Once
+	rate := Rate{Way: w.Name()}
+	start := time.Now()
+	var running sync.WaitGroup
+	for range calls {
+		running.Go(func() {
+			for time.Since(start) < d && ctx.Err() == nil {
+				if err := call(ctx, client, w, input, want); err != nil {
+					failures.Add(1)
+					first.Do(func() { rate.Failure = err.Error() })
+					continue
+				}
+				answers.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	rate.Answers, rate.Failures = answers.Load(), failures.Load()
+	rate.PerSecond = float64(rate.Answers) / time.Since(start).Seconds()
+	return rate
+}
+
+func wantOf(input json.RawMessage, path string) (string, error) {
+	digest, err := chain.InputDigest(input)
+	if err != nil {
+		return "", err
+	}
+	return chain.Derive(path, digest).Digest, nil
+}
+
+// Latency is the latency of one call after another.
+type Latency struct {
+	Way string        `json:"way"`
+	P50 time.Duration `json:"p50Ns"`
+	P99 time.Duration `json:"p99Ns"`
+}
+
+// MeasureLatency calls the ways by turns, one call at a time.
+func MeasureLatency(ctx context.Context, client *http.Client, ways []Way, input json.RawMessage, path string, calls int) ([]Latency, error) {
+	want, err := wantOf(input, path)
+	if err != nil {
+		return nil, err
+	}
+	times := make([][]time.Duration, len(ways))
+	for range calls {
+		for i, w := range ways {
+			start := time.Now()
+			if err := call(ctx, client, w, input, want); err != nil {
+				return nil, err
+			}
+			times[i] = append(times[i], time.Since(start))
+		}
+	}
+	out := make([]Latency, len(ways))
+	for i, w := range ways {
+		slices.Sort(times[i])
+		out[i] = Latency{Way: w.Name(), P50: times[i][len(times[i])/2], P99: times[i][len(times[i])*99/100]}
+	}
+	return out, nil
+}
