--- /dev/null
+++ b/plantainlane/order/courier.go
@@ -0,0 +1,81 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"plantainlane/wire"
+)
+
+const (
+	readTimeout    = 2 * time.Second
+	maxAnswerBytes = 1 << 20
+)
+
+// Courier carries out a planner's actions over HTTP and reports what engines answer.
+type Courier struct {
+	// Client carries the calls.
+	Client *http.Client
+	// Report takes each answer. It must not block for long.
+	Report func(Report)
+}
+
+// Run carries out the actions of one step and returns at once. Nothing is sent after ctx ends, and no order after
+// its time.
+func (c *Courier) Run(ctx context.Context, a Actions) {
+	for _, d := range a.Orders {
+		go c.order(ctx, d)
+	}
+	for _, r := range a.Reads {
+		go c.read(ctx, r)
+	}
+}
+
+func (c *Courier) order(ctx context.Context, d Dispatch) {
+	ctx, cancel := context.WithDeadline(ctx, d.Until)
+	defer cancel()
+	body, err := json.Marshal(d.Order)
+	if err != nil || ctx.Err() != nil {
+		return
+	}
+	var answer wire.OrderAnswer
+	err = c.call(ctx, http.MethodPost, "http://"+d.Address+"/v1/orders", body, &answer)
+	if err == nil {
+		c.Report(Report{Upstream: d.Order.Upstream, Answer: &answer})
+	}
+}
+
+func (c *Courier) read(ctx context.Context, r Read) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	started := time.Now()
+	var s wire.EngineState
+	if err := c.call(ctx, http.MethodGet, "http://"+r.Address+"/v1/engine", nil, &s); err == nil && s.Upstream == r.Upstream {
+		c.Report(Report{Upstream: r.Upstream, State: &s, StartedAt: started})
+	}
+}
+
+func (c *Courier) call(ctx context.Context, method, url string, body []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build call")
+	}
+	// Without GetBody the transport never sends an order a second time by itself.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.Client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call engine")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Newf("engine answered %d", res.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(answer), "read answer")
+}
