--- a/plantainlane/consensus/cluster_test.go
+++ b/plantainlane/consensus/cluster_test.go
@@ -14,6 +14,8 @@
 	testTimeout = 200 * time.Millisecond
 )
 
+var epoch = time.Unix(1_000_000, 0)
+
 // disk keeps what was synced and forgets the rest in a crash.
 type disk struct {
 	synced  Start
@@ -47,11 +49,13 @@
 
 // replica is a node with its disk and the register that it replicates.
 type replica struct {
-	id    string
-	node  *Node
-	disk  disk
-	up    bool
-	lost  bool
+	id   string
+	node *Node
+	disk disk
+	up   bool
+	lost bool
+	// rate of its clock against true time.
+	rate  float64
 	value string
 	at    int
 }
@@ -78,7 +82,7 @@
 
 func newCluster(seed uint64, size int) *cluster {
 	c := &cluster{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), replicas: map[string]*replica{},
+		rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, replicas: map[string]*replica{},
 		cut: map[[2]string]bool{}, committed: map[int]wire.LogEntry{}, leaders: map[int]string{}, loss: 0.03,
 	}
 	start, _ := Bootstrap("r0", "log")
@@ -99,19 +103,24 @@
 }
 
 func (c *cluster) add() *replica {
-	r := &replica{id: fmt.Sprint("r", c.nextID)}
+	r := &replica{id: fmt.Sprint("r", c.nextID), rate: 0.6 + 0.8*c.rng.Float64()}
 	c.nextID++
 	c.replicas[r.id] = r
 	c.ids = append(c.ids, r.id)
 	return r
 }
 
+// clock returns the time as a replica sees it.
+func (c *cluster) clock(r *replica) time.Time {
+	return epoch.Add(time.Duration(float64(c.now.Sub(epoch)) * r.rate))
+}
+
 func (c *cluster) start(r *replica) {
 	cfg := Config{
 		ID: r.id, ElectionTimeout: testTimeout, HeartbeatInterval: 40 * time.Millisecond, MaxAppendBytes: 200,
 		MaxInFlight: 3, MaxChunkBytes: 16, KeepEntries: 4,
 	}
-	node, err := New(cfg, r.disk.synced, c.now, WithRand(rand.New(rand.NewPCG(c.rng.Uint64(), 2))))
+	node, err := New(cfg, r.disk.synced, c.clock(r), WithRand(rand.New(rand.NewPCG(c.rng.Uint64(), 2))))
 	if err != nil {
 		c.failf("start %s: %v", r.id, err)
 		return
@@ -146,7 +155,7 @@
 			continue
 		}
 		if r := c.replicas[d.m.To]; r.up {
-			_ = r.node.Step(d.m, c.now)
+			_ = r.node.Step(d.m, c.clock(r))
 		}
 	}
 	for _, id := range c.ids {
@@ -154,10 +163,10 @@
 		if !r.up {
 			continue
 		}
-		r.node.Tick(c.now)
+		r.node.Tick(c.clock(r))
 		c.drain(r)
 		if len(r.disk.waiting) > 0 && c.rng.Float64() < 0.6 {
-			r.node.Persisted(r.disk.sync(1+c.rng.IntN(len(r.disk.waiting))), c.now)
+			r.node.Persisted(r.disk.sync(1+c.rng.IntN(len(r.disk.waiting))), c.clock(r))
 			c.drain(r)
 		}
 		c.check(r)
@@ -166,7 +175,7 @@
 
 func (c *cluster) drain(r *replica) {
 	for {
-		rd := r.node.Ready(c.now)
+		rd := r.node.Ready(c.clock(r))
 		if rd.IsEmpty() {
 			return
 		}
@@ -251,7 +260,7 @@
 		if !c.replicas[id].lost {
 			set.Learners = slices.DeleteFunc(set.Learners, func(x string) bool { return x == id })
 			set.Voters = append(set.Voters, id)
-			_, _ = l.node.ProposeReplicas(set, c.now)
+			_, _ = l.node.ProposeReplicas(set, c.clock(l))
 			return
 		}
 	}
@@ -264,7 +273,7 @@
 		} else {
 			set.Voters = slices.DeleteFunc(set.Voters, func(x string) bool { return x == id })
 		}
-		_, _ = l.node.ProposeReplicas(set, c.now)
+		_, _ = l.node.ProposeReplicas(set, c.clock(l))
 		return
 	}
 }
--- a/plantainlane/consensus/failure_test.go
+++ b/plantainlane/consensus/failure_test.go
@@ -18,11 +18,13 @@
 
 // client runs one operation at a time on the register.
 type client struct {
-	id      int
-	busy    bool
-	write   bool
-	value   string
-	began   time.Time
+	id    int
+	busy  bool
+	write bool
+	value string
+	began time.Time
+	// asked is when the operation began by the replica's clock.
+	asked   time.Time
 	replica *replica
 	node    *Node
 	index   int
@@ -53,7 +55,7 @@
 			h.add(k, "", c.now.UnixNano()+1)
 		}
 		k.busy = false
-	case !k.write && !r.node.ConfirmedAt().Before(k.began) && r.at >= r.node.Status().Commit:
+	case !k.write && !r.node.ConfirmedAt().Before(k.asked) && r.at >= r.node.Status().Commit:
 		h.add(k, r.value, c.now.UnixNano()+1)
 		k.busy = false
 	}
@@ -64,7 +66,7 @@
 	if !r.up || r.node.Status().Role != Leader {
 		return
 	}
-	k.busy, k.began, k.replica, k.node = true, c.now, r, r.node
+	k.busy, k.began, k.asked, k.replica, k.node = true, c.now, c.clock(r), r, r.node
 	if k.write = c.rng.IntN(2) == 0; !k.write {
 		return
 	}
@@ -113,7 +115,7 @@
 		c.wipe(r)
 	case 8:
 		if l := c.leader(); l != nil {
-			_ = l.node.Transfer(l.node.Successor(c.now), c.now)
+			_ = l.node.Transfer(l.node.Successor(c.clock(l)), c.clock(l))
 		}
 	}
 }
