--- a/plantainlane/order/planner_test.go
+++ b/plantainlane/order/planner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 // link carries a leader's actions to engines with loss, delay and repetition. A cut link holds what is sent until
 // it is joined again.
 type link struct {
+	mu     sync.Mutex
 	random *rand.Rand
 	loss   float64
 	repeat float64
@@ -27,6 +29,8 @@
 }
 
 func (l *link) carry(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.cut {
 		l.held = append(l.held, f)
 		return
@@ -43,12 +47,20 @@
 	}
 }
 
+func (l *link) sever() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+}
+
 func (l *link) join() {
-	l.cut = false
-	for _, f := range l.held {
+	l.mu.Lock()
+	held := l.held
+	l.cut, l.held = false, nil
+	l.mu.Unlock()
+	for _, f := range held {
 		l.carry(f)
 	}
-	l.held = nil
 }
 
 // site is engines, a weight store and leaders on one clock.
@@ -265,7 +277,8 @@
 
 				s.models = []wire.Model{model("a", "2", 2), model("b", "1", 2)}
 				s.run(time.Duration(seed)*tick, old)
-				old.link.cut, old.confirmed = true, false // its lease runs on for a while
+				old.link.sever()
+				old.confirmed = false // its lease runs on for a while
 				s.run(time.Second, old)
 
 				s.models = []wire.Model{model("a", "3", 2), model("b", "1", 1)}
