--- /dev/null
+++ b/plantainlane/engine/hints.go
@@ -0,0 +1,17 @@
+package engine
+
+import (
+	"time"
+
+	"plantainlane/plantainlane/route"
+)
+
+// Hints returns the engines that hold the beginning of a prompt, as hints for the choice of upstream.
+func (x *Index) Hints(now time.Time, blocks []uint64) []route.Hint {
+	matches := x.Match(now, blocks)
+	hints := make([]route.Hint, len(matches))
+	for i, m := range matches {
+		hints[i] = route.Hint{Upstream: m.Engine, Share: float64(m.Blocks) / float64(len(blocks))}
+	}
+	return hints
+}
--- a/plantainlane/engine/index_test.go
+++ b/plantainlane/engine/index_test.go
@@ -40,11 +40,11 @@
 	is := is.New(t)
 	x := NewIndex(start)
 	prompt := chain(100, 10)
-	x.Apply(start, storedEvents("e1", 1, prompt[:4]...))
-	x.Apply(start, storedEvents("e2", 1, prompt[:8]...))
+	x.Apply(storedEvents("e1", 1, prompt[:4]...))
+	x.Apply(storedEvents("e2", 1, prompt[:8]...))
 	is.Equal(x.Match(start, prompt), []Match{{"e2", 8}, {"e1", 4}})
 	is.Equal(len(x.Match(start, chain(900, 5))), 0)
-	x.Apply(start, evictedEvents("e2", 2, prompt[2:8]...))
+	x.Apply(evictedEvents("e2", 2, prompt[2:8]...))
 	is.Equal(x.Match(start, prompt), []Match{{"e1", 4}, {"e2", 2}})
 	x.Forget("e1")
 	is.Equal(x.Match(start, prompt), []Match{{"e2", 2}})
@@ -55,9 +55,9 @@
 	x := NewIndex(start)
 	random := rand.New(rand.NewPCG(1, 1))
 	a, b, c := chain(100, 4), chain(200, 4), chain(300, 4)
-	x.Apply(start, storedEvents("e1", 1, a...))
+	x.Apply(storedEvents("e1", 1, a...))
 	is.Equal(len(x.NeedResync(start, 8, random)), 0)
-	x.Apply(start, storedEvents("e1", 3, b...)) // event 2 is missing: it may have evicted a
+	x.Apply(storedEvents("e1", 3, b...)) // event 2 is missing: it may have evicted a
 	is.Equal(len(x.Match(start, a)), 0)
 	is.Equal(x.Stats().Uncertain, 1)
 	x.Sent(start, "e1", c)
@@ -66,14 +66,14 @@
 	is.Equal(len(x.NeedResync(start.Add(resyncBackoff/2-time.Millisecond), 8, random)), 0) // no read storm
 
 	// A list older than the missing event leaves the view uncertain.
-	x.Resync(start, &wire.CacheBlocks{Upstream: "e1", Incarnation: 1, Sequence: 1, Blocks: ints(a)})
+	x.Resync(&wire.CacheBlocks{Upstream: "e1", Incarnation: 1, Sequence: 1, Blocks: ints(a)})
 	is.Equal(len(x.Match(start, a)), 0)
 	// One that covers it restores the view, with the event after it taken once more.
-	x.Resync(start, &wire.CacheBlocks{Upstream: "e1", Incarnation: 1, Sequence: 2, Blocks: []int{}})
+	x.Resync(&wire.CacheBlocks{Upstream: "e1", Incarnation: 1, Sequence: 2, Blocks: []int{}})
 	is.Equal(len(x.Match(start, a)), 0)
 	is.Equal(x.Match(start, b), []Match{{"e1", 4}})
 	is.Equal(x.Stats().Uncertain, 0)
-	x.Apply(start, storedEvents("e1", 3, a...)) // late repetition of a seen sequence
+	x.Apply(storedEvents("e1", 3, a...)) // late repetition of a seen sequence
 	is.Equal(len(x.Match(start, a)), 0)
 }
 
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	x := NewIndex(start)
 	a := chain(100, 4)
-	x.Apply(start, storedEvents("e1", 1, a...))
+	x.Apply(storedEvents("e1", 1, a...))
 	ahead := &wire.Announcement{ID: "e1", Incarnation: 1, CacheSequence: 2}
 	x.Announced(start, ahead)
 	x.Announced(start.Add(eventLateness-time.Millisecond), ahead)
@@ -102,10 +102,10 @@
 	is := is.New(t)
 	x := NewIndex(start)
 	a := chain(100, 4)
-	x.Apply(start, storedEvents("e1", 1, a...))
+	x.Apply(storedEvents("e1", 1, a...))
 	x.Announced(start, &wire.Announcement{ID: "e1", Incarnation: 2})
 	is.Equal(len(x.Match(start, a)), 0)
-	x.Apply(start, storedEvents("e1", 2, a...)) // late event of the old incarnation
+	x.Apply(storedEvents("e1", 2, a...)) // late event of the old incarnation
 	is.Equal(len(x.Match(start, a)), 0)
 }
 
@@ -116,7 +116,7 @@
 	x.Announced(start, &wire.Announcement{ID: "e1", Incarnation: 1})
 	x.Sent(start, "e1", a)
 	x.Sent(start, "e1", b)
-	x.Apply(start, storedEvents("e1", 1, b...))
+	x.Apply(storedEvents("e1", 1, b...))
 	is.Equal(len(x.Match(start, a)), 1)
 	late := start.Add(guessFor)
 	is.Equal(len(x.Match(late, a)), 0)
--- a/plantainlane/engine/view.go
+++ b/plantainlane/engine/view.go
@@ -72,6 +72,7 @@
 	}
 	x.clear(n)
 	delete(x.ids, id)
+	x.engines[n] = view{certain: true, newest: none, oldest: none}
 	x.vacant = append(x.vacant, n)
 }
 
@@ -123,14 +124,14 @@
 
 // Apply takes cache events. A gap before them makes the view of the engine uncertain until Resync; what the
 // events say is noted all the same, and events already seen are skipped.
-func (x *Index) Apply(now time.Time, m *wire.CacheEvents) {
+func (x *Index) Apply(m *wire.CacheEvents) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	n := x.engine(m.Upstream)
 	if !x.current(n, m.Incarnation) {
 		return
 	}
-	x.apply(now, n, m)
+	x.apply(n, m)
 	v := &x.engines[n]
 	if v.announced < v.next {
 		v.behindSince = time.Time{}
@@ -141,11 +142,10 @@
 	}
 }
 
-func (x *Index) apply(now time.Time, n int32, m *wire.CacheEvents) {
+func (x *Index) apply(n int32, m *wire.CacheEvents) {
 	v := &x.engines[n]
 	if m.FirstSequence > v.next && v.certain {
 		v.certain = false
-		v.resyncAt = now
 	}
 	for i := max(v.next-m.FirstSequence, 0); i < len(m.Events); i++ {
 		x.applyEvent(n, &m.Events[i])
@@ -185,7 +185,7 @@
 
 // Resync replaces what events said of an engine by the list of its blocks, and then takes the events after it
 // once more. If some of these are missing too, the view stays uncertain.
-func (x *Index) Resync(now time.Time, m *wire.CacheBlocks) {
+func (x *Index) Resync(m *wire.CacheBlocks) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	n := x.engine(m.Upstream)
@@ -207,23 +207,23 @@
 	recent := v.recent
 	v.recent = nil
 	for i := range recent {
-		x.apply(now, n, &recent[i])
+		x.apply(n, &recent[i])
 	}
 	if v.certain {
 		v.wait = 0
 		return
 	}
-	v.recent, v.resyncAt = recent, now.Add(v.wait)
+	v.recent = recent
 }
 
 // NeedResync returns engines whose blocks are to be read now, at most limit. Each read is followed by a wait
-// that doubles with jitter until Resync succeeds.
+// with jitter, which doubles until Resync succeeds.
 func (x *Index) NeedResync(now time.Time, limit int, random *rand.Rand) []string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var ids []string
-	for _, n := range x.ids {
-		v := &x.engines[n]
+	for i := range x.engines {
+		v := &x.engines[i]
 		if len(ids) == limit {
 			break
 		}
