--- a/plantainlane/limit/gate.go
+++ b/plantainlane/limit/gate.go
@@ -62,7 +62,7 @@
 	if w.hopeless(now) {
 		return refuse(ErrDeadline, 0)
 	}
-	if g.waiting.Load() == 0 && g.places.takeAll(g.processors.current(), 1) {
+	if g.TryEnter() {
 		return nil
 	}
 	if err := g.enqueue(now, w); err != nil {
@@ -91,6 +91,11 @@
 	return err
 }
 
+// TryEnter passes the gate if there is a place and nobody waits.
+func (g *Gate) TryEnter() bool {
+	return g.waiting.Load() == 0 && g.places.takeAll(g.processors.current(), 1)
+}
+
 // enqueue adds the request to the queue unless its turn would come too late.
 func (g *Gate) enqueue(now time.Time, w *Waiter) error {
 	w.ended = make(chan struct{})
--- a/plantainlane/retry/deadline.go
+++ b/plantainlane/retry/deadline.go
@@ -6,6 +6,9 @@
 	"plantainlane/wire"
 )
 
+// maxExcess bounds how far above its usual time a stage is expected to be.
+const maxExcess = 2
+
 // Estimate is the time a stage usually takes and seldom exceeds; both 0 while unknown.
 type Estimate struct {
 	Median, High time.Duration
@@ -17,12 +20,13 @@
 }
 
 // Needs is the time that stages are expected to take one after the other: usual times, with the largest of
-// their excesses once, since not all stages are slow together.
+// their excesses once, since not all stages are slow together. An excess counts for at most maxExcess times the
+// usual time, so that a few slow upstreams don't make every deadline look hopeless.
 func Needs(estimates []Estimate) time.Duration {
 	var sum, excess time.Duration
 	for _, e := range estimates {
 		sum += e.Median
-		excess = max(excess, e.High-e.Median)
+		excess = max(excess, min(e.High-e.Median, maxExcess*e.Median))
 	}
 	return sum + excess
 }
--- a/plantainlane/retry/latency.go
+++ b/plantainlane/retry/latency.go
@@ -64,6 +64,12 @@
 		l.high.Store(int64(quantile(&counts, total, 0.9)))
 		l.hedge.Store(int64(quantile(&counts, total, hedgeQuantile)))
 	}
+	if total == 0 {
+		// A service that nobody called may have changed.
+		l.median.Store(0)
+		l.high.Store(0)
+		l.hedge.Store(0)
+	}
 	if now.Sub(l.turned) >= window {
 		next := 1 - l.current.Load()
 		for i := range l.halves[next] {
--- a/plantainlane/retry/service_test.go
+++ b/plantainlane/retry/service_test.go
@@ -106,6 +106,11 @@
 	run(time.Second, 10)
 	run(10*time.Millisecond, 12)
 	is.True(l.High() < 12*time.Millisecond)
+	for range 4 {
+		l.Review(now, 0.9)
+		now = now.Add(window)
+	}
+	is.Equal(l.Median(), time.Duration(0)) // nothing is known of a service that nobody calls
 }
 
 func TestBucketsBoundTheirLatencies(t *testing.T) {
@@ -126,4 +131,5 @@
 	known := []Estimate{{Median: 50 * time.Millisecond}, {Median: 400 * time.Millisecond}}
 	is.Equal(StageDeadline(end, time.Second, later, known), epoch.Add(750*time.Millisecond))
 	is.Equal(Needs([]Estimate{{10, 30}, {20, 25}}), time.Duration(50))
+	is.Equal(Needs([]Estimate{{10, 1000}, {20, 25}}), time.Duration(50))
 }
--- a/plantainlane/route/view.go
+++ b/plantainlane/route/view.go
@@ -10,7 +10,7 @@
 	"plantainlane/wire"
 )
 
-// Balancer chooses upstreams. Apply, Remove, SetPolicies and Review belong to one goroutine; Pick,
+// Balancer chooses upstreams. Apply, Remove, SetPolicies, Room and Review belong to one goroutine; Pick,
 // Target.Done and Ejected may be called from any.
 type Balancer struct {
 	region     string
@@ -191,3 +191,28 @@
 		s.publish(e, b.tierOf)
 	}
 }
+
+// Room is what a service's upstreams can take, as far as this instance knows.
+type Room struct {
+	// Capacity is the number of calls that upstreams which are not ejected work on at once.
+	Capacity float64
+	// Others is the load on them that this instance did not cause.
+	Others float64
+}
+
+// Room returns the room of a service.
+func (b *Balancer) Room(name string) Room {
+	s := b.service(name)
+	if s == nil {
+		return Room{}
+	}
+	var r Room
+	for _, u := range s.members {
+		if u.ejectedUntil.Load() != 0 {
+			continue
+		}
+		r.Capacity += float64(u.capacity.Load())
+		r.Others += u.load() - float64(u.inFlight.Load())
+	}
+	return r
+}
