pipeline: admit within grants, gate services, retry and hedge

Requests are admitted by the limiter and refused when they can't finish; stages pass a gate for their service, are retried and hedged within its budget, and leave the stages after them their time. A hedge that loses is cancelled and its cost counted as wasted. A refused connection now counts against an upstream; before, it was taken for the upstream's word that it is busy.

--- a/plantainlane/caller/run.go
+++ b/plantainlane/caller/run.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v5"
 
+	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/pipeline"
 	"plantainlane/plantainlane/problem"
 	"plantainlane/wire"
@@ -110,6 +111,14 @@
 	{pipeline.ErrExpiredKey, http.StatusConflict, "key-expired"},
 	{pipeline.ErrNoClaim, http.StatusServiceUnavailable, "no-claim"},
 	{pipeline.ErrResultSize, http.StatusBadGateway, "result-too-large"},
+	{limit.ErrRate, http.StatusTooManyRequests, "over-rate"},
+	{limit.ErrConcurrency, http.StatusTooManyRequests, "over-concurrency"},
+	{limit.ErrTokens, http.StatusTooManyRequests, "over-token-rate"},
+	{limit.ErrBudget, http.StatusTooManyRequests, "over-budget"},
+	{limit.ErrNoGrant, http.StatusServiceUnavailable, "no-grant"},
+	{limit.ErrUnknownWorkspace, http.StatusServiceUnavailable, "no-grant"},
+	{limit.ErrQueueFull, http.StatusServiceUnavailable, "overloaded"},
+	{limit.ErrDeadline, http.StatusServiceUnavailable, "deadline-too-near"},
 	{pipeline.ErrCancelled, http.StatusServiceUnavailable, "cancelled"},
 }
 
--- a/plantainlane/instance/costs.go
+++ b/plantainlane/instance/costs.go
@@ -41,6 +41,7 @@
 		Instance:    x.self.ID,
 		Incarnation: x.self.Incarnation,
 		Sequence:    sequence,
+		AtMs:        int(time.Now().UnixMilli()),
 		Rows:        rows,
 	}})
 	if a.Committed {
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -13,6 +13,7 @@
 	"plantainlane/plantainlane/caller"
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/cost"
+	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/operator"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/pipeline"
@@ -40,7 +41,8 @@
 	ring     *timeline.Ring
 	ledger   *cost.Ledger
 	loop     *control.Loop
-	balancer *route.Balancer
+	services *pipeline.Services
+	limiter  *limit.Limiter
 	net      *peer.Net
 	answers  *caller.Answers
 	servers  []*server
@@ -67,13 +69,14 @@
 		},
 	}
 	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
-	x.balancer = route.New(now, x.self.Region, x.self.Zone)
+	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.serving)
+	x.limiter = limit.New(now)
 	x.net = peer.New(ctx, x.self, string(s.Credentials.Peer), peer.Timing{
 		Heartbeat:   time.Duration(s.Control.Heartbeat),
 		SilentAfter: time.Duration(s.Control.SilentAfter),
 		Redial:      redial,
 	}, &frames{x, ctx}, clock{x.clock})
-	x.loop = control.NewLoop(x.newCore(), x.net, x.balancer, nil)
+	x.loop = control.NewLoop(x.newCore(), x.net, x.services, nil)
 	return x, x.listen(ctx)
 }
 
@@ -82,7 +85,7 @@
 	t.Tick = time.Duration(x.settings.Control.Tick)
 	t.Lease = time.Duration(x.settings.Control.Lease)
 	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout)
-	opts := []control.Option{control.WithTiming(t), control.WithRecorder(x.ring)}
+	opts := []control.Option{control.WithTiming(t), control.WithRecorder(x.ring), control.WithLimiter(x.limiter)}
 	if x.self.HasData {
 		opts = append(opts, control.WithLog(control.NewSolo(x.self.ID, 1), &state.State{}, 0))
 	}
@@ -94,6 +97,17 @@
 	return x.loop.Publisher.View()
 }
 
+// serving is the number of instances that take requests.
+func (x *Instance) serving() int {
+	n := 0
+	for _, i := range x.View().Instances.All() {
+		if !i.Silent && !i.Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // listen opens the listeners.
 func (x *Instance) listen(ctx context.Context) error {
 	l := x.settings.Listen
@@ -131,18 +145,14 @@
 	return &pipeline.Runner{
 		Instance:    x.self.ID,
 		Incarnation: x.self.Incarnation,
-		Picker:      x.balancer,
+		Picker:      x.services,
 		Caller:      upstream.NewClient(idleConnections),
 		Committer:   x.loop,
 		Recorder:    x.ring,
 		Ledger:      x.ledger,
 		Background:  ctx,
-		Policies: func(service string) wire.UpstreamPolicy {
-			if p, ok := x.View().Config.Policies.Get(service); ok {
-				return *p
-			}
-			return route.DefaultPolicy
-		},
+		Admission:   x.limiter,
+		Services:    x.services,
 	}
 }
 
--- /dev/null
+++ b/plantainlane/pipeline/attempt.go
@@ -0,0 +1,168 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"plantainlane/plantainlane/route"
+	"plantainlane/plantainlane/upstream"
+	"plantainlane/wire"
+)
+
+// attempt is one call to an upstream and what came of it.
+type attempt struct {
+	call   upstream.Call
+	target route.Target
+	output json.RawMessage
+	// units is what the attempt cost, whether its answer is used or not.
+	units  float64
+	tokens int
+	err    error
+}
+
+// prepare chooses an upstream that was not tried yet, or else any, for the next attempt.
+func (x *execution) prepare(s *stageRun) (*attempt, error) {
+	q := route.Query{Service: s.stage.Service, Avoid: s.tried}
+	if s.stage.UsesModel {
+		q.Model = x.Model
+	}
+	now := time.Now()
+	target, ok := x.Picker.Pick(now, q)
+	if !ok && len(s.tried) > 0 {
+		q.Avoid = nil
+		target, ok = x.Picker.Pick(now, q)
+	}
+	if !ok {
+		return nil, errors.Wrap(ErrNoUpstream, s.stage.Service)
+	}
+	s.tried = append(s.tried, target.ID)
+	s.tally.Attempts++
+	call := upstream.Call{
+		Address:     target.Address,
+		Path:        s.stage.Path,
+		Attempt:     x.ID + "." + s.stage.Name + "." + strconv.Itoa(s.tally.Attempts),
+		Request:     x.ID,
+		Workspace:   x.Contract.Workspace,
+		Priority:    x.Contract.Priority,
+		Model:       q.Model,
+		MaxTokens:   x.MaxTokens,
+		Body:        s.body,
+		Fresh:       !s.stage.Idempotent,
+		SilentAfter: time.Duration(s.service.Policy().SilentAfterMs) * time.Millisecond,
+	}
+	x.record("attemptSent", call.Attempt, target.ID, s.stage.Name)
+	return &attempt{call: call, target: target}, nil
+}
+
+// send makes the call and reports to the balancer how it went.
+func (x *execution) send(ctx context.Context, s *stageRun, a *attempt) {
+	start := time.Now()
+	var answer upstream.Answer
+	if s.stage.Streams {
+		answer, a.tokens, a.err = x.stream(ctx, a.call)
+	} else {
+		answer, a.err = x.Caller.Do(ctx, a.call)
+	}
+	if a.err == nil && !json.Valid(answer.Output) {
+		a.err = errors.Wrap(upstream.ErrTruncated, "answer is not JSON")
+	}
+	now := time.Now()
+	took := now.Sub(start)
+	result := x.resultOf(ctx, s, a.err, took)
+	a.target.Done(now, route.Outcome{Result: result, Latency: took})
+	if result == route.Success || result == route.Cancelled && took > s.service.Latency.Median() {
+		s.service.Latency.Observe(took)
+	}
+	a.output = answer.Output
+	a.units = unitsOf(s.stage, answer, a.err)
+}
+
+// stream runs a streamed call. Tokens go to the caller as they come, or are collected as a whole answer.
+func (x *execution) stream(ctx context.Context, call upstream.Call) (upstream.Answer, int, error) {
+	var text strings.Builder
+	next := 0
+	end, err := x.Caller.Stream(ctx, call, func(t upstream.Token) error {
+		if t.Offset != next {
+			return errors.Wrapf(upstream.ErrTruncated, "token %d after %d", t.Offset, next-1)
+		}
+		next++
+		if x.Token != nil {
+			return x.Token(t.Offset, t.Text)
+		}
+		text.WriteString(t.Text)
+		return nil
+	})
+	if err == nil && end.Tokens != next {
+		err = errors.Wrapf(upstream.ErrTruncated, "%d of %d tokens", next, end.Tokens)
+	}
+	a := upstream.Answer{Cost: end.CostUnits, Reported: err == nil}
+	if err != nil {
+		return a, next, err
+	}
+	a.Output, err = json.Marshal(streamOutput{Text: text.String(), Tokens: next})
+	return a, next, err
+}
+
+// streamOutput is the output of a streamed stage that was collected.
+type streamOutput struct {
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+}
+
+// unitsOf returns the units charged for an attempt: what the upstream reported, or the stage's declared cost
+// if the work may have run.
+func unitsOf(s *wire.Stage, a upstream.Answer, err error) float64 {
+	var status *upstream.StatusError
+	switch {
+	case errors.Is(err, upstream.ErrNotRun):
+		return 0
+	case errors.As(err, &status) && status.Cost > 0:
+		return status.Cost
+	case a.Reported:
+		return a.Cost
+	}
+	return s.CostUnits
+}
+
+// resultOf tells the balancer what an attempt says of its upstream. A call that the deadline ended counts
+// against the upstream only if it took longer than calls of the service usually do.
+func (x *execution) resultOf(ctx context.Context, s *stageRun, err error, took time.Duration) route.Result {
+	switch {
+	case err == nil:
+		return route.Success
+	case errors.Is(err, upstream.ErrRefused):
+		return route.Refused
+	case errors.Is(err, upstream.ErrSilent), ctx.Err() == nil:
+		return route.Failure
+	case errors.Is(context.Cause(ctx), ErrDeadline) && took > max(s.service.Latency.High(), minPatience):
+		return route.Failure
+	}
+	return route.Cancelled
+}
+
+// kindOf names an error for the time line, without its text.
+func kindOf(err error) string {
+	for _, kind := range []struct {
+		err  error
+		name string
+	}{
+		{upstream.ErrRefused, "refused"},
+		{upstream.ErrNotRun, "notRun"},
+		{upstream.ErrSilent, "silent"},
+		{upstream.ErrForeignAnswer, "foreignAnswer"},
+		{upstream.ErrTruncated, "truncated"},
+		{ErrDeadline, "deadline"},
+		{errHedged, "hedged"},
+		{context.Canceled, "cancelled"},
+	} {
+		if errors.Is(err, kind.err) {
+			return kind.name
+		}
+	}
+	return "failed"
+}
--- a/plantainlane/pipeline/stage.go
+++ b/plantainlane/pipeline/stage.go
@@ -3,181 +3,212 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"plantainlane/plantainlane/route"
+	"plantainlane/plantainlane/limit"
+	"plantainlane/plantainlane/retry"
 	"plantainlane/plantainlane/upstream"
 	"plantainlane/wire"
 )
 
-// runStage attempts a stage until one attempt is answered or no further one is allowed. A stage that is not
-// idempotent is attempted again only if the attempt before certainly did not run.
-func (x *execution) runStage(ctx context.Context, s *wire.Stage, body json.RawMessage) (json.RawMessage, error) {
-	policy := x.Policies(s.Service)
-	x.costs = append(x.costs, wire.StageCost{Stage: s.Name})
-	tally := &x.costs[len(x.costs)-1]
-	var tried []string
+// minPatience is the time that an upstream always has before a passed deadline counts against it.
+const minPatience = 100 * time.Millisecond
+
+// errHedged ends an attempt when another one of the same stage was answered first.
+var errHedged = errors.New("pipeline: another attempt was answered")
+
+// stageRun is one stage of one request under way.
+type stageRun struct {
+	stage    *wire.Stage
+	service  *Service
+	body     json.RawMessage
+	tally    *wire.StageCost
+	deadline time.Time
+	// tried are the upstreams of the attempts so far.
+	tried []string
+}
+
+// runStage passes the service's gate and attempts the stage until one attempt is answered or no further one is
+// allowed. A stage that is not idempotent is attempted again only if the attempt before certainly did not run.
+func (x *execution) runStage(ctx context.Context, i int, body json.RawMessage) (json.RawMessage, error) {
+	s := x.newStageRun(i, body)
+	ctx, cancel := context.WithDeadlineCause(ctx, s.deadline, ErrDeadline)
+	defer cancel()
+	if err := x.enter(ctx, s); err != nil {
+		return nil, err
+	}
+	defer s.leaveSince(time.Now())
+	s.service.First()
 	for {
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
-		q := route.Query{Service: s.Service, Avoid: tried}
-		if s.UsesModel {
-			q.Model = x.Model
-		}
-		target, ok := x.Picker.Pick(time.Now(), q)
-		if !ok {
-			return nil, errors.Wrap(ErrNoUpstream, s.Service)
-		}
-		tried = append(tried, target.ID)
-		tally.Attempts++
-		out, err := x.attempt(ctx, s, &policy, target, body, tally)
+		out, err := x.race(ctx, s)
 		if err == nil {
 			return out, nil
 		}
-		if !x.mayRetry(s, &policy, tally.Attempts, err) {
+		if !x.waitToRetry(ctx, s, err) {
 			return nil, err
 		}
-		x.record("retry", "", target.ID, s.Name)
+		x.record("retry", "", "", s.stage.Name)
 	}
 }
 
-func (x *execution) mayRetry(s *wire.Stage, policy *wire.UpstreamPolicy, attempts int, err error) bool {
-	if attempts >= max(policy.MaxAttempts, 1) {
-		return false
-	}
-	if s.Streams && x.Token != nil && x.sent && !errors.Is(err, upstream.ErrNotRun) {
-		return false
-	}
-	return s.Idempotent || errors.Is(err, upstream.ErrNotRun)
+// leaveSince gives back a place at the gate that was taken at a time.
+func (s *stageRun) leaveSince(entered time.Time) {
+	now := time.Now()
+	s.service.Gate.Leave(now, now.Sub(entered))
 }
 
-// attempt makes one call and charges it.
-func (x *execution) attempt(
-	ctx context.Context, s *wire.Stage, policy *wire.UpstreamPolicy, target route.Target, body json.RawMessage, tally *wire.StageCost,
-) (json.RawMessage, error) {
-	call := upstream.Call{
-		Address:     target.Address,
-		Path:        s.Path,
-		Attempt:     x.ID + "." + s.Name + "." + strconv.Itoa(tally.Attempts),
-		Request:     x.ID,
-		Workspace:   x.Contract.Workspace,
-		Priority:    x.Contract.Priority,
-		MaxTokens:   x.MaxTokens,
-		Body:        body,
-		Fresh:       !s.Idempotent,
-		SilentAfter: time.Duration(policy.SilentAfterMs) * time.Millisecond,
-	}
-	if s.UsesModel {
-		call.Model = x.Model
-	}
-	x.record("attemptSent", call.Attempt, target.ID, s.Name)
-	start := time.Now()
-	var answer upstream.Answer
-	var err error
-	if s.Streams {
-		answer, err = x.stream(ctx, call)
-	} else {
-		answer, err = x.Caller.Do(ctx, call)
+func (x *execution) newStageRun(i int, body json.RawMessage) *stageRun {
+	stages := x.Pipeline.Stages
+	stage := &stages[i]
+	x.costs = append(x.costs, wire.StageCost{Stage: stage.Name})
+	later := stages[i+1:]
+	return &stageRun{
+		stage: stage, service: x.Services.Get(stage.Service), body: body, tally: &x.costs[len(x.costs)-1],
+		deadline: retry.StageDeadline(x.Deadline, x.Deadline.Sub(x.Started), later, x.estimates(later)),
 	}
-	now := time.Now()
-	target.Done(now, route.Outcome{Result: resultOf(ctx, err), Latency: now.Sub(start)})
-	if !errors.Is(err, upstream.ErrNotRun) {
-		x.sent = true
-		x.sentOnce = x.sentOnce || !s.Idempotent
+}
+
+// estimates returns the usual times of stages.
+func (x *execution) estimates(stages []wire.Stage) []retry.Estimate {
+	out := make([]retry.Estimate, len(stages))
+	for i := range stages {
+		out[i] = x.Services.Get(stages[i].Service).Estimate()
 	}
+	return out
+}
+
+func (x *execution) enter(ctx context.Context, s *stageRun) error {
+	return s.service.Gate.Enter(ctx, time.Now(), &limit.Waiter{
+		Workspace: x.Contract.Workspace,
+		Weight:    float64(1 + x.Contract.Priority),
+		Deadline:  s.deadline,
+		Needs:     retry.Needs([]retry.Estimate{s.service.Estimate()}),
+	})
+}
+
+// race makes one attempt and, if its answer is later than usual, a hedge beside it. The first answer counts;
+// the other attempt is cancelled and its cost is wasted.
+func (x *execution) race(ctx context.Context, s *stageRun) (json.RawMessage, error) {
+	first, err := x.prepare(s)
 	if err != nil {
-		x.record("attemptFailed", call.Attempt, target.ID, kindOf(err))
-		tally.WastedUnits += wasted(s, answer, err)
 		return nil, err
 	}
-	x.record("attemptAnswered", call.Attempt, target.ID, s.Name)
-	if !answer.Reported {
-		answer.Cost = s.CostUnits
+	delay, hedge := s.service.HedgeDelay()
+	if !hedge || !s.stage.Idempotent || x.Token != nil && s.stage.Streams {
+		x.send(ctx, s, first)
+		return x.settle(s, first)
+	}
+	raceCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ended := make(chan *attempt, 2)
+	start := func(a *attempt) {
+		go func() {
+			x.send(raceCtx, s, a)
+			ended <- a
+		}()
+	}
+	start(first)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	var winner *attempt
+	for running := 1; running > 0; {
+		select {
+		case <-timer.C:
+			if second := x.hedge(s); second != nil {
+				defer s.leaveSince(time.Now())
+				running++
+				start(second)
+			}
+		case a := <-ended:
+			running--
+			timer.Stop()
+			if a.err == nil && winner == nil {
+				winner = a
+				cancel(errHedged)
+				continue
+			}
+			if _, err = x.settle(s, a); err == nil {
+				x.waste(s, a)
+			}
+		}
 	}
-	tally.Units += answer.Cost
-	return answer.Output, nil
+	if winner != nil {
+		return x.settle(s, winner)
+	}
+	return nil, err
 }
 
-// stream runs a streamed call. Tokens go to the caller as they come, or are collected as a whole answer.
-func (x *execution) stream(ctx context.Context, call upstream.Call) (upstream.Answer, error) {
-	var text strings.Builder
-	next := 0
-	end, err := x.Caller.Stream(ctx, call, func(t upstream.Token) error {
-		if t.Offset != next {
-			return errors.Wrapf(upstream.ErrTruncated, "token %d after %d", t.Offset, next-1)
-		}
-		next++
-		if x.Token != nil {
-			return x.Token(t.Offset, t.Text)
-		}
-		text.WriteString(t.Text)
+// hedge prepares a second attempt if the service has a place and the budget allows it.
+func (x *execution) hedge(s *stageRun) *attempt {
+	if !s.service.Gate.TryEnter() {
 		return nil
-	})
-	if err == nil && end.Tokens != next {
-		err = errors.Wrapf(upstream.ErrTruncated, "%d of %d tokens", next, end.Tokens)
 	}
-	a := upstream.Answer{Cost: end.CostUnits, Reported: err == nil}
-	if err != nil {
-		return a, err
+	if s.service.Hedge(time.Now(), s.deadline, s.tally.Attempts) {
+		if a, err := x.prepare(s); err == nil {
+			x.record("hedge", a.call.Attempt, a.target.ID, s.stage.Name)
+			return a
+		}
 	}
-	a.Output, err = json.Marshal(streamOutput{Text: text.String(), Tokens: next})
-	return a, err
+	s.service.Gate.Leave(time.Now(), 0)
+	return nil
 }
 
-// streamOutput is the output of a streamed stage that was collected.
-type streamOutput struct {
-	Text   string `json:"text"`
-	Tokens int    `json:"tokens"`
+// settle charges an attempt and returns its answer.
+func (x *execution) settle(s *stageRun, a *attempt) (json.RawMessage, error) {
+	x.tokens += a.tokens
+	if !errors.Is(a.err, upstream.ErrNotRun) {
+		x.sent = true
+		x.sentOnce = x.sentOnce || !s.stage.Idempotent
+	}
+	if a.err != nil {
+		s.tally.WastedUnits += a.units
+		x.record("attemptFailed", a.call.Attempt, a.target.ID, kindOf(a.err))
+		return nil, a.err
+	}
+	s.tally.Units += a.units
+	x.record("attemptAnswered", a.call.Attempt, a.target.ID, s.stage.Name)
+	return a.output, nil
 }
 
-// wasted returns the units charged for an attempt that brought no answer: what the upstream reported, or
-// the stage's declared cost if the work may have run.
-func wasted(s *wire.Stage, a upstream.Answer, err error) float64 {
-	var status *upstream.StatusError
-	switch {
-	case errors.Is(err, upstream.ErrNotRun):
-		return 0
-	case errors.As(err, &status) && status.Cost > 0:
-		return status.Cost
-	case a.Reported:
-		return a.Cost
-	}
-	return s.CostUnits
+// waste moves the units of an answer that came second.
+func (x *execution) waste(s *stageRun, a *attempt) {
+	s.tally.Units -= a.units
+	s.tally.WastedUnits += a.units
 }
 
-func resultOf(ctx context.Context, err error) route.Result {
-	switch {
-	case err == nil:
-		return route.Success
-	case errors.Is(err, upstream.ErrNotRun):
-		return route.Refused
-	case ctx.Err() != nil && !errors.Is(err, ErrDeadline):
-		return route.Cancelled
+// waitToRetry waits until the stage may be attempted again, or reports false.
+func (x *execution) waitToRetry(ctx context.Context, s *stageRun, err error) bool {
+	if !x.mayRepeat(s, err) {
+		return false
+	}
+	wait, ok := s.service.Retry(time.Now(), s.deadline, s.tally.Attempts)
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		s.service.Budget.Return()
+		return false
 	}
-	return route.Failure
 }
 
-// kindOf names an error for the time line, without its text.
-func kindOf(err error) string {
-	for _, kind := range []struct {
-		err  error
-		name string
-	}{
-		{upstream.ErrNotRun, "notRun"},
-		{upstream.ErrSilent, "silent"},
-		{upstream.ErrForeignAnswer, "foreignAnswer"},
-		{upstream.ErrTruncated, "truncated"},
-		{ErrDeadline, "deadline"},
-		{context.Canceled, "cancelled"},
-	} {
-		if errors.Is(err, kind.err) {
-			return kind.name
-		}
+func (x *execution) mayRepeat(s *stageRun, err error) bool {
+	switch {
+	case errors.Is(err, ErrNoUpstream):
+		return false
+	case errors.Is(err, upstream.ErrNotRun):
+		return true
+	case s.stage.Streams && x.Token != nil && x.sent:
+		return false
 	}
-	return "failed"
+	return s.stage.Idempotent
 }
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -110,6 +110,8 @@
 		for _, u := range s.members {
 			u.review(at, medians[u.info.Load().modelKey])
 		}
+		room := s.measureRoom()
+		s.room.Store(&room)
 	}
 }
 
--- a/plantainlane/route/pool.go
+++ b/plantainlane/route/pool.go
@@ -38,6 +38,7 @@
 	size    atomic.Int32
 	ejected atomic.Int32
 	turn    atomic.Uint64
+	room    atomic.Pointer[Room]
 	// members of the service by ID; used by the goroutine that applies announcements alone.
 	members map[string]*upstream
 }
--- a/plantainlane/route/view.go
+++ b/plantainlane/route/view.go
@@ -10,8 +10,8 @@
 	"plantainlane/wire"
 )
 
-// Balancer chooses upstreams. Apply, Remove, SetPolicies, Room and Review belong to one goroutine; Pick,
-// Target.Done and Ejected may be called from any.
+// Balancer chooses upstreams. Apply, Remove, SetPolicies and Review belong to one goroutine; Pick,
+// Room, Target.Done and Ejected may be called from any.
 type Balancer struct {
 	region     string
 	zone       string
@@ -200,19 +200,23 @@
 	Others float64
 }
 
-// Room returns the room of a service.
+// Room returns the room of a service as of the last Review.
 func (b *Balancer) Room(name string) Room {
-	s := b.service(name)
-	if s == nil {
-		return Room{}
+	if s := b.service(name); s != nil {
+		if r := s.room.Load(); r != nil {
+			return *r
+		}
 	}
+	return Room{}
+}
+
+func (s *service) measureRoom() Room {
 	var r Room
 	for _, u := range s.members {
-		if u.ejectedUntil.Load() != 0 {
-			continue
+		if u.ejectedUntil.Load() == 0 {
+			r.Capacity += float64(u.capacity.Load())
+			r.Others += u.load() - float64(u.inFlight.Load())
 		}
-		r.Capacity += float64(u.capacity.Load())
-		r.Others += u.load() - float64(u.inFlight.Load())
 	}
 	return r
 }
--- a/plantainlane/upstream/call.go
+++ b/plantainlane/upstream/call.go
@@ -32,6 +32,8 @@
 var (
 	// ErrNotRun reports that the work certainly did not run.
 	ErrNotRun = errors.New("upstream: work did not run")
+	// ErrRefused reports an upstream that said it is busy and that the work did not run. It comes with ErrNotRun.
+	ErrRefused = errors.New("upstream: refused")
 	// ErrFailed reports an upstream that answered with a failure; the work may have run.
 	ErrFailed = errors.New("upstream: call failed")
 	// ErrForeignAnswer reports an answer under another attempt ID.
@@ -121,7 +123,7 @@
 	}
 	refused := res.StatusCode == http.StatusTooManyRequests || res.StatusCode == http.StatusServiceUnavailable
 	if refused && res.Header.Get(HeaderExecution) == executionNotRun {
-		return errors.Wrapf(ErrNotRun, "status %d", res.StatusCode)
+		return errors.Mark(errors.Wrapf(ErrRefused, "status %d", res.StatusCode), ErrNotRun)
 	}
 	cost, _ := costOf(res.Header)
 	return &StatusError{Status: res.StatusCode, Cost: cost}
