bench: run experiments over real processes from end to end

A script starts instances and fakes, the scenario names marks at which it stops processes by their ID.

--- /dev/null
+++ b/bench/lib.sh
@@ -0,0 +1,93 @@
+# Starts and stops the processes of an experiment. Sourced by run.sh and speed.sh, from the repository's root.
+#
+# Instance N listens on 127.0.0.1: 75N1 for callers, 75N2 for upstreams, 75N3 for operators, 75N4 for peers.
+# Fakes have their admin listener on a port that the experiment names.
+
+data=${BENCH_DATA:-data/bench}
+zones=(milano-a milano-b brescia)
+operator_credential=bench-operator-credential
+upstream_credential=bench-upstream-credential
+declare -A instance_pid fakes_pid
+
+sha() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+
+# settings N DISKS COUNT writes the settings of instance N, with a data folder if N is at most DISKS.
+settings() {
+  local n=$1 disks=$2 count=$3 join='' folder='' i
+  for i in $(seq "$count"); do
+    [ "$i" = "$n" ] || join+="\"127.0.0.1:75${i}4\","
+  done
+  [ "$n" -gt "$disks" ] || folder="\"data\": {\"folder\": \"$data/instance-$n\"},"
+  cat <<EOF
+{
+  "instance": {"id": "entry-$n", "zone": "${zones[$(((n - 1) % 3))]}", "region": "lombardy"},
+  "listen": {
+    "callers": "127.0.0.1:75${n}1", "upstreams": "127.0.0.1:75${n}2",
+    "operators": "127.0.0.1:75${n}3", "peers": "127.0.0.1:75${n}4",
+  },
+  "join": [$join],
+  $folder
+  "credentials": {
+    "peer": "bench-peer-secret-0123",
+    "upstreams": [{"name": "bench", "services": ["*"], "sha256": "$(sha $upstream_credential)"}],
+    "operators": [{"name": "bench", "sha256": "$(sha $operator_credential)"}],
+  },
+}
+EOF
+}
+
+# start_instances COUNT DISKS starts instances with an empty data folder.
+start_instances() {
+  local count=$1 disks=$2 n
+  rm -rf "$data"
+  mkdir -p "$data"
+  for n in $(seq "$count"); do
+    settings "$n" "$disks" "$count" >"$data/entry-$n.jsonc"
+    bin/plantainlane serve "$data/entry-$n.jsonc" 2>"$data/entry-$n.log" &
+    instance_pid[$n]=$!
+  done
+  for n in $(seq "$count"); do until_ok curl -fsS "127.0.0.1:75${n}1/readyz" || return 1; done
+}
+
+# apply FILE puts declarations in force.
+apply() {
+  PLANTAINCTL_CREDENTIAL=$operator_credential until_ok bin/plantainctl --instance 127.0.0.1:7513 apply "$1"
+}
+
+# start_fakes NAME SERVICE COUNT ADMIN FLAG... starts one process of fakes.
+start_fakes() {
+  local name=$1 service=$2 count=$3 admin=$4 targets=() n
+  shift 4
+  for n in "${!instance_pid[@]}"; do targets+=(--announce "127.0.0.1:75${n}2"); done
+  bin/standin upstream --name "$name" --service "$service" --count "$count" --admin "127.0.0.1:$admin" \
+    --region lombardy --zone milano-a --zone milano-b --zone brescia --credential $upstream_credential \
+    "${targets[@]}" "$@" >"$data/$name.log" 2>&1 &
+  fakes_pid[$name]=$!
+}
+
+# await_fakes waits until all fakes have announced themselves.
+await_fakes() {
+  local name
+  for name in "${!fakes_pid[@]}"; do until_ok grep -q '^announced' "$data/$name.log" || return 1; done
+  sleep 3
+}
+
+# until_ok retries a command for up to 20 s.
+until_ok() {
+  for _ in $(seq 100); do
+    if "$@" >/dev/null 2>&1; then return; fi
+    sleep 0.2
+  done
+  echo "bench: gave up on: $*" >&2
+  "$@" >&2 || true
+  return 1
+}
+
+# stop_all ends every process that was started, also a paused one.
+stop_all() {
+  local pids=("${instance_pid[@]}" "${fakes_pid[@]}")
+  [ ${#pids[@]} -gt 0 ] || return 0
+  kill -9 "${pids[@]}" 2>/dev/null || true
+  wait "${pids[@]}" 2>/dev/null || true
+  instance_pid=() fakes_pid=()
+}
--- a/standin/report/judge.go
+++ b/standin/report/judge.go
@@ -57,6 +57,12 @@
 	switch {
 	case m == scenario.CostDifference && !r.Charges:
 		return "the system was not asked for its totals"
+	case fromLedger && rep.Executions.Ran == 0:
+		return "nothing ran"
+	case m == scenario.ExecutionsPerKey && rep.Executions.Keys == 0:
+		return "no non-idempotent request ran"
+	case m == scenario.WrongAnswers && rep.Overall.Whole+rep.Overall.Late == 0:
+		return "no request was answered"
 	case fromLedger && len(rep.Executions.Unreadable) > 0:
 		return "a ledger could not be read"
 	case fromLedger && rep.Executions.Dropped > 0 && m != scenario.CostDifference:
--- a/standin/report/judge_test.go
+++ b/standin/report/judge_test.go
@@ -72,10 +72,15 @@
 	zero := 0.0
 	r := tenSeconds(nil)
 	r.Scenario.Targets = []scenario.Target{
-		{Metric: scenario.FalseNotRun, AtMost: &zero}, {Metric: scenario.CostDifference, AtMost: &zero},
+		{Metric: scenario.FalseNotRun, AtMost: &zero},
+		{Metric: scenario.CostDifference, AtMost: &zero},
+		{Metric: scenario.ExecutionsPerKey, AtMost: &zero},
 	}
+	is.True(!Build(r).Verdicts[0].Met) // nothing ran
+	r.After.Ledger.Totals = []wire.LedgerTotal{{Executions: 1}}
 	is.True(Build(r).Verdicts[0].Met)
 	is.True(!Build(r).Verdicts[1].Met) // the system's totals are unknown
+	is.True(!Build(r).Verdicts[2].Met) // no non-idempotent request ran
 	r.After.Unreadable = []string{"127.0.0.1:1"}
 	is.True(!Build(r).Verdicts[0].Met)
 }
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -36,6 +37,7 @@
 func placeFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "service", Required: true, Usage: "service of the fakes"},
+		&cli.StringFlag{Name: "name", Usage: "prefix of upstream IDs; the service if not set"},
 		&cli.IntFlag{Name: "count", Value: 1, Usage: "fakes to run"},
 		&cli.StringSliceFlag{Name: "zone", Value: []string{"zone-a"}, Usage: "zones, taken in turn"},
 		&cli.StringFlag{Name: "region", Value: "region-a", Usage: "region"},
@@ -95,6 +97,7 @@
 	if count < 1 || count > maxFakes {
 		return nil, errors.Wrapf(errBadFlag, "count %d is not in 1..%d", count, maxFakes)
 	}
+	name := cmp.Or(c.String("name"), c.String("service"))
 	fakes := make([]*fake.Fake, 0, count)
 	for i := range count {
 		port := 0
@@ -105,7 +108,7 @@
 		if err != nil {
 			return nil, err
 		}
-		id := fmt.Sprintf("%s-%d", c.String("service"), i+1)
+		id := fmt.Sprintf("%s-%d", name, i+1)
 		fakes = append(fakes, fake.New(id, c.String("service"), l, fake.WithProfile(profile),
 			fake.WithPlace(zones[i%len(zones)], c.String("region")), fake.WithSeed(c.Uint64("seed")+uint64(i))))
 	}
