--- /dev/null
+++ b/plantainlane/upstream/client_test.go
@@ -0,0 +1,134 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// serveRaw answers each connection with fixed bytes after it read a request's head, and closes it.
+func serveRaw(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, req.Body)
+				}
+				_, _ = io.WriteString(c, answer)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func head(status, attempt string, extra ...string) string {
+	return "HTTP/1.1 " + status + "\r\nPlantainlane-Attempt: " + attempt + "\r\n" + strings.Join(extra, "")
+}
+
+func TestDo(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		want   error
+		notRun bool
+	}{
+		"whole":                  {head("200 OK", "a1", "Content-Length: 2\r\nPlantainlane-Cost-Units: 3\r\n") + "\r\n{}", nil, false},
+		"other attempt":          {head("200 OK", "a2", "Content-Length: 2\r\n") + "\r\n{}", ErrForeignAnswer, false},
+		"no attempt":             {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", ErrForeignAnswer, false},
+		"truncated":              {head("200 OK", "a1", "Content-Length: 9\r\n") + "\r\n{}", ErrTruncated, false},
+		"truncated chunks":       {head("200 OK", "a1", "Transfer-Encoding: chunked\r\n") + "\r\n2\r\n{}\r\n", ErrTruncated, false},
+		"refused as not run":     {head("503 Busy", "a1", "Plantainlane-Execution: notRun\r\nContent-Length: 0\r\n") + "\r\n", ErrNotRun, true},
+		"not run, other attempt": {head("503 Busy", "a2", "Plantainlane-Execution: notRun\r\nContent-Length: 0\r\n") + "\r\n", ErrForeignAnswer, false},
+		"not run, status 500":    {head("500 Oops", "a1", "Plantainlane-Execution: notRun\r\nContent-Length: 0\r\n") + "\r\n", ErrFailed, false},
+		"failed":                 {head("500 Oops", "a1", "Content-Length: 0\r\n") + "\r\n", ErrFailed, false},
+		"closed without answer":  {"", nil, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			call := Call{Address: serveRaw(t, tt.answer), Path: "/run", Attempt: "a1", Body: []byte(`{"n":1}`), Fresh: true}
+			a, err := NewClient(1).Do(context.Background(), call)
+			if name == "whole" {
+				is.NoErr(err)
+				is.Equal(string(a.Output), "{}")
+				is.Equal(a.Cost, 3.0)
+				return
+			}
+			is.True(err != nil)
+			if tt.want != nil {
+				is.True(errors.Is(err, tt.want))
+			}
+			is.Equal(errors.Is(err, ErrNotRun), tt.notRun)
+		})
+	}
+}
+
+func TestUnreachableIsNotRun(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	l.Close()
+	_, err = NewClient(1).Do(context.Background(), Call{Address: address, Path: "/run", Attempt: "a1"})
+	is.True(errors.Is(err, ErrNotRun))
+}
+
+func TestSilentUpstream(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	call := Call{Address: l.Addr().String(), Path: "/run", Attempt: "a1", SilentAfter: 20 * time.Millisecond}
+	_, err = NewClient(1).Do(context.Background(), call)
+	is.True(errors.Is(err, ErrSilent))
+	is.True(!errors.Is(err, ErrNotRun))
+}
+
+func TestStream(t *testing.T) {
+	event := func(name, data string) string { return fmt.Sprintf("event: %s\ndata: %s\n\n", name, data) }
+	first := event("token", `{"offset":0,"text":"a"}`)
+	tests := map[string]struct {
+		body string
+		want error
+	}{
+		"whole":         {first + event("end", `{"tokens":1,"costUnits":2}`), nil},
+		"without end":   {first, ErrTruncated},
+		"malformed end": {first + event("end", `{"tokens":`), ErrFailed},
+		"empty":         {"", ErrTruncated},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			call := Call{Address: serveRaw(t, head("200 OK", "a1")+"\r\n"+tt.body), Path: "/run", Attempt: "a1", Fresh: true}
+			var got []string
+			end, err := NewClient(1).Stream(context.Background(), call, func(t Token) error {
+				got = append(got, t.Text)
+				return nil
+			})
+			is.True(errors.Is(err, tt.want))
+			if tt.want == nil {
+				is.Equal(end.CostUnits, 2.0)
+				is.Equal(got, []string{"a"})
+			}
+		})
+	}
+}
