peer: refuse bare secrets and deliver refusals

Tests with a relay that freezes one or both directions found two faults: a credential without its scheme was taken, and a refusal was queued behind a connection that closed before it was written. The credential is now read by the shared package and a refusal is written before the close.

--- a/plantainlane/credential/credential.go
+++ b/plantainlane/credential/credential.go
@@ -10,12 +10,16 @@
 	"strings"
 )
 
-const scheme = "Bearer "
+// Scheme is what comes before a credential in the Authorization header.
+const Scheme = "Bearer "
 
-// Bearer returns the credential of a request; ok is false if there is none.
+// Bearer returns the credential of a request; ok is false, and the credential empty, if there is none.
 func Bearer(r *http.Request) (secret string, ok bool) {
-	secret, ok = strings.CutPrefix(r.Header.Get("Authorization"), scheme)
-	return secret, ok && secret != ""
+	secret, ok = strings.CutPrefix(r.Header.Get("Authorization"), Scheme)
+	if !ok || secret == "" {
+		return "", false
+	}
+	return secret, true
 }
 
 // Hash returns the form in which a credential is stored: lower-case hexadecimal SHA-256.
--- a/plantainlane/peer/conn.go
+++ b/plantainlane/peer/conn.go
@@ -83,8 +83,8 @@
 		return f, errors.Wrap(err, "read")
 	}
 	if err := wire.Decode(data, &f); err != nil {
-		c.queue(wire.Frame{Refusal: &wire.Refusal{Reason: err.Error()}})
-		return f, err
+		refusal := wire.Frame{Refusal: &wire.Refusal{Reason: err.Error()}}
+		return f, errors.CombineErrors(err, c.writeFrame(ctx, refusal))
 	}
 	return f, nil
 }
--- a/plantainlane/peer/handshake.go
+++ b/plantainlane/peer/handshake.go
@@ -2,26 +2,22 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 
+	"plantainlane/plantainlane/credential"
 	"plantainlane/wire"
 )
 
-const bearer = "Bearer "
-
 // connect opens a connection to an address and serves it.
 func (n *Net) connect(address string) error {
 	ctx, cancel := context.WithTimeout(n.ctx, n.timing.SilentAfter)
 	defer cancel()
 	ws, answer, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
 		HTTPClient: n.client,
-		HTTPHeader: http.Header{"Authorization": {bearer + n.credential}},
+		HTTPHeader: http.Header{"Authorization": {credential.Scheme + n.credential}},
 	})
 	if answer != nil && answer.Body != nil {
 		defer answer.Body.Close()
@@ -41,7 +37,8 @@
 // ServeHTTP takes a connection from another instance. A client without the credential gets 401 before
 // anything is read from it.
 func (n *Net) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !sameSecret(strings.TrimPrefix(r.Header.Get("Authorization"), bearer), n.credential) {
+	secret, _ := credential.Bearer(r)
+	if !credential.Matches(credential.Hash(secret), credential.Hash(n.credential)) {
 		http.Error(w, "unknown credential", http.StatusUnauthorized)
 		return
 	}
@@ -81,9 +78,3 @@
 	n.clock.Observe(f.Time)
 	return c, nil
 }
-
-// sameSecret compares in a time that doesn't depend on where the two differ.
-func sameSecret(a, b string) bool {
-	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
-	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
-}
