--- a/plantainlane/peer/net_test.go
+++ b/plantainlane/peer/net_test.go
@@ -144,11 +144,14 @@
 	a := newEnd(t, "a")
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	ws, _, err := websocket.Dial(ctx, "ws://"+a.address()+Path, &websocket.DialOptions{
+	ws, answer, err := websocket.Dial(ctx, "ws://"+a.address()+Path, &websocket.DialOptions{
 		HTTPHeader: http.Header{"Authorization": {credential.Scheme + secret}},
 	})
 	is.NoErr(err)
 	defer ws.CloseNow()
+	if answer.Body != nil {
+		defer answer.Body.Close()
+	}
 	write := func(v any) {
 		b, err := wire.Encode(v)
 		is.NoErr(err)
