instance: take cache events and keep the prefix index in step

Engines post events to any instance, which passes them on to the others; each reads an engine's block list once its view has become uncertain, four a second at most.

--- /dev/null
+++ b/plantainlane/announce/cache.go
@@ -0,0 +1,56 @@
+package announce
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v5"
+
+	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/problem"
+	"plantainlane/plantainlane/roster"
+	"plantainlane/plantainlane/settings"
+	"plantainlane/wire"
+)
+
+// CacheWatcher takes what engines publish of their prefix caches.
+type CacheWatcher interface {
+	// View returns the newest control state.
+	View() *control.View
+	// TakeCacheEvents takes events of an announced engine and returns the sequence expected next.
+	TakeCacheEvents(m *wire.CacheEvents) int
+}
+
+func (s *Server) cacheEvents(c *echo.Context) error {
+	cred, ok := s.credentialOf(c.Request())
+	if !ok {
+		return problem.Write(c, problem.New(http.StatusUnauthorized, "unknown-credential", "credential is not known"))
+	}
+	var m wire.CacheEvents
+	d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&m); err != nil {
+		return problem.Write(c, problem.New(http.StatusBadRequest, "malformed-body", err.Error()))
+	}
+	if m.Upstream != c.Param("id") || m.FirstSequence < 1 {
+		return problem.Write(c, problem.New(http.StatusBadRequest, "bad-events", "upstream or firstSequence is out of range"))
+	}
+	row, ok := s.Caches.View().Upstreams.Rows.Get(m.Upstream)
+	switch {
+	case !ok || row.Lapsed || row.Announcement.Incarnation != m.Incarnation:
+		return problem.Write(c, problem.New(http.StatusConflict, "stale", "incarnation is not the announced one"))
+	case !owns(cred, row):
+		return problem.Write(c, problem.New(http.StatusForbidden, "foreign-upstream", "credential may not speak for the upstream"))
+	}
+	return c.JSON(http.StatusOK, wire.CacheEventsAnswer{NextSequence: s.Caches.TakeCacheEvents(&m)})
+}
+
+// owns reports whether a credential may speak for an upstream: the one that announced it, or, where that was at
+// another instance, one for its service.
+func owns(cred *settings.UpstreamCredential, row *roster.Row) bool {
+	if row.Credential != "" {
+		return row.Credential == cred.Name
+	}
+	return slices.Contains(cred.Services, row.Announcement.Service) || slices.Contains(cred.Services, anyService)
+}
--- a/plantainlane/announce/server.go
+++ b/plantainlane/announce/server.go
@@ -42,6 +42,8 @@
 type Server struct {
 	// Control takes announcements.
 	Control Deliverer
+	// Caches takes cache events.
+	Caches CacheWatcher
 	// Credentials of upstreams.
 	Credentials []settings.UpstreamCredential
 }
@@ -50,6 +52,7 @@
 func (s *Server) Register(e *echo.Echo) {
 	e.PUT("/v1/upstreams/:id", s.announce)
 	e.DELETE("/v1/upstreams/:id", s.leave)
+	e.POST("/v1/upstreams/:id/cacheEvents", s.cacheEvents)
 }
 
 func (s *Server) credentialOf(r *http.Request) (*settings.UpstreamCredential, bool) {
--- a/plantainlane/engine/view.go
+++ b/plantainlane/engine/view.go
@@ -142,6 +142,16 @@
 	}
 }
 
+// Next returns the sequence expected next of an engine's events.
+func (x *Index) Next(id string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if n, ok := x.ids[id]; ok {
+		return x.engines[n].next
+	}
+	return 1
+}
+
 func (x *Index) apply(n int32, m *wire.CacheEvents) {
 	v := &x.engines[n]
 	if m.FirstSequence > v.next && v.certain {
--- a/plantainlane/instance/frames.go
+++ b/plantainlane/instance/frames.go
@@ -25,6 +25,8 @@
 	case in.ResultQuery != nil && x.knows(*in.ResultQuery):
 		a, _ := x.answers.Get(in.ResultQuery.Workspace, in.ResultQuery.RequestID)
 		x.net.Send(in.From, wire.Frame{Call: in.Call, ResultAnswer: &wire.ResultAnswer{Found: true, Answer: &a}})
+	case in.CacheEvents != nil:
+		x.fleet.Index.Apply(in.CacheEvents)
 	case in.CostFlush != nil:
 		go func() {
 			done := x.flushCosts(f.ctx)
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,6 +14,7 @@
 	"plantainlane/plantainlane/caller"
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/cost"
+	"plantainlane/plantainlane/engine"
 	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/operator"
 	"plantainlane/plantainlane/peer"
@@ -45,6 +47,7 @@
 	limiter  *limit.Limiter
 	net      *peer.Net
 	answers  *caller.Answers
+	fleet    *engine.Fleet
 	servers  []*server
 }
 
@@ -56,6 +59,7 @@
 		clock:    &wiretimeline.Clock{},
 		ledger:   cost.New(),
 		answers:  caller.NewAnswers(),
+		fleet:    engine.NewFleet(now, &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdle}}),
 		self: wire.InstanceInfo{
 			ID:              s.Instance.ID,
 			Incarnation:     int(now.UnixMilli()),
@@ -121,7 +125,7 @@
 		KeepFor:      time.Duration(entry.KeepFor),
 		MaxBodyBytes: entry.MaxBodyBytes,
 	}
-	upstreams := &announce.Server{Control: x.loop, Credentials: x.settings.Credentials.Upstreams}
+	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
 	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Credentials: x.settings.Credentials.Operators}
 	for _, r := range []struct {
 		address string
@@ -176,6 +180,10 @@
 		x.reportCosts(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		x.watchEngines(ctx)
+		return nil
+	})
 	g.Go(func() error {
 		defer cancel()
 		x.waitForDrain(ctx)
--- a/plantainlane/route/outcome.go
+++ b/plantainlane/route/outcome.go
@@ -35,6 +35,10 @@
 	Incarnation int
 	// Capacity is the number of calls the upstream works on at once.
 	Capacity int
+	// Models that the upstream serves, as name@version; not to be changed.
+	Models []string
+	// Role of an engine; empty for other upstreams.
+	Role string
 
 	upstream *upstream
 	balancer *Balancer
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -79,7 +79,7 @@
 	i := u.info.Load()
 	return Target{
 		ID: i.id, Address: i.address, Zone: i.zone, Incarnation: i.incarnation, Capacity: i.capacity,
-		upstream: u, balancer: b,
+		Models: i.row.Models, Role: i.row.Role, upstream: u, balancer: b,
 	}, true
 }
 
