--- a/plantainlane/caller/run.go
+++ b/plantainlane/caller/run.go
@@ -23,19 +23,20 @@
 func (s *Server) run(c *echo.Context) error {
 	req, stream, refusal := s.admit(c.Request(), c.Response(), c.Param("workspace"), c.Param("pipeline"))
 	if refusal != nil {
+		s.Metrics.Refused.Add(1)
 		return problem.Write(c, *refusal)
 	}
 	s.Answers.Start(req.Contract.Workspace, req.ID)
+	s.Metrics.InFlight.Add(1)
+	defer s.Metrics.InFlight.Add(-1)
 	if stream {
 		return s.runStream(c, req)
 	}
 	a, err := s.Runner.Run(c.Request().Context(), req)
 	if err != nil {
-		p := failureProblem(req.ID, err)
-		s.Answers.Fail(req.Contract.Workspace, req.ID, p.Execution)
-		return problem.Write(c, p)
+		return problem.Write(c, s.fail(req, err))
 	}
-	s.Answers.Finish(req.Contract.Workspace, req.ID, a)
+	s.finish(req, a)
 	return c.JSON(http.StatusOK, a)
 }
 
@@ -48,19 +49,32 @@
 	}
 	a, err := s.Runner.Run(c.Request().Context(), req)
 	if err != nil {
-		p := failureProblem(req.ID, err)
-		s.Answers.Fail(req.Contract.Workspace, req.ID, p.Execution)
+		p := s.fail(req, err)
 		if !out.started {
 			return problem.Write(c, p)
 		}
 		return out.write("problem", p)
 	}
-	s.Answers.Finish(req.Contract.Workspace, req.ID, a)
+	s.finish(req, a)
 	end := *a
 	end.Output = nil
 	return out.write("end", end)
 }
 
+// fail notes a failure and returns its problem.
+func (s *Server) fail(req *pipeline.Request, err error) wire.Problem {
+	s.Metrics.Failed.Add(1)
+	p := failureProblem(req.ID, err)
+	s.Answers.Fail(req.Contract.Workspace, req.ID, p.Execution)
+	return p
+}
+
+// finish notes an answer.
+func (s *Server) finish(req *pipeline.Request, a *wire.PipelineAnswer) {
+	s.Metrics.Answered.Add(1)
+	s.Answers.Finish(req.Contract.Workspace, req.ID, a)
+}
+
 type tokenEvent struct {
 	Offset int    `json:"offset"`
 	Text   string `json:"text"`
--- a/plantainlane/caller/server.go
+++ b/plantainlane/caller/server.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v5"
 
 	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/pipeline"
 	"plantainlane/plantainlane/problem"
 	"plantainlane/wire"
@@ -39,6 +40,8 @@
 	Finder Finder
 	// Answers keeps the outcomes of requests that ran here.
 	Answers *Answers
+	// Metrics counts requests.
+	Metrics *metric.Metrics
 	// IDs makes request IDs.
 	IDs *IDs
 	// KeepFor is how long callers may keep the entry answer.
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -16,6 +16,7 @@
 	"plantainlane/plantainlane/cost"
 	"plantainlane/plantainlane/engine"
 	"plantainlane/plantainlane/limit"
+	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/operator"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/pipeline"
@@ -48,6 +49,7 @@
 	net      *peer.Net
 	answers  *caller.Answers
 	fleet    *engine.Fleet
+	metrics  *metric.Metrics
 	servers  []*server
 }
 
@@ -75,6 +77,7 @@
 	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.serving)
 	x.limiter = limit.New(now)
+	x.metrics = metric.New()
 	x.net = peer.New(ctx, x.self, string(s.Credentials.Peer), peer.Timing{
 		Heartbeat:   time.Duration(s.Control.Heartbeat),
 		SilentAfter: time.Duration(s.Control.SilentAfter),
@@ -96,6 +99,12 @@
 	return control.New(x.self, opts...)
 }
 
+// PublishMetrics makes the instance's metrics readable under a name by expvar. It panics if the name is
+// taken.
+func (x *Instance) PublishMetrics(name string) {
+	x.metrics.Publish(name)
+}
+
 // View returns the newest control state.
 func (x *Instance) View() *control.View {
 	return x.loop.Publisher.View()
@@ -121,6 +130,7 @@
 		Runner:       x.newRunner(ctx),
 		Finder:       x,
 		Answers:      x.answers,
+		Metrics:      x.metrics,
 		IDs:          caller.NewIDs(x.self.ID, x.self.Incarnation),
 		KeepFor:      time.Duration(entry.KeepFor),
 		MaxBodyBytes: entry.MaxBodyBytes,
@@ -153,6 +163,7 @@
 		Caller:      upstream.NewClient(idleConnections),
 		Committer:   x.loop,
 		Recorder:    x.ring,
+		Observer:    x.metrics,
 		Ledger:      x.ledger,
 		Background:  ctx,
 		Admission:   x.limiter,
--- a/plantainlane/metric/metric.go
+++ b/plantainlane/metric/metric.go
@@ -43,11 +43,14 @@
 	failures int64
 }
 
-// New returns metrics and publishes them under a name. It panics if the name is taken.
-func New(name string) *Metrics {
-	m := &Metrics{stages: make(map[Stage]*latency)}
+// New returns metrics that count from zero.
+func New() *Metrics {
+	return &Metrics{stages: make(map[Stage]*latency)}
+}
+
+// Publish makes the metrics readable under a name by expvar. It panics if the name is taken.
+func (m *Metrics) Publish(name string) {
 	expvar.Publish(name, expvar.Func(m.export))
-	return m
 }
 
 // Observe counts one attempt of a stage.
--- a/plantainlane/pipeline/attempt.go
+++ b/plantainlane/pipeline/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/upstream"
 	"plantainlane/wire"
@@ -73,6 +74,7 @@
 	}
 	now := time.Now()
 	took := now.Sub(start)
+	x.Observer.Observe(metric.Stage{Pipeline: x.Pipeline.Name, Stage: s.stage.Name, Service: s.stage.Service}, took, a.err == nil)
 	result := x.resultOf(ctx, s, a.err, took)
 	a.target.Done(now, route.Outcome{Result: result, Latency: took})
 	if result == route.Success || result == route.Cancelled && took > s.service.Latency.Median() {
--- a/plantainlane/pipeline/runner.go
+++ b/plantainlane/pipeline/runner.go
@@ -9,6 +9,7 @@
 
 	"plantainlane/plantainlane/cost"
 	"plantainlane/plantainlane/limit"
+	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/retry"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/upstream"
@@ -36,6 +37,11 @@
 	Record(now time.Time, e wire.Event)
 }
 
+// Observer takes the latency of attempts for the metrics.
+type Observer interface {
+	Observe(s metric.Stage, took time.Duration, ok bool)
+}
+
 // Admission admits requests within the contracts' limits.
 type Admission interface {
 	Admit(ctx context.Context, now time.Time, a limit.Ask) (limit.Ticket, error)
@@ -50,6 +56,7 @@
 	Caller      Caller
 	Committer   Committer
 	Recorder    Recorder
+	Observer    Observer
 	Admission   Admission
 	Services    *Services
 	Ledger      *cost.Ledger
@@ -80,6 +87,7 @@
 		return nil, x.failure(ctx, err)
 	}
 	defer x.leave(ticket)
+	x.record("requestAdmitted", "", "", req.Pipeline.Name)
 	if Idempotent(req.Pipeline) {
 		answer, err := x.run(ctx)
 		x.charge()
@@ -122,6 +130,7 @@
 		}
 		body = out
 	}
+	x.record("requestAnswered", "", "", x.Pipeline.Name)
 	return x.answer(body), nil
 }
 
--- a/plantainlane/pipeline/world_test.go
+++ b/plantainlane/pipeline/world_test.go
@@ -10,6 +10,7 @@
 
 	"plantainlane/plantainlane/cost"
 	"plantainlane/plantainlane/limit"
+	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/state"
 	"plantainlane/plantainlane/upstream"
@@ -142,7 +143,7 @@
 	ledger := cost.New()
 	return &entry{
 		Runner: &Runner{
-			Instance: id, Incarnation: 1, Picker: services, Caller: w, Committer: c, Recorder: w,
+			Instance: id, Incarnation: 1, Picker: services, Caller: w, Committer: c, Recorder: w, Observer: metric.New(),
 			Admission: limiter, Services: services, Ledger: ledger, Background: background,
 		},
 		committer: c, kill: kill, ledger: ledger,
--- a/plantainlane/serve.go
+++ b/plantainlane/serve.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	x.PublishMetrics("plantainlane")
 	term := make(chan os.Signal, 2)
 	signal.Notify(term, syscall.SIGTERM)
 	go func() {
