scenario: run the programs by scripts, the whole path first

Test scripts start the real programs on loopback addresses of their own, from the examples' settings, and wait for conditions rather than for times.

--- /dev/null
+++ b/plantainctl/scenario/load_test.go
@@ -0,0 +1,149 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"plantainlane/wire"
+)
+
+const (
+	loadWorkers = 8
+	loadPause   = 40 * time.Millisecond
+)
+
+// loader sends requests by several workers until it is stopped. Each worker keeps an entry answer for as
+// long as that says, as callers do.
+type loader struct {
+	world  *world
+	caller caller
+	name   string
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu     sync.Mutex
+	counts map[string]int
+	// failures holds the first answers that were not whole.
+	failures []string
+}
+
+const keptFailures = 5
+
+// load start NAME [request's options] WORKSPACE PIPELINE
+// load stop NAME
+func load(w *world, ts *testscript.TestScript, args []string) error {
+	switch {
+	case len(args) > 2 && args[0] == "start":
+		c, err := w.parse(args[2:])
+		if err != nil {
+			return err
+		}
+		l := &loader{world: w, caller: c, name: args[1], counts: map[string]int{}}
+		w.loads[args[1]] = l
+		return l.start()
+	case len(args) == 2 && args[0] == "stop" && w.loads[args[1]] != nil:
+		l := w.loads[args[1]]
+		l.stop()
+		_, err := fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d unknown=%d ran=%d broken=%d\n%s",
+			l.counts["whole"], l.counts["notRun"], l.counts["unknown"], l.counts["ran"], l.counts["broken"],
+			strings.Join(l.failures, "\n"))
+		return err
+	}
+	return errArguments
+}
+
+// start begins the load and waits until some requests were answered.
+func (l *loader) start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	for i := range loadWorkers {
+		l.done.Go(func() { l.work(ctx, i) })
+	}
+	return await("load "+l.name, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.counts["whole"] >= loadWorkers
+	})
+}
+
+// stop lets every worker finish its request.
+func (l *loader) stop() {
+	l.cancel()
+	l.done.Wait()
+}
+
+func (l *loader) work(ctx context.Context, worker int) {
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}
+	random := rand.New(rand.NewPCG(1, uint64(worker)))
+	var entries []wire.EntryAddress
+	var until time.Time
+	for n := 0; ctx.Err() == nil; n++ {
+		if now := time.Now(); now.After(until) {
+			answer, err := l.world.entries(client)
+			if err != nil {
+				l.count("broken", err.Error())
+				time.Sleep(loadPause)
+				continue
+			}
+			entries, until = answer.Entries, now.Add(time.Duration(answer.KeepForMs)*time.Millisecond)
+		}
+		c := l.caller
+		if c.id != "" {
+			c.id = fmt.Sprintf("%s-%d-%d", c.id, worker, n)
+		}
+		kind, detail := c.outcome(client, entries[random.IntN(len(entries))].Address, l.world.model())
+		l.count(kind, detail)
+		time.Sleep(loadPause)
+	}
+}
+
+func (l *loader) count(kind, detail string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[kind]++
+	if kind != "whole" && len(l.failures) < keptFailures {
+		l.failures = append(l.failures, kind+": "+detail)
+	}
+}
+
+// outcome sends a request and returns whole, notRun, unknown or ran, or broken for an answer that was cut
+// off or never came.
+func (c caller) outcome(client *http.Client, address, model string) (kind, detail string) {
+	resp, err := c.send(context.Background(), client, address, model)
+	if err != nil {
+		return "broken", err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "broken", err.Error()
+	}
+	if resp.StatusCode != http.StatusOK {
+		var p wire.Problem
+		if err := json.Unmarshal(body, &p); err != nil || p.Execution == "" {
+			return "broken", errors.Newf("%s: %s", resp.Status, body).Error()
+		}
+		return p.Execution, p.Detail
+	}
+	if c.stream {
+		if !strings.Contains(string(body), "event: end\n") {
+			return "broken", "stream without end"
+		}
+		return "whole", ""
+	}
+	var a wire.PipelineAnswer
+	if err := json.Unmarshal(body, &a); err != nil || a.Status != "complete" {
+		return "broken", string(body)
+	}
+	return "whole", ""
+}
