--- a/plantainctl/command/status.go
+++ b/plantainctl/command/status.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -45,6 +47,10 @@
 }
 
 func printStatus(w io.Writer, s wire.StatusAnswer) error {
+	slices.SortFunc(s.Instances, func(a, b wire.InstanceStatus) int { return strings.Compare(a.Info.ID, b.Info.ID) })
+	slices.SortFunc(s.Upstreams, func(a, b wire.UpstreamStatus) int {
+		return strings.Compare(a.Announcement.ID, b.Announcement.ID)
+	})
 	fmt.Fprintf(w, "revision %d, in force everywhere %d, leader %s, term %d\n\n", s.Revision, s.AcceptedRevision, dash(s.Leader), s.Term)
 	t := newTable(w, "INSTANCE", "ZONE", "REGION", "LEASE", "REVISION", "REPLICA", "STATE")
 	for _, i := range s.Instances {
--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -49,7 +49,7 @@
 			"restart":    word(restart),
 			"upstream":   word(upstream),
 			"term":       word(term),
-			"kill":       word(kill),
+			"crash":      word(crash),
 			"exits":      word(exits),
 			"wipe":       word(wipe),
 			"fault":      word(fault),
@@ -57,6 +57,7 @@
 			"request":    word(request),
 			"load":       word(load),
 			"executions": word(executions),
+			"http":       word(raw),
 		},
 	})
 }
--- a/plantainctl/scenario/words_test.go
+++ b/plantainctl/scenario/words_test.go
@@ -102,7 +102,9 @@
 	return w.find(args[0])
 }
 
-// upstream SERVICE GROUP [OPTION...]
+// upstream NAME GROUP [OPTION...]
+//
+// NAME is the service too, unless the options say otherwise.
 func upstream(w *world, _ *testscript.TestScript, args []string) error {
 	if len(args) < 2 {
 		return errArguments
@@ -141,8 +143,8 @@
 	return p.cmd.Process.Signal(syscall.SIGTERM)
 }
 
-// kill NAME
-func kill(w *world, ts *testscript.TestScript, args []string) error {
+// crash NAME
+func crash(w *world, ts *testscript.TestScript, args []string) error {
 	p, err := w.one(args)
 	if err != nil {
 		return err
@@ -186,8 +188,12 @@
 	return os.RemoveAll(filepath.Join(w.folder, "data-"+p.name))
 }
 
-// eventually PATTERN PROGRAM|request [ARGUMENT...]
+// eventually [!] PATTERN PROGRAM|request [ARGUMENT...]
 func eventually(w *world, ts *testscript.TestScript, args []string) error {
+	wanted := true
+	if len(args) > 0 && args[0] == "!" {
+		wanted, args = false, args[1:]
+	}
 	if len(args) < 2 {
 		return errArguments
 	}
@@ -198,14 +204,14 @@
 	var out string
 	err = await(strings.Join(args[1:], " "), func() bool {
 		out = w.output(ts, args[1], args[2:])
-		return pattern.MatchString(out)
+		return pattern.MatchString(out) == wanted
 	})
 	if err != nil {
 		var logs strings.Builder
 		for _, p := range w.instances {
 			fmt.Fprintf(&logs, "--- %s\n%s\n", p.name, w.log(p))
 		}
-		return errors.Newf("no match of %s in:\n%s\n%s", args[0], out, logs.String())
+		return errors.Newf("match of %s is not %v in:\n%s\n%s", args[0], wanted, out, logs.String())
 	}
 	fmt.Fprint(ts.Stdout(), out)
 	return nil
