pipeline: resume broken streams, move them between engines and cancel them

A stream that breaks resumes on its engine from the last token, up to three times. From an engine that is leaving it moves with its KV cache, else another engine goes on from the text so far, on the same model version. Tokens pass a progress that drops those seen before and takes a gap as a break.

--- a/plantainlane/engine/fleet.go
+++ b/plantainlane/engine/fleet.go
@@ -38,6 +38,9 @@
 
 // Hints names engines that hold the beginning of a stage's input, for a model given as name@version.
 func (f *Fleet) Hints(model string, input []byte) []route.Hint {
+	if f.Index.Empty() {
+		return nil
+	}
 	return f.Index.Hints(time.Now(), prefix.Blocks(model, prefix.Prompt(input)))
 }
 
--- /dev/null
+++ b/plantainlane/engine/stream.go
@@ -0,0 +1,81 @@
+package engine
+
+import "github.com/cockroachdb/errors"
+
+// MaxResumes bounds the resumptions of one attempt on its engine.
+const MaxResumes = 3
+
+// ErrGap reports a token that is not the next one of its stream, or an end before the last token.
+var ErrGap = errors.New("engine: token is missing from the stream")
+
+// Progress is how far a stream has come at its reader.
+type Progress struct {
+	text []byte
+	next int
+}
+
+// Next is the offset of the next token.
+func (p *Progress) Next() int { return p.next }
+
+// Text is that of the tokens so far.
+func (p *Progress) Text() string { return string(p.text) }
+
+// Take takes a token and reports whether it is new. It returns ErrGap for one that is not the next; a token taken
+// before is not new.
+func (p *Progress) Take(offset int, text string) (bool, error) {
+	switch {
+	case offset < p.next:
+		return false, nil
+	case offset > p.next:
+		return false, errors.Wrapf(ErrGap, "token %d in place of %d", offset, p.next)
+	}
+	p.next++
+	p.text = append(p.text, text...)
+	return true, nil
+}
+
+// End checks the number of tokens that the end of a stream names. It returns ErrGap for any but those taken.
+func (p *Progress) End(tokens int) error {
+	if tokens != p.next {
+		return errors.Wrapf(ErrGap, "%d of %d tokens", p.next, tokens)
+	}
+	return nil
+}
+
+// Clone returns a copy that goes on by itself.
+func (p *Progress) Clone() Progress {
+	return Progress{text: append([]byte(nil), p.text...), next: p.next}
+}
+
+// Move says how a broken stream goes on.
+type Move int
+
+const (
+	// Regenerate has another engine compute the tokens so far and go on.
+	Regenerate Move = iota
+	// Resume goes on from the last token on the same engine.
+	Resume
+	// Import has another engine import the KV cache and go on; where it can't be had, Regenerate.
+	Import
+)
+
+// Break is a stream that broke.
+type Break struct {
+	// Reachable says that the engine may still hold the attempt.
+	Reachable bool
+	// Leaving says that the engine takes no new work.
+	Leaving bool
+	// Resumed counts the resumptions of this attempt.
+	Resumed int
+}
+
+// After decides how a broken stream goes on.
+func After(b Break) Move {
+	switch {
+	case !b.Reachable:
+		return Regenerate
+	case b.Leaving || b.Resumed >= MaxResumes:
+		return Import
+	}
+	return Resume
+}
--- /dev/null
+++ b/plantainlane/engine/stream_test.go
@@ -0,0 +1,49 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestProgressTakesEachTokenOnce(t *testing.T) {
+	is := is.New(t)
+	var p Progress
+	for _, step := range []struct {
+		offset int
+		fresh  bool
+		gap    bool
+	}{
+		{0, true, false}, {1, true, false}, {0, false, false}, {1, false, false}, {3, false, true}, {2, true, false},
+	} {
+		fresh, err := p.Take(step.offset, string(rune('a'+step.offset)))
+		is.Equal(fresh, step.fresh)
+		is.Equal(errors.Is(err, ErrGap), step.gap)
+	}
+	is.Equal(p.Text(), "abc")
+	is.NoErr(p.End(3))
+	is.True(errors.Is(p.End(4), ErrGap)) // the last token is missing
+	is.True(errors.Is(p.End(2), ErrGap))
+	c := p.Clone()
+	_, err := c.Take(3, "d")
+	is.NoErr(err)
+	is.Equal(p.Text(), "abc")
+}
+
+func TestAfterBreak(t *testing.T) {
+	for _, c := range []struct {
+		b    Break
+		want Move
+	}{
+		{Break{Reachable: true}, Resume},
+		{Break{Reachable: true, Resumed: MaxResumes - 1}, Resume},
+		{Break{Reachable: true, Resumed: MaxResumes}, Import},
+		{Break{Reachable: true, Leaving: true}, Import},
+		{Break{Leaving: true}, Regenerate},
+	} {
+		if got := After(c.b); got != c.want {
+			t.Errorf("After(%+v) = %v, want %v", c.b, got, c.want)
+		}
+	}
+}
--- a/plantainlane/engine/view.go
+++ b/plantainlane/engine/view.go
@@ -267,3 +267,10 @@
 	}
 	return s
 }
+
+// Empty reports whether no engine is known.
+func (x *Index) Empty() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.ids) == 0
+}
--- a/plantainlane/instance/engines.go
+++ b/plantainlane/instance/engines.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"plantainlane/plantainlane/engine"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/wire"
 )
@@ -86,3 +87,23 @@
 		}
 	}
 }
+
+// engines is what the pipeline uses of engines.
+type engines struct {
+	*engine.Fleet
+	instance *Instance
+}
+
+// Declared returns a model as name@version, at the declared version if it names none.
+func (e engines) Declared(model string) string {
+	if m, ok := e.instance.View().Config.Models.Get(model); ok {
+		return m.Name + "@" + m.Version
+	}
+	return model
+}
+
+// Leaving reports whether an engine takes no new work.
+func (e engines) Leaving(id string) bool {
+	row, ok := e.instance.View().Upstreams.Rows.Get(id)
+	return ok && row.Announcement.Leaving
+}
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -168,6 +168,7 @@
 		Background:  ctx,
 		Admission:   x.limiter,
 		Services:    x.services,
+		Engines:     engines{x.fleet, x},
 	}
 }
 
--- a/plantainlane/pipeline/attempt.go
+++ b/plantainlane/pipeline/attempt.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/engine"
 	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/upstream"
@@ -21,17 +21,20 @@
 	target route.Target
 	output json.RawMessage
 	// units is what the attempt cost, whether its answer is used or not.
-	units  float64
+	units float64
+	// tokens that this attempt generated.
 	tokens int
+	// progress of a stream, with the tokens of earlier attempts.
+	progress engine.Progress
+	// export says that the KV cache may help the next attempt; kv names it once it was exported.
+	export bool
+	kv     *wire.KVHandle
 	err    error
 }
 
 // prepare chooses an upstream that was not tried yet, or else any, for the next attempt.
 func (x *execution) prepare(s *stageRun) (*attempt, error) {
-	q := route.Query{Service: s.stage.Service, Avoid: s.tried}
-	if s.stage.UsesModel {
-		q.Model = x.Model
-	}
+	q := x.query(s)
 	now := time.Now()
 	target, ok := x.Picker.Pick(now, q)
 	if !ok && len(s.tried) > 0 {
@@ -56,8 +59,13 @@
 		Fresh:       !s.stage.Idempotent,
 		SilentAfter: time.Duration(s.service.Policy().SilentAfterMs) * time.Millisecond,
 	}
+	a := &attempt{call: call, target: target}
+	if err := x.aim(s, a); err != nil {
+		target.Done(now, route.Outcome{Result: route.Cancelled})
+		return nil, err
+	}
 	x.record("attemptSent", call.Attempt, target.ID, s.stage.Name)
-	return &attempt{call: call, target: target}, nil
+	return a, nil
 }
 
 // send makes the call and reports to the balancer how it went.
@@ -65,7 +73,7 @@
 	start := time.Now()
 	var answer upstream.Answer
 	if s.stage.Streams {
-		answer, a.tokens, a.err = x.stream(ctx, a.call)
+		answer, a.err = x.stream(ctx, a)
 	} else {
 		answer, a.err = x.Caller.Do(ctx, a.call)
 	}
@@ -80,36 +88,13 @@
 	if result == route.Success || result == route.Cancelled && took > s.service.Latency.Median() {
 		s.service.Latency.Observe(took)
 	}
+	if a.err != nil {
+		x.abandon(ctx, s, a)
+	}
 	a.output = answer.Output
 	a.units = unitsOf(s.stage, answer, a.err)
 }
 
-// stream runs a streamed call. Tokens go to the caller as they come, or are collected as a whole answer.
-func (x *execution) stream(ctx context.Context, call upstream.Call) (upstream.Answer, int, error) {
-	var text strings.Builder
-	next := 0
-	end, err := x.Caller.Stream(ctx, call, func(t upstream.Token) error {
-		if t.Offset != next {
-			return errors.Wrapf(upstream.ErrTruncated, "token %d after %d", t.Offset, next-1)
-		}
-		next++
-		if x.Token != nil {
-			return x.Token(t.Offset, t.Text)
-		}
-		text.WriteString(t.Text)
-		return nil
-	})
-	if err == nil && end.Tokens != next {
-		err = errors.Wrapf(upstream.ErrTruncated, "%d of %d tokens", next, end.Tokens)
-	}
-	a := upstream.Answer{Cost: end.CostUnits, Reported: err == nil}
-	if err != nil {
-		return a, next, err
-	}
-	a.Output, err = json.Marshal(streamOutput{Text: text.String(), Tokens: next})
-	return a, next, err
-}
-
 // streamOutput is the output of a streamed stage that was collected.
 type streamOutput struct {
 	Text   string `json:"text"`
@@ -158,6 +143,7 @@
 		{upstream.ErrSilent, "silent"},
 		{upstream.ErrForeignAnswer, "foreignAnswer"},
 		{upstream.ErrTruncated, "truncated"},
+		{engine.ErrGap, "gap"},
 		{ErrDeadline, "deadline"},
 		{errHedged, "hedged"},
 		{context.Canceled, "cancelled"},
--- a/plantainlane/pipeline/runner.go
+++ b/plantainlane/pipeline/runner.go
@@ -59,7 +59,9 @@
 	Observer    Observer
 	Admission   Admission
 	Services    *Services
-	Ledger      *cost.Ledger
+	// Engines may be nil; streams are then neither resumed nor moved.
+	Engines Engines
+	Ledger  *cost.Ledger
 	// Background outlives requests: claims are ended under it.
 	Background context.Context
 }
--- a/plantainlane/pipeline/stage.go
+++ b/plantainlane/pipeline/stage.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/engine"
 	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/retry"
 	"plantainlane/plantainlane/upstream"
@@ -28,6 +29,13 @@
 	deadline time.Time
 	// tried are the upstreams of the attempts so far.
 	tried []string
+	// progress is how far the longest failed stream came, on a version of the model.
+	progress engine.Progress
+	model    string
+	// kv names the KV cache of that stream, if it was exported.
+	kv *wire.KVHandle
+	// onEngine says that the last failed attempt was on an engine, so that another one can go on.
+	onEngine bool
 }
 
 // runStage passes the service's gate and attempts the stage until one attempt is answered or no further one is
@@ -166,6 +174,7 @@
 		x.sentOnce = x.sentOnce || !s.stage.Idempotent
 	}
 	if a.err != nil {
+		s.keep(a)
 		s.tally.WastedUnits += a.units
 		x.record("attemptFailed", a.call.Attempt, a.target.ID, kindOf(a.err))
 		return nil, a.err
@@ -207,7 +216,7 @@
 		return false
 	case errors.Is(err, upstream.ErrNotRun):
 		return true
-	case s.stage.Streams && x.Token != nil && x.sent:
+	case s.progress.Next() > 0 && x.Token != nil && !s.onEngine:
 		return false
 	}
 	return s.stage.Idempotent
--- a/plantainlane/upstream/call.go
+++ b/plantainlane/upstream/call.go
@@ -23,8 +23,12 @@
 	HeaderMaxTokens = "Plantainlane-Max-Tokens"
 	HeaderCost      = "Plantainlane-Cost-Units"
 	HeaderExecution = "Plantainlane-Execution"
+	HeaderOffset    = "Plantainlane-Resume-Offset"
 )
 
+// continuationType is the media type of a body that is a wire.Continuation.
+const continuationType = "application/vnd.plantainlane.continuation+json"
+
 // executionNotRun is the value of HeaderExecution by which an upstream says that the work did not run.
 const executionNotRun = "notRun"
 
@@ -64,6 +68,10 @@
 	MaxTokens int
 	// Body is the stage's input.
 	Body []byte
+	// Offset of the first token wanted of a stream; 0 for all.
+	Offset int
+	// Continued says that Body is a wire.Continuation.
+	Continued bool
 	// Fresh asks for a connection that was not used before, for work that must not run twice.
 	Fresh bool
 	// SilentAfter is how long the connection may bring nothing before the call fails with ErrSilent;
@@ -98,6 +106,12 @@
 	req.GetBody = nil
 	h := req.Header
 	h.Set("Content-Type", "application/json")
+	if c.Continued {
+		h.Set("Content-Type", continuationType)
+	}
+	if c.Offset > 0 {
+		h.Set(HeaderOffset, strconv.Itoa(c.Offset))
+	}
 	h.Set(HeaderAttempt, c.Attempt)
 	h.Set(HeaderRequest, c.Request)
 	h.Set(HeaderWorkspace, c.Workspace)
