control: have the leader order engines

The leader takes a fencing number through the log, steps a planner of its own term each 250 ms, or slower with many engines, and passes the orders to a courier outside the control goroutine; reports come back as inputs. The weight store's rate is a setting.

--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -51,6 +51,7 @@
 	proposals proposals
 	queries   queries
 	lead      *leadership
+	orders    orders
 	draining  bool
 	// gone holds upstreams that lapsed and were not taken by TakeUpstreams.
 	gone     []string
@@ -125,6 +126,7 @@
 	c.runProposals()
 	c.runQueries()
 	c.runRoster()
+	c.runOrders()
 	for len(c.loopback) > 0 {
 		f := c.loopback[0]
 		c.loopback = c.loopback[1:]
@@ -173,6 +175,8 @@
 		c.requestStatus(in)
 	case QueryRequested:
 		c.query(in.To, in.Frame, in.Until, in.Reply)
+	case OrderReported:
+		c.orders.inbox = append(c.orders.inbox, in.Report)
 	case LoadMeasured:
 		c.self.Load = quantizeLoad(in.Share)
 	}
--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -40,6 +40,8 @@
 	reviewAt time.Time
 	// Publisher holds the newest View.
 	Publisher Publisher
+	// Orders carries out orders to engines; nil carries out none.
+	Orders OrderCourier
 }
 
 // NewLoop returns a loop that isn't running yet. Wake may be nil; the core is stepped whenever it delivers.
@@ -72,6 +74,9 @@
 			inputs = l.drain(in)
 		}
 		l.step(inputs)
+		if l.Orders != nil {
+			l.Orders.Run(ctx, l.core.TakeOrders())
+		}
 	}
 }
 
--- a/plantainlane/engine/fleet.go
+++ b/plantainlane/engine/fleet.go
@@ -36,6 +36,9 @@
 	return &Fleet{Index: NewIndex(now), client: client}
 }
 
+// Client returns the client that carries the calls.
+func (f *Fleet) Client() *http.Client { return f.client }
+
 // Hints names engines that hold the beginning of a stage's input, for a model given as name@version.
 func (f *Fleet) Hints(model string, input []byte) []route.Hint {
 	if f.Index.Empty() {
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -18,6 +18,7 @@
 	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/operator"
+	"plantainlane/plantainlane/order"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/pipeline"
 	"plantainlane/plantainlane/route"
@@ -84,6 +85,9 @@
 		Redial:      redial,
 	}, &frames{x, ctx}, clock{x.clock})
 	x.loop = control.NewLoop(x.newCore(), x.net, x.services, nil)
+	x.loop.Orders = &order.Courier{Client: x.fleet.Client(), Report: func(r order.Report) {
+		x.loop.Deliver(ctx, control.OrderReported{Report: r})
+	}}
 	return x, x.listen(ctx)
 }
 
@@ -92,7 +96,11 @@
 	t.Tick = time.Duration(x.settings.Control.Tick)
 	t.Lease = time.Duration(x.settings.Control.Lease)
 	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout)
-	opts := []control.Option{control.WithTiming(t), control.WithRecorder(x.ring), control.WithLimiter(x.limiter)}
+	w := x.settings.WeightStore
+	opts := []control.Option{control.WithOrders(func() *order.Planner {
+		return order.NewPlanner(order.WithWeightRate(wire.Rate{PerSecond: w.PerSecond, Burst: w.Burst}),
+			order.WithSeed(uint64(x.self.Incarnation)))
+	}), control.WithTiming(t), control.WithRecorder(x.ring), control.WithLimiter(x.limiter)}
 	if x.self.HasData {
 		opts = append(opts, control.WithLog(control.NewSolo(x.self.ID, 1), &state.State{}, 0))
 	}
--- a/plantainlane/order/plan.go
+++ b/plantainlane/order/plan.go
@@ -45,7 +45,7 @@
 	wants := make([]*want, 0, len(t.Models))
 	for _, m := range t.Models {
 		w := &want{Model: m, key: m.Name + "@" + m.Version, replicas: max(m.Replicas, t.Demand[m.Name])}
-		for _, id := range p.ids() {
+		for _, id := range p.ids {
 			p.rows[id].count(w)
 		}
 		wants = append(wants, w)
@@ -99,7 +99,7 @@
 }
 
 func (p *Planner) planRoles(now time.Time, t Tables, a *Actions) {
-	for _, id := range p.ids() {
+	for _, id := range p.ids {
 		r := p.rows[id]
 		if role := t.Roles[id]; role != "" && p.canOrder(now, r) && r.state.Role != role {
 			p.issue(now, t, r, wire.Order{Kind: Role, Role: role}, a)
@@ -128,7 +128,7 @@
 	for _, w := range wants {
 		byName[w.Name] = w
 	}
-	for _, id := range p.ids() {
+	for _, id := range p.ids {
 		r := p.rows[id]
 		if !p.canOrder(now, r) {
 			continue
@@ -195,7 +195,7 @@
 			zones[r.announced.Zone]++
 		}
 	}
-	for _, id := range p.ids() {
+	for _, id := range p.ids {
 		r := p.rows[id]
 		if r.state == nil || r.holds(w.key) {
 			continue
--- a/plantainlane/order/planner.go
+++ b/plantainlane/order/planner.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +11,13 @@
 	"plantainlane/wire"
 )
 
+const (
+	// maxReads bounds the engines whose state is read in one step.
+	maxReads = 32
+	// readSpacing is the mean time between two reads of engines on which nothing goes on.
+	readSpacing = 50 * time.Millisecond
+)
+
 // Planner turns declarations into orders, one at a time for each engine. It does no I/O and reads no clock. A new
 // leader starts with a new one.
 type Planner struct {
@@ -21,11 +30,17 @@
 	superseded bool
 	sequence   int
 	rows       map[string]*row
+	// ids lists the engines in a stable order.
+	ids []string
+	// steps counts steps, to tell rows that were not seen in the last one.
+	steps int
 }
 
 // row is what the planner knows of an engine.
 type row struct {
-	announced wire.Announcement
+	announced *wire.Announcement
+	// seen is the last step that its announcement was there.
+	seen int
 	// state was read back from the announced incarnation; nil until then.
 	state *wire.EngineState
 	// readAt is when the reading of state began.
@@ -91,25 +106,30 @@
 }
 
 // syncRows keeps a row for each announced engine; a new incarnation starts a new one.
-func (p *Planner) syncRows(engines []wire.Announcement) {
-	seen := make(map[string]bool, len(engines))
-	for _, e := range engines {
-		seen[e.ID] = true
+func (p *Planner) syncRows(engines iter.Seq[*wire.Announcement]) {
+	p.steps++
+	listed := len(p.rows)
+	for e := range engines {
 		r := p.rows[e.ID]
 		if r == nil || r.announced.Incarnation != e.Incarnation {
-			r = &row{}
+			r = &row{announced: e}
 			p.rows[e.ID] = r
 		}
-		if r.state != nil && !sameModels(r.state, &e) && !sameModels(r.state, &r.announced) {
+		if r.announced != e && r.state != nil && !sameModels(r.state, e) && !sameModels(r.state, r.announced) {
 			r.readDue = time.Time{}
 		}
-		r.announced = e
+		r.announced, r.seen = e, p.steps
 	}
-	for id := range p.rows {
-		if !seen[id] {
+	changed := len(p.rows) != listed
+	for id, r := range p.rows {
+		if r.seen != p.steps {
 			delete(p.rows, id)
+			changed = true
 		}
 	}
+	if changed {
+		p.ids = slices.Sorted(maps.Keys(p.rows))
+	}
 }
 
 func sameModels(s *wire.EngineState, a *wire.Announcement) bool {
@@ -160,7 +180,7 @@
 
 // repeat sends unanswered orders again, under the same ID, to engines that check fencing numbers.
 func (p *Planner) repeat(now time.Time, t Tables, a *Actions) {
-	for _, id := range p.ids() {
+	for _, id := range p.ids {
 		r := p.rows[id]
 		valid := r.until.Add(-p.timing.Skew)
 		if r.order == nil || r.answered || !r.announced.ChecksFencing ||
@@ -175,16 +195,16 @@
 // read asks for the state of engines that are due. An engine that ignores fencing numbers is read again once no
 // earlier order can be under way.
 func (p *Planner) read(now time.Time, a *Actions) {
-	for _, id := range p.ids() {
+	for _, id := range p.ids {
 		r := p.rows[id]
 		stale := !r.announced.ChecksFencing && p.pastEarlierOrders(now) && r.readAt.Before(p.clearAt())
 		if stale && r.readDue.After(now.Add(p.timing.ReadPending)) {
 			r.readDue = now
 		}
-		if now.Before(r.readDue) {
+		if now.Before(r.readDue) || len(a.Reads) == maxReads {
 			continue
 		}
-		wait := p.timing.ReadIdle
+		wait := max(p.timing.ReadIdle, time.Duration(len(p.ids))*readSpacing)
 		if r.state == nil || r.order != nil || r.changing() || stale {
 			wait = p.timing.ReadPending
 		}
@@ -198,13 +218,3 @@
 		return m.State == loading || m.State == unloading
 	})
 }
-
-// ids lists the engines in a stable order.
-func (p *Planner) ids() []string {
-	ids := make([]string, 0, len(p.rows))
-	for id := range p.rows {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/plantainlane/order/planner_test.go
+++ b/plantainlane/order/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -128,7 +129,7 @@
 		inbox = append(inbox, <-l.inbox)
 	}
 	l.last = l.planner.Step(now, Tables{
-		Models: l.site.models, Engines: l.site.announcements(), Fencing: l.fencing, LeaseUntil: l.until,
+		Models: l.site.models, Engines: pointers(l.site.announcements()), Fencing: l.fencing, LeaseUntil: l.until,
 	}, inbox)
 	for _, d := range l.last.Orders {
 		if !now.Before(l.until) {
@@ -157,6 +158,16 @@
 	return list
 }
 
+func pointers(list []wire.Announcement) iter.Seq[*wire.Announcement] {
+	return func(yield func(*wire.Announcement) bool) {
+		for i := range list {
+			if !yield(&list[i]) {
+				return
+			}
+		}
+	}
+}
+
 // serving counts the engines that serve a model at any version, and those at the declared one.
 func (s *site) serving(m wire.Model) (any, declared int) {
 	for _, a := range s.announcements() {
@@ -424,7 +435,7 @@
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	tables := Tables{
 		Models: []wire.Model{model("a", "1", 1)}, Fencing: 1,
-		Engines: []wire.Announcement{{ID: "e0", Incarnation: 1, ChecksFencing: true, Role: "both"}},
+		Engines: pointers([]wire.Announcement{{ID: "e0", Incarnation: 1, ChecksFencing: true, Role: "both"}}),
 	}
 	known := []Report{{Upstream: "e0", StartedAt: now, State: &wire.EngineState{
 		Upstream: "e0", Incarnation: 1, Role: "both", FreeSlots: 1,
@@ -443,3 +454,29 @@
 		}
 	}
 }
+
+func BenchmarkStep(b *testing.B) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	var list []wire.Announcement
+	var reports []Report
+	for i := range 12000 {
+		id := fmt.Sprintf("e%05d", i)
+		list = append(list, wire.Announcement{
+			ID: id, Incarnation: 1, Role: "both", ChecksFencing: true, Models: []string{fmt.Sprintf("m%d@1", i%3)},
+		})
+		reports = append(reports, Report{Upstream: id, StartedAt: now, State: &wire.EngineState{
+			Upstream: id, Incarnation: 1, Role: "both", FreeSlots: 1,
+			Models: []wire.EngineModel{{Model: fmt.Sprintf("m%d@1", i%3), State: loaded}},
+		}})
+	}
+	p := NewPlanner()
+	t := Tables{
+		Engines: pointers(list), Fencing: 1, LeaseUntil: now.Add(time.Hour),
+		Models: []wire.Model{model("m0", "1", 4000), model("m1", "1", 4000), model("m2", "1", 4000)},
+	}
+	p.Step(now, t, nil)
+	p.Step(now, t, reports)
+	for b.Loop() {
+		p.Step(now, t, nil)
+	}
+}
--- a/plantainlane/order/tables.go
+++ b/plantainlane/order/tables.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"iter"
 	"time"
 
 	"plantainlane/wire"
@@ -26,8 +27,8 @@
 type Tables struct {
 	// Models are the declared models, one a name.
 	Models []wire.Model
-	// Engines are the announcements of engines that are not leaving.
-	Engines []wire.Announcement
+	// Engines are the announcements of engines that are not leaving. They are not changed.
+	Engines iter.Seq[*wire.Announcement]
 	// Fencing is the number that this leader took from the control log; 0 until it has one.
 	Fencing int
 	// LeaseUntil is until when this instance certainly is the only leader. A later leader starts no sooner than
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -20,6 +20,8 @@
 	minEvents       = 16
 	maxEvents       = 1 << 24
 	maxVerbosity    = 9
+	minWeightRate   = 0.001
+	maxWeightRate   = 1000
 )
 
 type checker struct {
@@ -40,6 +42,8 @@
 	c.control(s.Control)
 	c.entry(s.Entry)
 	c.duration("upstreams.idleConnectionLimit", s.Upstreams.IdleConnectionLimit, time.Millisecond, maxDuration)
+	c.number("weightStore.perSecond", s.WeightStore.PerSecond, minWeightRate, maxWeightRate)
+	c.number("weightStore.burst", s.WeightStore.Burst, minWeightRate, maxWeightRate)
 	c.integer("timeline.events", s.Timeline.Events, minEvents, maxEvents)
 	c.integer("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
 	if s.Log.Format != "json" && s.Log.Format != "text" {
@@ -70,6 +74,12 @@
 	}
 }
 
+func (c *checker) number(path string, value, least, most float64) {
+	if !(value >= least && value <= most) {
+		c.fail(path, fmt.Sprintf("%v to %v", least, most), strconv.FormatFloat(value, 'g', -1, 64))
+	}
+}
+
 func (c *checker) addresses(s *Settings) {
 	listen := map[string]string{}
 	for _, a := range s.Listen.list() {
--- a/plantainlane/settings/page_test.go
+++ b/plantainlane/settings/page_test.go
@@ -43,6 +43,7 @@
 		"control.silentAfter": d.Control.SilentAfter, "control.electionTimeout": d.Control.ElectionTimeout,
 		"entry.keepFor": d.Entry.KeepFor, "entry.maxBodyBytes": d.Entry.MaxBodyBytes,
 		"entry.maxHeaderBytes": d.Entry.MaxHeaderBytes, "upstreams.idleConnectionLimit": d.Upstreams.IdleConnectionLimit,
+		"weightStore.perSecond": d.WeightStore.PerSecond, "weightStore.burst": d.WeightStore.Burst,
 		"timeline.events": d.Timeline.Events, "log.verbosity": d.Log.Verbosity, "log.format": d.Log.Format,
 	} {
 		text, err := json.Marshal(v)
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -30,6 +30,9 @@
 	Entry Entry `json:"entry"`
 	// Upstreams bounds the connections to upstreams.
 	Upstreams Upstreams `json:"upstreams"`
+	// WeightStore is the rate of the weight store, that loads on all engines together stay under. It must be
+	// the same on all instances.
+	WeightStore WeightStore `json:"weightStore"`
 	// Timeline bounds the recorded events.
 	Timeline Timeline `json:"timeline"`
 	// Log says what is logged.
@@ -128,6 +131,14 @@
 	IdleConnectionLimit Duration `json:"idleConnectionLimit"`
 }
 
+// WeightStore is the rate of the weight store, in the units of a model's loadCost.
+type WeightStore struct {
+	// PerSecond is the sustained rate. Default 1.
+	PerSecond float64 `json:"perSecond"`
+	// Burst is the most at once. Default 1.
+	Burst float64 `json:"burst"`
+}
+
 // Timeline bounds the recorded events.
 type Timeline struct {
 	// Events is how many events the instance keeps. Default 65536.
@@ -158,9 +169,10 @@
 			MaxHeaderBytes: 16 << 10,
 			DrainLimit:     Duration(10 * time.Minute),
 		},
-		Upstreams: Upstreams{IdleConnectionLimit: Duration(30 * time.Second)},
-		Timeline:  Timeline{Events: 65536},
-		Log:       Log{Format: "json"},
+		Upstreams:   Upstreams{IdleConnectionLimit: Duration(30 * time.Second)},
+		WeightStore: WeightStore{PerSecond: 1, Burst: 1},
+		Timeline:    Timeline{Events: 65536},
+		Log:         Log{Format: "json"},
 	}
 }
 
