limit: ask for shares of workspaces with traffic only

Cause: an idle instance of 250 workspaces sent 69 KB/s, since each second it asked for a share of up to 256 workspaces without traffic and repeated what it held of each; walking and sorting 25,000 names took 25 ms a second, more than the 16 ms that control may take. On the leader of 160 instances answering took 4.2 s of processor time a second.

Change: beyond 64 contracts an instance asks for those with traffic in the last 10 s; the first request of another waits for one round. What is held is repeated to a leader's new term only.

Conclusion: cost follows traffic, not contracts. A test counted held shares by what was repeated to the same leader; it now counts them in force.

--- a/plantainlane/control/grants.go
+++ b/plantainlane/control/grants.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strconv"
 	"time"
 
 	"plantainlane/plantainlane/limit"
@@ -45,7 +46,7 @@
 		return
 	}
 	g.asked = c.now
-	request := g.limiter.Request(c.now, c.leader, c.self.ID, c.self.Incarnation)
+	request := g.limiter.Request(c.now, c.leader+"/"+strconv.Itoa(c.term), c.self.ID, c.self.Incarnation)
 	c.send(c.leader, wire.Frame{GrantRequest: &request})
 }
 
--- /dev/null
+++ b/plantainlane/control/scale_test.go
@@ -0,0 +1,186 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"plantainlane/plantainlane/limit"
+	"plantainlane/plantainlane/state"
+	"plantainlane/wire"
+)
+
+// site is many control cores whose frames are encoded, counted and passed on within a tick.
+type scaleSite struct {
+	cores    []*Core
+	limiters []*limit.Limiter
+	index    map[string]int
+	now      time.Time
+	// bytes and busy count what each core sent and how long it took.
+	bytes []int
+	busy  []time.Duration
+	inbox [][]Input
+}
+
+const scaleZones = 10
+
+func scaleID(i int) string { return fmt.Sprintf("instance-%03d", i) }
+
+func newScaleSite(instances, workspaces int) *scaleSite {
+	s := &scaleSite{
+		index: make(map[string]int), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		bytes: make([]int, instances), busy: make([]time.Duration, instances), inbox: make([][]Input, instances),
+	}
+	st := &state.State{}
+	st.Config = st.Config.With(scaleDeclarations(workspaces), nil, 1)
+	for i := range instances {
+		l := limit.New(s.now)
+		opts := []Option{WithLimiter(l), WithSeed(uint64(i))}
+		if i == 0 {
+			opts = append(opts, WithLog(NewSolo(scaleID(0), 1), st, 0))
+		}
+		info := wire.InstanceInfo{
+			ID: scaleID(i), Incarnation: 1_780_000_000_000, Zone: "zone-" + strconv.Itoa(i%scaleZones), Region: "region",
+			CallerAddress: "10.0.0.1:7001", UpstreamAddress: "10.0.0.1:7002", OperatorAddress: "10.0.0.1:7003", PeerAddress: "10.0.0.1:7004",
+		}
+		c := New(info, opts...)
+		// The whole configuration is there from the start: what is measured is the steady state.
+		c.adopt(st.Config)
+		s.cores, s.limiters = append(s.cores, c), append(s.limiters, l)
+		s.index[info.ID] = i
+	}
+	for i := range instances {
+		for j := range instances {
+			if i != j && (instances <= fullSpread || i == 0 || j == 0 || (j-i+instances)%instances < 4 || (i-j+instances)%instances < 4) {
+				s.inbox[i] = append(s.inbox[i], PeerConnected{Info: s.cores[j].self})
+			}
+		}
+	}
+	return s
+}
+
+func scaleDeclarations(workspaces int) wire.Declarations {
+	set := wire.Declarations{Pipelines: []wire.Pipeline{{Name: "p", Stages: []wire.Stage{{Name: "s", Service: "s", Path: "/run", DeadlineShare: 1}}}}}
+	for i := range workspaces {
+		set.Contracts = append(set.Contracts, wire.Contract{
+			Workspace: "workspace-" + strconv.Itoa(i), Pipelines: []string{"p"}, Models: []string{},
+			Keys: []wire.ContractKey{{ID: "k", Sha256: fmt.Sprintf("%064x", i)}},
+			Rate: wire.Rate{PerSecond: 100, Burst: 100}, Tokens: wire.Rate{PerSecond: 1000, Burst: 1000}, Concurrency: 100,
+			DefaultDeadlineMs: 1000, MaxDeadlineMs: 6000, MaxBodyBytes: 1 << 20, MaxResultBytes: 1 << 16, Budget: wire.Budget{PeriodHours: 720},
+		})
+	}
+	return set
+}
+
+func (s *scaleSite) announce(i, upstream, sequence int) {
+	a := wire.Announcement{
+		ID: "upstream-" + strconv.Itoa(upstream), Incarnation: 1_780_000_000_000, Sequence: sequence, Service: "writer",
+		Zone: "zone-" + strconv.Itoa(upstream%scaleZones), Region: "region", Address: "10.0.1.1:9000", Capacity: 16,
+		Models: []string{"phrase@7"}, Adapters: []string{}, Role: "both", TTLMs: 15_000,
+		Load: wire.UpstreamLoad{InFlight: sequence % 16, Queued: sequence % 3, FreeBlocks: 1000 - sequence%100},
+	}
+	s.inbox[i] = append(s.inbox[i], Announced{Announcement: a, Credential: "c", Reply: make(chan error, 1)})
+}
+
+// tick steps every core once, and again for what it was sent, with the time and bytes of each counted.
+func (s *scaleSite) tick() {
+	for round := 0; round < 3; round++ {
+		for i, c := range s.cores {
+			in := s.inbox[i]
+			s.inbox[i] = nil
+			if round > 0 && len(in) == 0 {
+				continue
+			}
+			start := time.Now()
+			out := c.Step(s.now, in...)
+			frames := make([][]byte, len(out))
+			for k := range out {
+				frames[k], _ = wire.Encode(out[k].Frame)
+			}
+			c.View()
+			c.TakeUpstreams()
+			s.busy[i] += time.Since(start)
+			for k, o := range out {
+				s.pass(i, s.index[o.To], frames[k])
+			}
+		}
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+}
+
+func (s *scaleSite) pass(from, to int, frame []byte) {
+	s.bytes[from] += len(frame)
+	start := time.Now()
+	var f wire.Frame
+	if err := wire.Decode(frame, &f); err != nil {
+		panic(err)
+	}
+	s.busy[to] += time.Since(start)
+	s.inbox[to] = append(s.inbox[to], FrameReceived{Frame: f})
+}
+
+// second runs one second in which every upstream renews once in five, and each instance serves active
+// workspaces.
+func (s *scaleSite) second(n, upstreams, active int) {
+	for t := range 10 {
+		for u := t; u < upstreams; u += 10 {
+			if (u/10+n)%5 == 0 {
+				s.announce(u%len(s.cores), u, n+1)
+			}
+		}
+		for i, l := range s.limiters {
+			for k := t; k < active; k += 10 {
+				if ticket, err := l.TryAdmit(s.now, limit.Ask{Workspace: "workspace-" + strconv.Itoa((i*7+k*13+n)%250)}); err == nil {
+					ticket.Done(s.now, limit.Usage{Tokens: 10})
+				}
+			}
+		}
+		s.tick()
+	}
+}
+
+// BenchmarkControl reports what control costs an instance and the leader in a second: processor time, bytes
+// sent and heap. Heartbeats of connections are not in it.
+func BenchmarkControl(b *testing.B) {
+	for _, size := range []struct{ instances, upstreams, workspaces, active int }{
+		{10, 50, 250, 0},
+		{10, 50, 250, 85},
+		{10, 50, 25_000, 0},
+		{10, 1200, 250, 0},
+		{40, 50, 250, 0},
+		{40, 1200, 250, 0},
+		{160, 50, 250, 0},
+	} {
+		b.Run(fmt.Sprintf("instances=%d/upstreams=%d/workspaces=%d/active=%d", size.instances, size.upstreams, size.workspaces, size.active), func(b *testing.B) {
+			s := newScaleSite(size.instances, size.workspaces)
+			for n := range 10 {
+				s.second(n, size.upstreams, size.active)
+			}
+			clear(s.bytes)
+			clear(s.busy)
+			n := 10
+			for b.Loop() {
+				s.second(n, size.upstreams, size.active)
+				n++
+			}
+			seconds := float64(n - 10)
+			var busy time.Duration
+			var bytes int
+			for i := 1; i < len(s.cores); i++ {
+				busy += s.busy[i]
+				bytes += s.bytes[i]
+			}
+			others := float64(len(s.cores) - 1)
+			b.ReportMetric(float64(busy.Microseconds())/others/seconds, "us-cpu/s")
+			b.ReportMetric(float64(bytes)/others/seconds, "B/s")
+			b.ReportMetric(float64(s.busy[0].Microseconds())/seconds, "leader-us-cpu/s")
+			b.ReportMetric(float64(s.bytes[0])/seconds, "leader-B/s")
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(m.HeapAlloc)/float64(len(s.cores))/1e6, "MB/instance")
+		})
+	}
+}
--- a/plantainlane/limit/grant.go
+++ b/plantainlane/limit/grant.go
@@ -1,16 +1,21 @@
 package limit
 
 import (
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"plantainlane/wire"
 )
 
 const (
-	// maxIdleDemands bounds the workspaces without traffic that an instance asks a share for.
-	maxIdleDemands = 256
+	// fewWorkspaces is the number of contracts up to which an instance asks a share of each. Beyond, it asks
+	// for those with traffic only.
+	fewWorkspaces = 64
+	// forgetIdle is how long after its last traffic a workspace's share is given up.
+	forgetIdle = 10 * time.Second
 	// unbounded is the credits of a budget without bound.
 	unbounded = math.MaxInt64 / 4
 	// demandFall is the part by which a demand falls at each request when traffic ebbs.
@@ -75,20 +80,15 @@
 		Demands: []wire.GrantDemand{}, Held: []wire.Grant{},
 	}
 	sent := sentRequest{at: now, spent: map[string]int64{}}
-	idle := 0
-	for _, name := range l.names() {
-		w := l.workspace(name)
+	knows := leader == l.grantedBy
+	for _, w := range l.watch() {
 		demand := w.demand(now)
-		if demand.RequestsPerSecond < idleDemand && demand.InFlight == 0 {
-			if idle++; idle > maxIdleDemands {
-				w.expires.Store(0)
-				l.giveUp(name)
-				continue
-			}
+		if l.isForgotten(now, w, &demand) {
+			continue
 		}
 		request.Demands = append(request.Demands, demand)
-		sent.spent[name] = w.spent()
-		if w.expires.Load() > l.since(now) {
+		sent.spent[w.name] = w.spent()
+		if !knows && w.expires.Load() > l.since(now) {
 			request.Held = append(request.Held, w.granted)
 		}
 	}
@@ -96,6 +96,55 @@
 	return request
 }
 
+// isForgotten gives up the share of a workspace that has been without traffic for long, unless there are few
+// workspaces. Its next request asks for one again.
+func (l *Limiter) isForgotten(now time.Time, w *workspace, d *wire.GrantDemand) bool {
+	if d.RequestsPerSecond >= idleDemand || d.InFlight > 0 || w.lastTraffic.IsZero() {
+		w.lastTraffic = now
+	}
+	if len(*l.workspaces.Load()) <= fewWorkspaces || now.Sub(w.lastTraffic) < forgetIdle {
+		return false
+	}
+	delete(l.watched, w.name)
+	w.watched.Store(false)
+	w.lastTraffic = time.Time{}
+	w.expires.Store(0)
+	l.giveUp(w.name)
+	return true
+}
+
+// watch returns the workspaces that shares are asked for, in order of their names.
+func (l *Limiter) watch() []*workspace {
+	known := *l.workspaces.Load()
+	l.mu.Lock()
+	fresh := l.fresh
+	l.fresh = nil
+	l.mu.Unlock()
+	for _, w := range fresh {
+		l.watched[w.name] = w
+	}
+	if len(known) <= fewWorkspaces {
+		maps.Copy(l.watched, known)
+	}
+	maps.DeleteFunc(l.watched, func(name string, w *workspace) bool { return known[name] != w })
+	list := make([]*workspace, 0, len(l.watched))
+	for _, w := range l.watched {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *workspace) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// noteTraffic has a share asked for from now on.
+func (l *Limiter) noteTraffic(w *workspace) {
+	if !w.watched.CompareAndSwap(false, true) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fresh = append(l.fresh, w)
+}
+
 // giveUp voids answers under way for a workspace.
 func (l *Limiter) giveUp(name string) {
 	for _, sent := range l.sent {
@@ -116,15 +165,6 @@
 	}
 }
 
-func (l *Limiter) names() []string {
-	names := []string{}
-	for name := range *l.workspaces.Load() {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (w *workspace) demand(now time.Time) wire.GrantDemand {
 	var arrivals, generated int64
 	for i := range w.cells {
@@ -177,7 +217,8 @@
 			w.room.wake(now)
 		}
 	}
-	for name, w := range *l.workspaces.Load() {
+	l.grantedBy = l.leader
+	for name, w := range l.watched {
 		if !given[name] {
 			w.expires.Store(0)
 		}
--- a/plantainlane/limit/limiter.go
+++ b/plantainlane/limit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,16 +29,22 @@
 	sent map[int]sentRequest
 	// applied is the sequence of the newest answer in use.
 	applied int
-	// leader is the instance that was asked last.
-	leader   string
-	sequence int
+	// leader identifies the term of the leader that was asked last, grantedBy the one whose answer is in use.
+	leader, grantedBy string
+	sequence          int
+	// watched holds the workspaces that shares are asked for. Only they hold grants.
+	watched map[string]*workspace
+
+	mu sync.Mutex
+	// fresh holds workspaces with traffic that are not in watched yet.
+	fresh []*workspace
 }
 
 // New returns a Limiter without contracts.
 func New(now time.Time) *Limiter {
 	l := &Limiter{
 		start: now.Add(-time.Nanosecond), processors: newProcessors(), cells: cellCount(),
-		wanted: make(chan struct{}, 1), sent: map[int]sentRequest{},
+		wanted: make(chan struct{}, 1), sent: map[int]sentRequest{}, watched: map[string]*workspace{},
 	}
 	l.workspaces.Store(&map[string]*workspace{})
 	return l
@@ -70,6 +77,10 @@
 	concurrency int64
 	meter       meter
 	room        room
+	// watched tells that shares are asked for.
+	watched atomic.Bool
+	// lastTraffic is when a request was made of the leader while the workspace had traffic.
+	lastTraffic time.Time
 }
 
 func newWorkspace(l *Limiter, c *wire.Contract) *workspace {
@@ -149,6 +160,9 @@
 func (w *workspace) arrive(now time.Time, a *Ask) error {
 	at := w.limiter.processors.current()
 	w.cells[at%uint32(len(w.cells))].arrivals.Add(1)
+	if !w.watched.Load() {
+		w.limiter.noteTraffic(w)
+	}
 	return w.admit(w.limiter.since(now), at, a)
 }
 
--- a/plantainlane/limit/limiter_test.go
+++ b/plantainlane/limit/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,7 +154,16 @@
 	answer := func(sequence int) wire.GrantAnswer {
 		return wire.GrantAnswer{Sequence: sequence, DurationMs: 9000, Grants: []wire.Grant{whole1(c)}}
 	}
-	held := func() int { return len(l.Request(epoch, "b", "i", 1).Held) }
+	held := func() int {
+		l.Request(epoch, "b", "i", 1)
+		n := 0
+		for _, w := range *l.workspaces.Load() {
+			if w.expires.Load() > l.since(epoch) {
+				n++
+			}
+		}
+		return n
+	}
 	first := l.Request(epoch, "a", "i", 1).Sequence
 	second := l.Request(epoch, "b", "i", 1).Sequence
 	l.Grant(epoch, answer(first)) // another leader's
@@ -165,6 +175,45 @@
 	is.Equal(held(), 0)
 }
 
+func TestNewLeaderIsToldWhatIsHeld(t *testing.T) {
+	is := is.New(t)
+	c := contract("w")
+	l := New(epoch)
+	l.SetContracts(epoch, []wire.Contract{c})
+	first := l.Request(epoch, "a/1", "i", 1)
+	l.Grant(epoch, wire.GrantAnswer{Sequence: first.Sequence, DurationMs: 9000, Grants: []wire.Grant{whole1(c)}})
+	is.Equal(len(l.Request(epoch, "a/1", "i", 1).Held), 0)
+	is.Equal(len(l.Request(epoch, "a/2", "i", 1).Held), 1)
+	is.Equal(len(l.Request(epoch, "a/2", "i", 1).Held), 1) // until it has answered
+}
+
+func TestManyWorkspacesAreAskedForByTraffic(t *testing.T) {
+	is := is.New(t)
+	l := New(epoch)
+	contracts := make([]wire.Contract, 2*fewWorkspaces)
+	for i := range contracts {
+		contracts[i] = contract("w" + strconv.Itoa(i))
+	}
+	l.SetContracts(epoch, contracts)
+	asked := func(now time.Time) int { return len(l.Request(now, "a", "i", 1).Demands) }
+	is.Equal(asked(epoch), 0)
+	_, err := l.TryAdmit(epoch, Ask{Workspace: "w7"})
+	is.True(errors.Is(err, ErrNoGrant))
+	is.Equal(asked(epoch), 1)
+	now := epoch
+	for range int(forgetIdle/time.Second) - 1 {
+		now = now.Add(time.Second)
+		is.Equal(asked(now), 1)
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		asked(now)
+	}
+	is.Equal(asked(now), 0)
+	l.TryAdmit(now, Ask{Workspace: "w7"})
+	is.Equal(asked(now), 1)
+}
+
 func TestLoweredContractHoldsAtOnce(t *testing.T) {
 	is := is.New(t)
 	c := contract("w")
