--- a/plantainlane/control/scale_test.go
+++ b/plantainlane/control/scale_test.go
@@ -86,7 +86,7 @@
 
 // tick steps every core once, and again for what it was sent, with the time and bytes of each counted.
 func (s *scaleSite) tick() {
-	for round := 0; round < 3; round++ {
+	for round := range 3 {
 		for i, c := range s.cores {
 			in := s.inbox[i]
 			s.inbox[i] = nil
