order: keep undeclared models until their place is needed

A fresh system with no declarations unloaded everything that its engines had: seen with real processes, where three engines lost their model before the first change was applied. Models that nothing declares now go only when a declared one misses a place.

--- a/plantainlane/order/plan.go
+++ b/plantainlane/order/plan.go
@@ -121,20 +121,29 @@
 	return !slices.ContainsFunc(adapters, func(a string) bool { return !slices.Contains(m.Adapters, a) })
 }
 
-// planUnloads removes models that nothing declares, older versions once the declared one serves in their place,
-// and replicas beyond those wanted.
+// planUnloads removes older versions once the declared one serves in their place, and replicas beyond those
+// wanted. A model that nothing declares stays until its place is needed: an empty set of declarations must not
+// empty the engines.
 func (p *Planner) planUnloads(now time.Time, t Tables, wants []*want, a *Actions) {
 	byName := make(map[string]*want, len(wants))
 	for _, w := range wants {
 		byName[w.Name] = w
 	}
+	needed := p.neededPlaces(wants)
 	for _, id := range p.ids {
 		r := p.rows[id]
 		if !p.canOrder(now, r) {
 			continue
 		}
 		for _, m := range r.state.Models {
-			if m.State == loaded && mayUnload(r, m.Model, byName[nameOf(m.Model)]) {
+			w := byName[nameOf(m.Model)]
+			if w == nil && needed <= 0 {
+				continue
+			}
+			if m.State == loaded && mayUnload(r, m.Model, w) {
+				if w == nil {
+					needed--
+				}
 				p.issue(now, t, r, wire.Order{Kind: Unload, Model: m.Model}, a)
 				break
 			}
@@ -142,6 +151,27 @@
 	}
 }
 
+// neededPlaces is the number of missing replicas for which no engine has a free slot, or is making one.
+func (p *Planner) neededPlaces(wants []*want) int {
+	needed := 0
+	for _, w := range wants {
+		missing := w.replicas - len(w.serving) - w.coming
+		for _, r := range p.rows {
+			if r.state != nil && !r.holds(w.key) && (r.state.FreeSlots > 0 || r.freesSlot()) {
+				missing--
+			}
+		}
+		needed += max(missing, 0)
+	}
+	return needed
+}
+
+// freesSlot reports whether a model is being unloaded.
+func (r *row) freesSlot() bool {
+	return r.order != nil && r.order.Kind == Unload ||
+		slices.ContainsFunc(r.state.Models, func(m wire.EngineModel) bool { return m.State == unloading })
+}
+
 // mayUnload reports whether a model can go from an engine without loss of wanted capacity, and takes it off the
 // counts.
 func mayUnload(r *row, model string, w *want) bool {
--- a/plantainlane/order/planner_test.go
+++ b/plantainlane/order/planner_test.go
@@ -276,6 +276,23 @@
 	})
 }
 
+func TestUndeclaredModelsStayUntilTheirPlaceIsNeeded(t *testing.T) {
+	inSite(t, func(is *is.I, ctx context.Context) {
+		s := newSite(ctx, 3, func(_ int, cfg *engine.Config) {
+			cfg.Slots, cfg.Models = 1, []string{"other@1"}
+		})
+		l := s.lead(1, 1)
+		s.run(30*time.Second, l) // nothing declared
+		is.Equal(applied(s), 0)
+		s.models = []wire.Model{model("a", "1", 2)}
+		s.run(time.Minute, l)
+		_, declared := s.serving(s.models[0])
+		is.Equal(declared, 2)
+		others, _ := s.serving(model("other", "1", 0))
+		is.Equal(others, 1) // the one whose place was not needed
+	})
+}
+
 // A leader is cut off silently with an order on its way and more to come; the next one changes the declarations.
 func TestCutOffLeaderComesBackWithQueuedOrders(t *testing.T) {
 	for seed := range uint64(20) {
--- a/standin/engine/command.go
+++ b/standin/engine/command.go
@@ -38,6 +38,7 @@
 	return []cli.Flag{
 		&cli.StringFlag{Name: "service", Required: true, Usage: "service of the engines"},
 		&cli.IntFlag{Name: "count", Value: 1, Usage: "engines to run"},
+		&cli.IntFlag{Name: "first", Value: 1, Usage: "number in the ID of the first engine"},
 		&cli.StringSliceFlag{Name: "zone", Value: []string{"zone-a"}, Usage: "zones, taken in turn"},
 		&cli.StringFlag{Name: "region", Value: "region-a", Usage: "region"},
 		&cli.StringSliceFlag{Name: "announce", Usage: "upstream listeners of instances (host:port)"},
@@ -98,7 +99,7 @@
 	incarnation := int(time.Now().UnixMilli())
 	var group errgroup.Group
 	for i := range count {
-		cfg, err := configOf(c, fmt.Sprintf("%s-%d", c.String("service"), i+1), incarnation)
+		cfg, err := configOf(c, fmt.Sprintf("%s-%d", c.String("service"), c.Int("first")+i), incarnation)
 		if err != nil {
 			return err
 		}
