--- a/plantainlane/engine/locality_test.go
+++ b/plantainlane/engine/locality_test.go
@@ -123,6 +123,7 @@
 	watchers []*instance
 	mu       sync.Mutex
 	first    []time.Duration
+	gaps     []time.Duration
 	served   map[string]int
 	sequence int
 }
@@ -131,13 +132,14 @@
 type outcome struct {
 	hitShare float64
 	p95      time.Duration
+	gap95    time.Duration
 	busiest  float64
 	requests int
 }
 
 func (o outcome) String() string {
-	return fmt.Sprintf("hit share %.3f, p95 first token %v, busiest %.2f of the mean, %d requests",
-		o.hitShare, o.p95, o.busiest, o.requests)
+	return fmt.Sprintf("hit share %.3f, p95 first token %v, p95 token gap %v, busiest %.2f of the mean, %d requests",
+		o.hitShare, o.p95.Round(time.Millisecond), o.gap95.Round(time.Millisecond), o.busiest, o.requests)
 }
 
 // setting is what varies between runs.
@@ -253,6 +255,7 @@
 	}
 	go func() {
 		defer stream.Close()
+		var last time.Time
 		for i := 0; ; i++ {
 			_, more, err := stream.Next(ctx)
 			if err != nil {
@@ -262,7 +265,10 @@
 			r.mu.Lock()
 			if i == 0 {
 				r.first = append(r.first, now.Sub(began))
+			} else if more {
+				r.gaps = append(r.gaps, now.Sub(last))
 			}
+			last = now
 			if !more {
 				done(now, now.Sub(began))
 			}
@@ -277,7 +283,7 @@
 func (r *run) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.first, r.served = nil, map[string]int{}
+	r.first, r.gaps, r.served = nil, nil, map[string]int{}
 }
 
 func (r *run) ledger() fake.Ledger {
@@ -295,9 +301,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	slices.Sort(r.first)
+	slices.Sort(r.gaps)
 	o := outcome{
 		hitShare: float64(after.CachedBlocks-before.CachedBlocks) / float64(after.PromptBlocks-before.PromptBlocks),
 		p95:      r.first[len(r.first)*95/100],
+		gap95:    r.gaps[len(r.gaps)*95/100],
 	}
 	most := 0
 	for _, n := range r.served {
@@ -321,6 +329,8 @@
 	is.True(local.hitShare >= 2*baseline.hitShare)
 	is.True(local.p95 < baseline.p95)
 	is.True(local.busiest <= 1.25)
+	is.True(local.p95 <= 950*time.Millisecond)
+	is.True(local.gap95 <= 69*time.Millisecond)
 	is.True(lossy.hitShare-baseline.hitShare >= 0.8*(local.hitShare-baseline.hitShare))
 	is.True(lossy.busiest <= 1.25)
 }
--- a/plantainlane/metric/metric.go
+++ b/plantainlane/metric/metric.go
@@ -41,6 +41,8 @@
 	mu       sync.Mutex
 	attempts *hdrhistogram.Histogram
 	failures int64
+	// streams is nil until the stage has streamed.
+	streams *streams
 }
 
 // New returns metrics that count from zero.
@@ -95,6 +97,8 @@
 	P50Ms    float64 `json:"p50Ms"`
 	P95Ms    float64 `json:"p95Ms"`
 	P99Ms    float64 `json:"p99Ms"`
+	// Streams is nil for a stage that has not streamed.
+	Streams *StreamExport `json:"streams,omitempty"`
 }
 
 // Export is the published form of Metrics.
@@ -136,5 +140,6 @@
 		P50Ms:    ms(50),
 		P95Ms:    ms(95),
 		P99Ms:    ms(99),
+		Streams:  l.streams.export(),
 	}
 }
--- a/plantainlane/pipeline/attempt.go
+++ b/plantainlane/pipeline/attempt.go
@@ -26,6 +26,9 @@
 	tokens int
 	// progress of a stream, with the tokens of earlier attempts.
 	progress engine.Progress
+	// tokenAt is when the newest token came; times are the waits for tokens.
+	tokenAt time.Time
+	times   metric.StreamTimes
 	// export says that the KV cache may help the next attempt; kv names it once it was exported.
 	export bool
 	kv     *wire.KVHandle
@@ -82,7 +85,11 @@
 	}
 	now := time.Now()
 	took := now.Sub(start)
-	x.Observer.Observe(metric.Stage{Pipeline: x.Pipeline.Name, Stage: s.stage.Name, Service: s.stage.Service}, took, a.err == nil)
+	label := metric.Stage{Pipeline: x.Pipeline.Name, Stage: s.stage.Name, Service: s.stage.Service}
+	x.Observer.Observe(label, took, a.err == nil)
+	if s.stage.Streams {
+		x.Observer.ObserveStream(label, a.times)
+	}
 	result := x.resultOf(ctx, s, a.err, took)
 	a.target.Done(now, route.Outcome{Result: result, Latency: took})
 	if result == route.Success || result == route.Cancelled && took > s.service.Latency.Median() {
--- a/plantainlane/pipeline/generate.go
+++ b/plantainlane/pipeline/generate.go
@@ -66,7 +66,7 @@
 		}
 		return nil
 	}
-	a.progress = s.progress.Clone()
+	a.progress, a.tokenAt = s.progress.Clone(), s.tokenAt
 	if a.call.Model != "" {
 		a.call.Model = versionOn(a.target.Models, a.call.Model, x.Engines.Declared(a.call.Model))
 		x.Engines.Sent(a.target.ID, a.call.Model, s.body)
@@ -149,12 +149,28 @@
 
 func (x *execution) takeToken(a *attempt, t upstream.Token) error {
 	fresh, err := a.progress.Take(t.Offset, t.Text)
-	if err != nil || !fresh || x.Token == nil {
+	if err != nil || !fresh {
 		return err
 	}
+	a.observeToken(x.Started)
+	if x.Token == nil {
+		return nil
+	}
 	return x.Token(t.Offset, t.Text)
 }
 
+// observeToken notes the wait for a token that just came.
+func (a *attempt) observeToken(started time.Time) {
+	now := time.Now()
+	switch {
+	case !a.tokenAt.IsZero():
+		a.times.Gaps = append(a.times.Gaps, now.Sub(a.tokenAt))
+	case a.progress.Next() == 1:
+		a.times.First = now.Sub(started)
+	}
+	a.tokenAt = now
+}
+
 func collected(p *engine.Progress, end upstream.End) (upstream.Answer, error) {
 	out, err := json.Marshal(streamOutput{Text: p.Text(), Tokens: p.Next()})
 	return upstream.Answer{Output: out, Cost: end.CostUnits, Reported: true}, err
@@ -187,7 +203,7 @@
 // keep notes how far the longest failed attempt of a stage came.
 func (s *stageRun) keep(a *attempt) {
 	if a.progress.Next() > s.progress.Next() {
-		s.progress, s.model, s.kv = a.progress, a.call.Model, a.kv
+		s.progress, s.model, s.kv, s.tokenAt = a.progress, a.call.Model, a.kv, a.tokenAt
 	}
 	s.onEngine = a.target.Role != ""
 }
--- a/plantainlane/pipeline/generate_test.go
+++ b/plantainlane/pipeline/generate_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"plantainlane/plantainlane/engine"
+	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/upstream"
 	chain "plantainlane/standin/chain"
@@ -209,6 +210,20 @@
 	}
 }
 
+// waits records what is observed of streams.
+type waits struct {
+	metric.StreamTimes
+	streams int
+}
+
+func (*waits) Observe(metric.Stage, time.Duration, bool) {}
+
+func (w *waits) ObserveStream(_ metric.Stage, t metric.StreamTimes) {
+	w.streams++
+	w.First = max(w.First, t.First)
+	w.Gaps = append(w.Gaps, t.Gaps...)
+}
+
 func TestStreamOfADeadEngineIsRegenerated(t *testing.T) {
 	inEngineWorld(t, func(is *is.I, ctx context.Context, w *engineWorld, e *entry) {
 		w.breakAfter = func(call upstream.Call) (int, error) {
@@ -219,10 +234,15 @@
 			return 7, upstream.ErrTruncated
 		}
 		var r reader
+		seen := &waits{}
+		e.Observer = seen
 		answer, err := e.Run(ctx, r.request(is))
 		is.NoErr(err)
 		is.Equal(r.text, chain.Text("00112233", answerTokens))
 		is.Equal(w.sum().Continued, 1)
+		is.Equal(seen.streams, 2)
+		is.Equal(seen.First, 20*time.Millisecond)
+		is.Equal(len(seen.Gaps), answerTokens-1) // the move is one of the caller's gaps
 		is.Equal(answer.Cost[0].Attempts, 2)
 		is.True(answer.Cost[0].WastedUnits > 0)
 	})
--- a/plantainlane/pipeline/runner.go
+++ b/plantainlane/pipeline/runner.go
@@ -37,9 +37,10 @@
 	Record(now time.Time, e wire.Event)
 }
 
-// Observer takes the latency of attempts for the metrics.
+// Observer takes the latency of attempts, and the waits for tokens, for the metrics.
 type Observer interface {
 	Observe(s metric.Stage, took time.Duration, ok bool)
+	ObserveStream(s metric.Stage, t metric.StreamTimes)
 }
 
 // Admission admits requests within the contracts' limits.
--- a/plantainlane/pipeline/stage.go
+++ b/plantainlane/pipeline/stage.go
@@ -32,6 +32,8 @@
 	// progress is how far the longest failed stream came, on a version of the model.
 	progress engine.Progress
 	model    string
+	// tokenAt is when its newest token came.
+	tokenAt time.Time
 	// kv names the KV cache of that stream, if it was exported.
 	kv *wire.KVHandle
 	// onEngine says that the last failed attempt was on an engine, so that another one can go on.
