roster, control, peer: bound what a larger site spends on membership

Ruled out: longer renewal periods alone; they leave the cost in proportion to upstreams times instances.

Change: a renewal that changes only load goes in a short form; at more than 16 instances it stays in its availability zone, and other zones hear of changes and lapses only. Digests leave out what renewals change. An instance keeps connections to three neighbors of its zone and two others on a ring of hashes; others are opened on use and closed after 30 s, and a frame waits for its connection. A missed renewal is asked for before the row lapses.

--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -56,6 +56,7 @@
 	// gone holds upstreams that lapsed and were not taken by TakeUpstreams.
 	gone     []string
 	digestAt time.Time
+	expireAt time.Time
 
 	now      time.Time
 	out      []Outbound
--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -19,6 +19,8 @@
 	Send(to string, f wire.Frame)
 	// Know tells the peer addresses of instances.
 	Know(i wire.InstanceInfo)
+	// Keep names the instances that connections are kept to; one to another instance lasts while it is used.
+	Keep(neighbors []wire.InstanceInfo)
 }
 
 // Balancer learns of upstreams. It is called by the control goroutine only.
@@ -128,11 +130,15 @@
 	if old.Config.Revision != v.Config.Revision {
 		l.balancer.SetPolicies(v.Config.Shared().UpstreamPolicies)
 	}
+	if old.Instances == v.Instances {
+		return
+	}
 	for id, i := range v.Instances.All() {
 		if o, ok := old.Instances.Get(id); !ok || o != i {
 			l.sender.Know(i)
 		}
 	}
+	l.sender.Keep(l.core.Neighbors())
 }
 
 // Deliver passes an input to the control goroutine. It waits while the inbox is full, and returns false if
--- a/plantainlane/control/scale_test.go
+++ b/plantainlane/control/scale_test.go
@@ -22,6 +22,8 @@
 	bytes []int
 	busy  []time.Duration
 	inbox [][]Input
+	// open holds the connections, lower index first.
+	open map[[2]int]bool
 }
 
 const scaleZones = 10
@@ -32,6 +34,7 @@
 	s := &scaleSite{
 		index: make(map[string]int), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		bytes: make([]int, instances), busy: make([]time.Duration, instances), inbox: make([][]Input, instances),
+		open: make(map[[2]int]bool),
 	}
 	st := &state.State{}
 	st.Config = st.Config.With(scaleDeclarations(workspaces), nil, 1)
@@ -51,16 +54,35 @@
 		s.cores, s.limiters = append(s.cores, c), append(s.limiters, l)
 		s.index[info.ID] = i
 	}
-	for i := range instances {
-		for j := range instances {
-			if i != j && (instances <= fullSpread || i == 0 || j == 0 || (j-i+instances)%instances < 4 || (i-j+instances)%instances < 4) {
-				s.inbox[i] = append(s.inbox[i], PeerConnected{Info: s.cores[j].self})
-			}
-		}
+	// Everybody finds the leader by an address in the settings.
+	for i := 1; i < instances; i++ {
+		s.connect(0, i)
 	}
 	return s
 }
 
+func (s *scaleSite) connect(i, j int) {
+	pair := [2]int{min(i, j), max(i, j)}
+	if s.open[pair] {
+		return
+	}
+	s.open[pair] = true
+	s.inbox[i] = append(s.inbox[i], PeerConnected{Info: s.cores[j].self})
+	s.inbox[j] = append(s.inbox[j], PeerConnected{Info: s.cores[i].self})
+}
+
+// beat counts one second of heartbeats and their answers, both ways every half second.
+func (s *scaleSite) beat() {
+	frame, _ := wire.Encode(wire.Frame{
+		From: scaleID(0), Incarnation: 1_780_000_000_000, Time: wire.HLC{WallMs: 1_780_000_000_000},
+		Heartbeat: &wire.Heartbeat{Sequence: 1000},
+	})
+	for pair := range s.open {
+		s.bytes[pair[0]] += 4 * len(frame)
+		s.bytes[pair[1]] += 4 * len(frame)
+	}
+}
+
 func scaleDeclarations(workspaces int) wire.Declarations {
 	set := wire.Declarations{Pipelines: []wire.Pipeline{{Name: "p", Stages: []wire.Stage{{Name: "s", Service: "s", Path: "/run", DeadlineShare: 1}}}}}
 	for i := range workspaces {
@@ -124,10 +146,16 @@
 // second runs one second in which every upstream renews once in five, and each instance serves active
 // workspaces.
 func (s *scaleSite) second(n, upstreams, active int) {
+	for i, c := range s.cores {
+		for _, other := range c.Neighbors() {
+			s.connect(i, s.index[other.ID])
+		}
+	}
+	s.beat()
 	for t := range 10 {
 		for u := t; u < upstreams; u += 10 {
 			if (u/10+n)%5 == 0 {
-				s.announce(u%len(s.cores), u, n+1)
+				s.announce(u%scaleZones+u/scaleZones%(len(s.cores)/scaleZones)*scaleZones, u, n+1)
 			}
 		}
 		for i, l := range s.limiters {
@@ -142,7 +170,7 @@
 }
 
 // BenchmarkControl reports what control costs an instance and the leader in a second: processor time, bytes
-// sent and heap. Heartbeats of connections are not in it.
+// sent, heartbeats included, and heap. Upstreams announce to an instance of their availability zone.
 func BenchmarkControl(b *testing.B) {
 	for _, size := range []struct{ instances, upstreams, workspaces, active int }{
 		{10, 50, 250, 0},
--- a/plantainlane/control/upstreams.go
+++ b/plantainlane/control/upstreams.go
@@ -1,12 +1,22 @@
 package control
 
-import "plantainlane/wire"
+import (
+	"time"
+
+	"plantainlane/plantainlane/roster"
+	"plantainlane/wire"
+)
 
-// fullSpread is the number of peers up to which a delta is sent to every one. Beyond, it is sent to
-// spreadFanout of them, which pass on what was news to them.
 const (
-	fullSpread   = 16
-	spreadFanout = 5
+	// changeFanout is the number of peers that a change is sent and passed on to at a larger site.
+	changeFanout = 8
+	// renewalFanout is the number of peers of the same availability zone that a renewal is sent and passed
+	// on to at a larger site.
+	renewalFanout = 2
+	// overduePart is the part of its time to live that is left when a missed renewal is asked for.
+	overduePart = 0.25
+	// expireInterval is the period at which lapsed upstreams are looked for.
+	expireInterval = 500 * time.Millisecond
 )
 
 func (c *Core) announce(in Announced) error {
@@ -25,15 +35,14 @@
 	return nil
 }
 
-// runRoster spreads changed announcements, drops lapsed ones and compares with a random peer.
+// runRoster spreads what was announced here, drops lapsed upstreams and compares with a random peer.
 func (c *Core) runRoster() {
-	if changed := c.roster.TakeChanged(); len(changed) > 0 {
-		c.spread(changed, "")
-	}
-	for _, id := range c.roster.Expire(c.now) {
-		c.dirty = true
-		c.gone = append(c.gone, id)
-		c.record(wire.Event{Kind: "upstreamLapsed", Upstream: &id})
+	changed, renewed := c.roster.TakeChanged()
+	c.spreadChanges(wire.UpstreamDelta{Announcements: changed}, "")
+	c.spreadRenewals(renewed, "")
+	if !c.now.Before(c.expireAt) {
+		c.expireAt = c.now.Add(expireInterval)
+		c.expireUpstreams()
 	}
 	if c.now.Before(c.digestAt) {
 		return
@@ -44,36 +53,139 @@
 	}
 }
 
-func (c *Core) spread(list []wire.Announcement, except string) {
-	frame := wire.Frame{Upstreams: &wire.UpstreamDelta{Announcements: list}}
-	if len(c.peers) <= fullSpread {
-		for id := range c.peers {
-			c.send(id, frame)
+// spreadChanges sends changes to every peer of a small site, and to some of a larger one, which pass on what is
+// news to them.
+func (c *Core) spreadChanges(d wire.UpstreamDelta, except string) {
+	if len(d.Announcements) == 0 && len(d.Lapsed) == 0 {
+		return
+	}
+	peers := c.peersIn("")
+	if c.isLarge() {
+		peers = c.somePeers("", changeFanout)
+	}
+	for _, id := range peers {
+		if id != except {
+			c.send(id, wire.Frame{Upstreams: &d})
 		}
+	}
+}
+
+// spreadRenewals sends renewals in their short form. At a larger site they stay in the upstream's availability
+// zone.
+func (c *Core) spreadRenewals(list []wire.Announcement, except string) {
+	if !c.isLarge() {
+		c.sendRenewals(c.peersIn(""), list, except)
 		return
 	}
-	for range spreadFanout {
-		if id := c.anyPeer(); id != except {
-			c.send(id, frame)
+	zones := make(map[string][]wire.Announcement)
+	for _, a := range list {
+		zones[a.Zone] = append(zones[a.Zone], a)
+	}
+	for zone, part := range zones {
+		c.sendRenewals(c.somePeers(zone, renewalFanout), part, except)
+	}
+}
+
+func (c *Core) sendRenewals(to []string, list []wire.Announcement, except string) {
+	if len(list) == 0 {
+		return
+	}
+	d := &wire.UpstreamDelta{Renewals: roster.Renewals(list)}
+	for _, id := range to {
+		if id != except {
+			c.send(id, wire.Frame{Upstreams: d})
 		}
 	}
 }
 
+// takeUpstreams takes what another instance sent, passes on news at a larger site, and asks for what is missing.
 func (c *Core) takeUpstreams(from string, d wire.UpstreamDelta) {
-	news := c.roster.Merge(d.Announcements, c.now)
-	if len(news) == 0 {
+	changed, renewed := c.roster.Merge(d.Announcements, c.now)
+	gone := c.roster.Lapse(d.Lapsed)
+	c.gone = append(c.gone, gone...)
+	var unknown []string
+	if d.Renewals != nil {
+		var news []wire.Announcement
+		news, unknown = c.roster.Renew(*d.Renewals, c.now)
+		renewed = append(renewed, news...)
+	}
+	if len(changed)+len(renewed)+len(gone) > 0 {
+		c.dirty = true
+	}
+	if len(unknown) > 0 {
+		c.send(from, wire.Frame{Upstreams: &wire.UpstreamDelta{Wanted: unknown}})
+	}
+	if known := c.roster.Known(d.Wanted); len(known) > 0 {
+		c.send(from, wire.Frame{Upstreams: &wire.UpstreamDelta{Announcements: known}})
+	}
+	if !c.isLarge() {
 		return
 	}
-	c.dirty = true
-	if len(c.peers) <= fullSpread {
+	c.spreadChanges(wire.UpstreamDelta{Announcements: changed, Lapsed: lapses(d.Lapsed, gone)}, from)
+	c.spreadRenewals(renewed, from)
+}
+
+// lapses returns the entries of a list whose IDs are in another.
+func lapses(list []wire.UpstreamLapse, ids []string) []wire.UpstreamLapse {
+	var out []wire.UpstreamLapse
+	for _, l := range list {
+		for _, id := range ids {
+			if l.ID == id {
+				out = append(out, l)
+			}
+		}
+	}
+	return out
+}
+
+// expireUpstreams drops upstreams that were not renewed. At a larger site an upstream of another availability
+// zone lapses by the word of that zone, or with all of that zone's instances; one of the own zone is asked for
+// before it lapses, since a renewal may have missed this instance.
+func (c *Core) expireUpstreams() {
+	keep := func(wire.Announcement) bool { return false }
+	if c.isLarge() {
+		heard := c.zonesHeard()
+		keep = func(a wire.Announcement) bool { return a.Zone != c.self.Zone && heard[a.Zone] }
+		c.askOverdue()
+	}
+	var lapsed []wire.UpstreamLapse
+	for _, a := range c.roster.Expire(c.now, keep) {
+		c.dirty = true
+		c.gone = append(c.gone, a.ID)
+		c.record(wire.Event{Kind: "upstreamLapsed", Upstream: &a.ID})
+		if a.Zone == c.self.Zone {
+			lapsed = append(lapsed, wire.UpstreamLapse{ID: a.ID, Incarnation: a.Incarnation, Sequence: a.Sequence})
+		}
+	}
+	if c.isLarge() {
+		c.spreadChanges(wire.UpstreamDelta{Lapsed: lapsed}, "")
+	}
+}
+
+func (c *Core) askOverdue() {
+	var ids []string
+	for _, a := range c.roster.Known(c.roster.Overdue(c.now, overduePart)) {
+		if a.Zone == c.self.Zone {
+			ids = append(ids, a.ID)
+		}
+	}
+	if len(ids) == 0 {
 		return
 	}
-	list := make([]wire.Announcement, 0, len(news))
-	for _, id := range news {
-		row, _ := c.roster.View().Rows.Get(id)
-		list = append(list, row.Announcement)
+	for _, peer := range c.somePeers(c.self.Zone, 1) {
+		c.send(peer, wire.Frame{Upstreams: &wire.UpstreamDelta{Wanted: ids}})
+	}
+}
+
+// zonesHeard returns the availability zones with an instance that the leader hears.
+func (c *Core) zonesHeard() map[string]bool {
+	zones := make(map[string]bool)
+	for _, i := range c.instances.rows.All() {
+		if !i.Silent {
+			zones[i.Zone] = true
+		}
 	}
-	c.spread(list, from)
+	return zones
 }
 
 // takeDigest sends what differs; a first digest is answered by one, so that both sides catch up.
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -35,6 +35,8 @@
 	idleConnections = 256
 	// redial is the pause between two tries to connect to another instance.
 	redial = 500 * time.Millisecond
+	// unusedPeer is how long a connection to an instance that is no neighbor is kept without use.
+	unusedPeer = 30 * time.Second
 )
 
 // Instance is one entry instance.
@@ -83,6 +85,7 @@
 		Heartbeat:   time.Duration(s.Control.Heartbeat),
 		SilentAfter: time.Duration(s.Control.SilentAfter),
 		Redial:      redial,
+		Unused:      unusedPeer,
 	}, &frames{x, ctx}, clock{x.clock})
 	x.loop = control.NewLoop(x.newCore(), x.net, x.services, nil)
 	x.loop.Orders = &order.Courier{Client: x.fleet.Client(), Report: func(r order.Report) {
--- a/plantainlane/peer/conn.go
+++ b/plantainlane/peer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,9 @@
 // queueSize is the number of frames that may wait for a connection.
 const queueSize = 1024
 
+// errUnused ends a connection that nothing was sent or received on for long.
+var errUnused = errors.New("peer: connection not used any more")
+
 // errSilent ends a connection that brought nothing for too long.
 var errSilent = errors.New("peer: connection went silent")
 
@@ -24,6 +28,20 @@
 	ws   *websocket.Conn
 	info wire.InstanceInfo
 	out  chan wire.Frame
+	// dialed tells that this end opened the connection.
+	dialed bool
+	// used is when a frame other than a heartbeat last passed, in nanoseconds since 1970.
+	used atomic.Int64
+}
+
+// touch notes that the connection is in use.
+func (c *conn) touch() {
+	c.used.Store(time.Now().UnixNano())
+}
+
+func (c *conn) isUnused() bool {
+	idle := time.Duration(time.Now().UnixNano() - c.used.Load())
+	return c.dialed && idle > c.net.timing.Unused && !c.net.isKept(c.info.ID)
 }
 
 // queue hands a frame to the writer. It is lost if the queue is full, as on a broken connection.
@@ -35,11 +53,10 @@
 	}
 }
 
-// serve runs the connection until it breaks or the Net ends.
+// serve runs a connection that was added until it breaks or the Net ends.
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancelCause(c.net.ctx)
 	defer cancel(nil)
-	c.net.add(c)
 	defer c.net.remove(c)
 	c.net.wait.Go(func() {
 		cancel(c.write(ctx))
@@ -67,6 +84,7 @@
 		case f.From != c.info.ID:
 			return errors.Newf("frame of %q on the connection of %q", f.From, c.info.ID)
 		default:
+			c.touch()
 			c.net.handler.Frame(f)
 		}
 	}
@@ -99,9 +117,15 @@
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-heartbeat.C:
+			if c.isUnused() {
+				return errUnused
+			}
 			sequence++
 			f.Heartbeat = &wire.Heartbeat{Sequence: sequence}
 		case f = <-c.out:
+			if f.Heartbeat == nil {
+				c.touch()
+			}
 		}
 		if err := c.writeFrame(ctx, f); err != nil {
 			return err
--- a/plantainlane/peer/handshake.go
+++ b/plantainlane/peer/handshake.go
@@ -30,6 +30,8 @@
 		_ = ws.CloseNow()
 		return err
 	}
+	c.dialed = true
+	n.add(c)
 	n.wait.Go(c.serve)
 	return nil
 }
@@ -53,6 +55,7 @@
 		_ = ws.CloseNow()
 		return
 	}
+	n.add(c)
 	c.serve()
 }
 
@@ -75,6 +78,7 @@
 		return nil, errors.Wrap(ErrRefused, "connection to this instance itself")
 	}
 	c.info = f.Hello.Info
+	c.touch()
 	n.clock.Observe(f.Time)
 	return c, nil
 }
--- a/plantainlane/peer/net.go
+++ b/plantainlane/peer/net.go
@@ -18,6 +18,9 @@
 // Path is the HTTP path of the peer endpoint.
 const Path = "/v1/peer"
 
+// maxPending is the number of frames that may wait for a connection to one instance.
+const maxPending = 64
+
 // Timing is the periods of a connection.
 type Timing struct {
 	// Heartbeat is the period at which a heartbeat is sent.
@@ -27,6 +30,9 @@
 	SilentAfter time.Duration
 	// Redial is the pause between two tries to connect to an instance.
 	Redial time.Duration
+	// Unused is how long a connection that this end opened may carry nothing but heartbeats, unless it is
+	// kept.
+	Unused time.Duration
 }
 
 // Handler takes what connections bring. Its methods are called from several goroutines.
@@ -56,6 +62,10 @@
 	conns map[string][]*conn
 	// known holds what is known of other instances.
 	known map[string]wire.InstanceInfo
+	// pending holds frames that wait for a connection being opened.
+	pending map[string][]wire.Frame
+	// kept holds the instances that connections are kept to.
+	kept map[string]bool
 	// dialing holds the addresses that a goroutine keeps trying.
 	dialing map[string]bool
 	ctx     context.Context
@@ -73,6 +83,8 @@
 		client:     &http.Client{},
 		conns:      make(map[string][]*conn),
 		known:      make(map[string]wire.InstanceInfo),
+		pending:    make(map[string][]wire.Frame),
+		kept:       make(map[string]bool),
 		dialing:    make(map[string]bool),
 		ctx:        ctx,
 	}
@@ -85,7 +97,7 @@
 	n.dial(address, "")
 }
 
-// Know takes the address of an instance, and connects to it if there is no connection yet.
+// Know takes the address of an instance.
 func (n *Net) Know(i wire.InstanceInfo) {
 	if i.ID == n.self.ID || i.PeerAddress == "" {
 		return
@@ -93,13 +105,30 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.known[i.ID] = i
-	if len(n.conns[i.ID]) == 0 && !i.Silent {
-		n.dial(i.PeerAddress, i.ID)
+}
+
+// Keep connects to instances and keeps a connection to each. One that this end opened to any other instance is
+// closed once it has not been used for a while.
+func (n *Net) Keep(neighbors []wire.InstanceInfo) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.kept)
+	for _, i := range neighbors {
+		n.kept[i.ID] = true
+		if len(n.conns[i.ID]) == 0 && i.PeerAddress != "" {
+			n.dial(i.PeerAddress, i.ID)
+		}
 	}
 }
 
-// Send queues a frame on the newest connection to an instance. Without one the frame is lost and a
-// connection is tried.
+func (n *Net) isKept(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.kept[id]
+}
+
+// Send queues a frame on the newest connection to an instance. Without one, a connection is opened and the frame
+// waits for it; it is lost if that fails.
 func (n *Net) Send(to string, f wire.Frame) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -108,9 +137,14 @@
 		list[len(list)-1].queue(f)
 		return
 	}
-	if i, ok := n.known[to]; ok {
-		n.dial(i.PeerAddress, to)
+	i, ok := n.known[to]
+	if !ok || i.PeerAddress == "" {
+		return
 	}
+	if len(n.pending[to]) < maxPending {
+		n.pending[to] = append(n.pending[to], f)
+	}
+	n.dial(i.PeerAddress, to)
 }
 
 // Wait returns when all goroutines have ended, after the context did.
@@ -128,6 +162,9 @@
 		n.keepDialing(address, id)
 		n.mu.Lock()
 		delete(n.dialing, address)
+		if len(n.conns[id]) == 0 {
+			delete(n.pending, id)
+		}
 		n.mu.Unlock()
 	})
 }
@@ -153,6 +190,10 @@
 	n.mu.Lock()
 	n.conns[c.info.ID] = append(n.conns[c.info.ID], c)
 	n.known[c.info.ID] = c.info
+	for _, f := range n.pending[c.info.ID] {
+		c.queue(f)
+	}
+	delete(n.pending, c.info.ID)
 	n.mu.Unlock()
 	n.handler.Connected(c.info)
 }
--- a/plantainlane/peer/net_test.go
+++ b/plantainlane/peer/net_test.go
@@ -61,7 +61,7 @@
 func newEnd(t *testing.T, id string) *end {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	timing := Timing{Heartbeat: 20 * time.Millisecond, SilentAfter: 200 * time.Millisecond, Redial: 10 * time.Millisecond}
+	timing := Timing{Heartbeat: 20 * time.Millisecond, SilentAfter: 200 * time.Millisecond, Redial: 10 * time.Millisecond, Unused: time.Minute}
 	e := &end{in: newInbox()}
 	e.net = New(ctx, wire.InstanceInfo{ID: id, Incarnation: 1}, secret, timing, e.in, &clock{})
 	e.server = httptest.NewServer(e.net)
@@ -96,7 +96,7 @@
 			is.Equal(await(t, a.in.lost, "loss at the client"), "b")
 			is.Equal(await(t, b.in.lost, "loss at the server"), "a")
 
-			a.net.Know(wire.InstanceInfo{ID: "b", PeerAddress: r.address})
+			a.net.Keep([]wire.InstanceInfo{{ID: "b", PeerAddress: r.address}})
 			is.Equal(await(t, a.in.connected, "new connection"), "b")
 			a.net.Send("b", wire.Frame{Call: 7, Drain: &wire.DrainOrder{Instance: "b"}})
 			f := await(t, b.in.frames, "frame")
@@ -106,6 +106,26 @@
 	}
 }
 
+func TestFrameWaitsForItsConnection(t *testing.T) {
+	is := is.New(t)
+	a, b := newEnd(t, "a"), newEnd(t, "b")
+	a.net.Know(wire.InstanceInfo{ID: "b", PeerAddress: b.address()})
+	a.net.Send("b", wire.Frame{Call: 7, Drain: &wire.DrainOrder{}})
+	is.Equal(await(t, b.in.frames, "frame").Call, 7)
+}
+
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	is := is.New(t)
+	a, b := newEnd(t, "a"), newEnd(t, "b")
+	a.net.timing.Unused = 0
+	a.net.Keep([]wire.InstanceInfo{{ID: "b", PeerAddress: b.address()}})
+	await(t, a.in.connected, "connection")
+	await(t, b.in.connected, "connection")
+	a.net.Keep(nil)
+	is.Equal(await(t, a.in.lost, "loss"), "b")
+	is.Equal(await(t, b.in.lost, "loss"), "a")
+}
+
 func TestFramesArriveOnceInOrder(t *testing.T) {
 	is := is.New(t)
 	a, b := newEnd(t, "a"), newEnd(t, "b")
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -3,10 +3,8 @@
 package roster
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"plantainlane/plantainlane/table"
@@ -25,9 +23,6 @@
 // MaxTTL bounds an announcement's time to live.
 const MaxTTL = 5 * time.Minute
 
-// buckets is the number of parts that two instances compare in a digest.
-const buckets = 64
-
 // Row is what is known of one upstream.
 type Row struct {
 	// Announcement is the newest one. Its (Incarnation, Sequence) never falls while the row lives.
@@ -54,8 +49,10 @@
 
 // Roster is the upstreams one instance knows. It is used by one goroutine.
 type Roster struct {
-	view    View
-	hashes  [buckets]uint64
+	view   View
+	hashes [buckets]uint64
+	// changed holds the upstreams announced here since the last TakeChanged, and whether only their load
+	// changed.
 	changed map[string]bool
 	fresh   []wire.Announcement
 }
@@ -80,8 +77,12 @@
 	if ok && !newer(a, old.Announcement) {
 		return errors.Wrapf(ErrStale, "upstream %s has %d.%d", a.ID, old.Announcement.Incarnation, old.Announcement.Sequence)
 	}
+	onlyLoad := ok && !old.Lapsed && isRenewal(a, old.Announcement)
+	if before, pending := r.changed[a.ID]; pending {
+		onlyLoad = onlyLoad && before
+	}
 	r.put(&Row{Announcement: a, Until: now.Add(ttl(a)), Credential: credential})
-	r.changed[a.ID] = true
+	r.changed[a.ID] = onlyLoad
 	return nil
 }
 
@@ -97,9 +98,9 @@
 	return r.Announce(a, credential, now)
 }
 
-// Merge takes announcements from another instance and returns the IDs that were news.
-func (r *Roster) Merge(list []wire.Announcement, now time.Time) []string {
-	var news []string
+// Merge takes announcements from another instance and returns those that were news: the ones that changed more
+// than load, and renewals.
+func (r *Roster) Merge(list []wire.Announcement, now time.Time) (changed, renewed []wire.Announcement) {
 	for _, a := range list {
 		old, ok := r.view.Rows.Get(a.ID)
 		if ok && !newer(a, old.Announcement) {
@@ -110,30 +111,32 @@
 			row.Credential = old.Credential
 		}
 		r.put(row)
-		news = append(news, a.ID)
+		if ok && !old.Lapsed && isRenewal(a, old.Announcement) {
+			renewed = append(renewed, a)
+		} else {
+			changed = append(changed, a)
+		}
 	}
-	return news
+	return changed, renewed
 }
 
-// Expire marks rows whose time to live is over as lapsed and drops those that lapsed long ago. It returns
-// the IDs of the upstreams that lapsed.
-func (r *Roster) Expire(now time.Time) []string {
-	var lapsed, old []string
+// Expire marks rows whose time to live is over as lapsed and drops those that lapsed long ago. Rows for which
+// keep returns true don't lapse by themselves. It returns the announcements of the upstreams that lapsed.
+func (r *Roster) Expire(now time.Time, keep func(wire.Announcement) bool) []wire.Announcement {
+	var lapsed []wire.Announcement
+	var old []string
 	for id, row := range r.view.Rows.All() {
 		switch {
 		case now.Before(row.Until):
-		case !row.Lapsed:
-			lapsed = append(lapsed, id)
-		case now.Sub(row.Until) > rememberLapsed:
+		case row.Lapsed && now.Sub(row.Until) > rememberLapsed:
 			old = append(old, id)
+		case !row.Lapsed && !keep(row.Announcement):
+			lapsed = append(lapsed, row.Announcement)
 		}
 	}
-	for _, id := range lapsed {
-		row, _ := r.view.Rows.Get(id)
-		r.toggle(row.Announcement)
-		gone := *row
-		gone.Lapsed = true
-		r.view.Rows = r.view.Rows.With(id, &gone)
+	for _, a := range lapsed {
+		row, _ := r.view.Rows.Get(a.ID)
+		r.lapse(a.ID, row)
 	}
 	for _, id := range old {
 		r.view.Rows = r.view.Rows.Without(id)
@@ -141,16 +144,28 @@
 	return lapsed
 }
 
-// TakeChanged returns the announcements that were made here since the last call.
-func (r *Roster) TakeChanged() []wire.Announcement {
-	out := make([]wire.Announcement, 0, len(r.changed))
-	for id := range r.changed {
-		if row, ok := r.view.Rows.Get(id); ok {
-			out = append(out, row.Announcement)
+func (r *Roster) lapse(id string, row *Row) {
+	r.toggle(row.Announcement)
+	gone := *row
+	gone.Lapsed = true
+	r.view.Rows = r.view.Rows.With(id, &gone)
+}
+
+// TakeChanged returns the announcements that were made here since the last call: those that changed more
+// than load, and renewals.
+func (r *Roster) TakeChanged() (changed, renewed []wire.Announcement) {
+	for id, onlyLoad := range r.changed {
+		row, ok := r.view.Rows.Get(id)
+		switch {
+		case !ok:
+		case onlyLoad:
+			renewed = append(renewed, row.Announcement)
+		default:
+			changed = append(changed, row.Announcement)
 		}
 	}
 	clear(r.changed)
-	return out
+	return changed, renewed
 }
 
 // TakeFresh returns the announcements that came from anywhere since the last call.
@@ -160,57 +175,18 @@
 	return out
 }
 
-// Digest returns a hash of each bucket.
-func (r *Roster) Digest() []int {
-	out := make([]int, buckets)
-	for i, h := range r.hashes {
-		out[i] = int(h)
-	}
-	return out
-}
-
-// Differing returns the announcements of the buckets in which another instance's digest differs. A digest
-// of another length differs in all.
-func (r *Roster) Differing(digest []int) []wire.Announcement {
-	own := r.Digest()
-	var out []wire.Announcement
-	for id, row := range r.view.Rows.All() {
-		b := bucketOf(id)
-		if row.Lapsed {
-			continue
-		}
-		if len(digest) != buckets || digest[b] != own[b] {
-			out = append(out, row.Announcement)
-		}
-	}
-	return out
-}
-
 func (r *Roster) put(row *Row) {
-	if old, ok := r.view.Rows.Get(row.Announcement.ID); ok && !old.Lapsed {
-		r.toggle(old.Announcement)
+	old, ok := r.view.Rows.Get(row.Announcement.ID)
+	if !ok || old.Lapsed || !isRenewal(row.Announcement, old.Announcement) {
+		if ok && !old.Lapsed {
+			r.toggle(old.Announcement)
+		}
+		r.toggle(row.Announcement)
 	}
-	r.toggle(row.Announcement)
 	r.view.Rows = r.view.Rows.With(row.Announcement.ID, row)
 	r.fresh = append(r.fresh, row.Announcement)
 }
 
-// toggle adds an announcement to its bucket's hash, or takes it out again.
-func (r *Roster) toggle(a wire.Announcement) {
-	var d xxhash.Digest
-	d.ResetWithSeed(0)
-	_, _ = d.WriteString(a.ID)
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], uint64(a.Incarnation))
-	binary.LittleEndian.PutUint64(b[8:], uint64(a.Sequence))
-	_, _ = d.Write(b[:])
-	r.hashes[bucketOf(a.ID)] ^= d.Sum64()
-}
-
-func bucketOf(id string) int {
-	return int(xxhash.Sum64String(id) % buckets)
-}
-
 func newer(a, b wire.Announcement) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
--- a/plantainlane/roster/roster_test.go
+++ b/plantainlane/roster/roster_test.go
@@ -47,11 +47,17 @@
 	is.NoErr(r.Announce(announcement(2, 5, false), "c", start))
 	is.NoErr(r.Leave("u", "c", 2, 6, start))
 	is.True(errors.Is(r.Announce(announcement(2, 5, false), "c", start), ErrStale))
-	is.Equal(len(r.Merge([]wire.Announcement{announcement(2, 5, false)}, start)), 0)
+	merge := func(now time.Time, list ...wire.Announcement) int {
+		changed, renewed := r.Merge(list, now)
+		return len(changed) + len(renewed)
+	}
+	is.Equal(merge(start, announcement(2, 5, false)), 0)
 
 	later := start.Add(4 * time.Second)
-	is.Equal(r.Expire(later), []string{"u"})
-	is.Equal(len(r.Merge([]wire.Announcement{announcement(2, 6, true), announcement(2, 3, false)}, later)), 0)
+	keepNone := func(wire.Announcement) bool { return false }
+	is.Equal(len(r.Expire(later, func(wire.Announcement) bool { return true })), 0)
+	is.Equal(len(r.Expire(later, keepNone)), 1)
+	is.Equal(merge(later, announcement(2, 6, true), announcement(2, 3, false)), 0)
 	row, _ := r.View().Rows.Get("u")
 	is.True(!row.Usable())
 	is.NoErr(r.Announce(announcement(3, 1, false), "c", later))
@@ -70,6 +76,7 @@
 			r = b
 		}
 		an := announcement(1, i, false)
+		an.Capacity = i
 		an.ID = strconv.Itoa(random.IntN(500))
 		_ = r.Announce(an, "c", start)
 	}
@@ -83,3 +90,47 @@
 	}
 	is.Equal(len(a.Differing(b.Digest())), 0)
 }
+
+func TestRenewalsKeepUpstreamsAlive(t *testing.T) {
+	is := is.New(t)
+	a, b := New(), New()
+	first := announcement(1, 1, false)
+	is.NoErr(a.Announce(first, "c", start))
+	changed, renewed := a.TakeChanged()
+	is.Equal(len(changed), 1)
+	is.Equal(len(renewed), 0)
+	b.Merge(changed, start)
+
+	later := start.Add(2 * time.Second)
+	loaded := announcement(1, 2, false)
+	loaded.Load.InFlight = 5
+	is.NoErr(a.Announce(loaded, "c", later))
+	changed, renewed = a.TakeChanged()
+	is.Equal(len(changed), 0)
+	is.Equal(len(renewed), 1)
+	is.Equal(a.Digest(), b.Digest()) // a renewal is no difference
+
+	news, unknown := b.Renew(*Renewals(renewed), later)
+	is.Equal(len(news), 1)
+	is.Equal(len(unknown), 0)
+	row, _ := b.View().Rows.Get("u")
+	is.Equal(row.Announcement.Load.InFlight, 5)
+	is.Equal(row.Until, later.Add(3*time.Second))
+
+	news, _ = b.Renew(*Renewals(renewed), later.Add(time.Second)) // repeated
+	is.Equal(len(news), 0)
+	_, unknown = New().Renew(*Renewals(renewed), later)
+	is.Equal(unknown, []string{"u"})
+	broken := Renewals(renewed)
+	broken.Sequences = nil
+	news, unknown = b.Renew(*broken, later)
+	is.Equal(len(news)+len(unknown), 0)
+}
+
+func TestLapseElsewhereYieldsToNewerWord(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	is.NoErr(r.Announce(announcement(1, 5, false), "c", start))
+	is.Equal(len(r.Lapse([]wire.UpstreamLapse{{ID: "u", Incarnation: 1, Sequence: 4}})), 0)
+	is.Equal(len(r.Lapse([]wire.UpstreamLapse{{ID: "u", Incarnation: 1, Sequence: 5}})), 1)
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -1413,6 +1413,16 @@
 type UpstreamDelta struct {
 	// Announcements.
 	Announcements []Announcement `json:"announcements" cbor:"announcements"`
+
+	// Upstreams of the sender's availability zone that lapsed.
+	Lapsed []UpstreamLapse `json:"lapsed,omitempty,omitzero" cbor:"lapsed,omitempty"`
+
+	// Renewals.
+	Renewals *UpstreamRenewals `json:"renewals,omitempty,omitzero" cbor:"renewals,omitempty"`
+
+	// Upstreams whose announcement the sender asks for, since their renewal is
+	// overdue.
+	Wanted []string `json:"wanted,omitempty,omitzero" cbor:"wanted,omitempty"`
 }
 
 // UpstreamDigest compares what two instances know of upstreams.
@@ -1424,6 +1434,19 @@
 	Buckets []int `json:"buckets" cbor:"buckets"`
 }
 
+// UpstreamLapse tells that an upstream was not renewed in time in its own
+// availability zone.
+type UpstreamLapse struct {
+	// Upstream ID.
+	ID string `json:"id" cbor:"id"`
+
+	// Incarnation.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Newest sequence that was known.
+	Sequence int `json:"sequence" cbor:"sequence"`
+}
+
 // UpstreamLoad is an upstream's own report of its load.
 type UpstreamLoad struct {
 	// Free KV cache blocks of an engine.
@@ -1468,6 +1491,31 @@
 	SilentAfterMs int `json:"silentAfterMs" cbor:"silentAfterMs"`
 }
 
+// UpstreamRenewals carries renewals that change nothing but load, one list a
+// field, all of one length.
+type UpstreamRenewals struct {
+	// Newest prefix cache events.
+	CacheSequences []int `json:"cacheSequences" cbor:"cacheSequences"`
+
+	// Free KV cache blocks.
+	FreeBlocks []int `json:"freeBlocks" cbor:"freeBlocks"`
+
+	// Upstream IDs.
+	Ids []string `json:"ids" cbor:"ids"`
+
+	// Calls being worked on.
+	InFlight []int `json:"inFlight" cbor:"inFlight"`
+
+	// Incarnations.
+	Incarnations []int `json:"incarnations" cbor:"incarnations"`
+
+	// Calls waiting.
+	Queued []int `json:"queued" cbor:"queued"`
+
+	// Sequences.
+	Sequences []int `json:"sequences" cbor:"sequences"`
+}
+
 // UpstreamStatus is an upstream's row in the operators' status.
 type UpstreamStatus struct {
 	// Newest announcement.
