limit: let the first request at a quiet instance wait for its share

Cause: a request at an instance without traffic was refused with 429 at once, since the wait was reckoned from the small share that such an instance holds (a token in 20 s of a contract of 5 a second), though its arrival raises the share within one round of grants. The demonstration failed by it at times.

Change: where the share is under half the contract's rate and yields a token later than the next round, the request waits for that round, which is asked for at once.

The new test is refused without the change and admitted within a second with it.

--- a/demo.sh
+++ b/demo.sh
@@ -50,7 +50,7 @@
 request() {
   curl -fsS -H 'Authorization: Bearer demo-caller' -H 'Content-Type: application/json' "$@"
 }
-until_ok request -d '{"input":"warm-up"}' 127.0.0.1:7121/v1/workspaces/hostel/pipelines/guide/requests
+until_ok request -d '{"input":"warm-up"}' 127.0.0.1:7131/v1/workspaces/hostel/pipelines/guide/requests
 answer=$(request -d '{"input":"at the pharmacy"}' 127.0.0.1:7131/v1/workspaces/hostel/pipelines/guide/requests)
 echo "$answer"
 id=$(sed -E 's/.*"requestId":"([^"]+)".*/\1/' <<<"$answer")
--- a/plantainlane/limit/limiter_test.go
+++ b/plantainlane/limit/limiter_test.go
@@ -308,3 +308,32 @@
 		}
 	})
 }
+
+// TestFirstRequestAtAQuietInstance has the share of an instance without traffic, which yields a token in 20 s, and
+// expects the request to wait for the next grants.
+func TestFirstRequestAtAQuietInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		c := contract("w")
+		c.Rate = wire.Rate{PerSecond: 5, Burst: 5}
+		l := New(start)
+		l.SetContracts(start, []wire.Contract{c})
+		grant := func(perSecond float64) {
+			g := whole1(c)
+			g.Requests.PerSecond = perSecond
+			r := l.Request(time.Now(), "leader", "i", 1)
+			l.Grant(time.Now(), wire.GrantAnswer{Sequence: r.Sequence, DurationMs: 9000, Grants: []wire.Grant{g}})
+		}
+		grant(0.05)
+		go func() {
+			<-l.Wanted()
+			time.Sleep(100 * time.Millisecond)
+			grant(4)
+		}()
+		ask := Ask{Workspace: "w", Deadline: start.Add(3 * time.Second), Needs: 100 * time.Millisecond}
+		_, err := l.Admit(t.Context(), start, ask)
+		is.NoErr(err)
+		is.True(time.Since(start) < time.Second)
+	})
+}
--- a/plantainlane/limit/room.go
+++ b/plantainlane/limit/room.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,8 @@
 )
 
 const (
+	// underfedShare is the part of a contract's rate below which a share is taken to grow with demand.
+	underfedShare = 0.5
 	// maxWait bounds how long a request waits for its workspace's share.
 	maxWait = 2 * time.Second
 	// maxWaiting bounds how many requests of a workspace wait on one instance.
@@ -79,12 +82,22 @@
 	if errors.Is(reason, ErrBudget) {
 		return Ticket{}, refuse(reason, w.retryAfter(reason))
 	}
-	if errors.Is(reason, ErrNoGrant) {
+	if errors.Is(reason, ErrNoGrant) || w.isUnderfed(reason) {
 		l.want()
 	}
 	return w.room.wait(ctx, now, a, reason)
 }
 
+// isUnderfed tells whether the next round of grants is likely to help sooner than the share held: the share is
+// that of an instance without traffic, and the contract allows more.
+func (w *workspace) isUnderfed(reason error) bool {
+	if !errors.Is(reason, ErrRate) || w.retryAfter(reason) <= grantWait {
+		return false
+	}
+	held := math.Float64frombits(w.requests.rate.Load()) / milli
+	return held < underfedShare*w.contract.Load().Rate.PerSecond
+}
+
 // wait queues the request until it is admitted, its latest start has passed, or the caller leaves.
 func (r *room) wait(ctx context.Context, now time.Time, a Ask, reason error) (Ticket, error) {
 	w := &waiter{ask: a, latest: a.Deadline.Add(-a.Needs), admitted: make(chan struct{})}
@@ -92,6 +105,9 @@
 		w.latest = limit
 	}
 	expected := r.workspace.retryAfter(reason) + r.backlog()
+	if r.workspace.isUnderfed(reason) {
+		expected = grantWait
+	}
 	if now.Add(expected).After(w.latest) {
 		return Ticket{}, refuse(reason, expected)
 	}
