order: raise replicas by demand

A model whose engines stay over 0.8 of their capacity for 10 s gets one replica more, up to twice the declared ones; it goes after 2 minutes of little use. Faster lowering was ruled out: each load takes from the weight store.

--- a/plantainlane/control/orders.go
+++ b/plantainlane/control/orders.go
@@ -33,6 +33,7 @@
 type orders struct {
 	newPlanner func() *order.Planner
 	planner    *order.Planner
+	demand     order.Demand
 	term       int
 	fencing    int
 	asked      <-chan wire.ProposeAnswer
@@ -78,8 +79,10 @@
 		o.leaseUntil = fresh.Add(order.DefaultTiming().Lease)
 	}
 	c.takeFencing()
+	models := c.state.Config.Shared().Models
 	a := o.planner.Step(c.now, order.Tables{
-		Models: c.state.Config.Shared().Models, Engines: c.engines(), Fencing: o.fencing, LeaseUntil: o.leaseUntil,
+		Models: models, Engines: c.engines(), Fencing: o.fencing, LeaseUntil: o.leaseUntil,
+		Demand: o.demand.Step(c.now, models, c.engines()),
 	}, o.inbox)
 	o.inbox = nil
 	if a.NeedFencing && o.asked == nil {
