--- a/plantainctl/command/status.go
+++ b/plantainctl/command/status.go
@@ -69,7 +69,10 @@
 		a := u.Announcement
 		t.row(a.ID, a.Service, a.Zone, a.Address, strconv.Itoa(a.Load.InFlight), strconv.Itoa(a.Load.Queued), upstreamState(u))
 	}
-	return t.end()
+	if err := t.end(); err != nil {
+		return err
+	}
+	return printEngines(w, s.Upstreams)
 }
 
 func upstreamState(u wire.UpstreamStatus) string {
--- a/plantainlane/engine/view.go
+++ b/plantainlane/engine/view.go
@@ -249,10 +249,12 @@
 
 // Stats describes an index.
 type Stats struct {
-	// Engines known, and those whose view is uncertain.
-	Engines, Uncertain int
+	// Engines known.
+	Engines int `json:"engines"`
+	// Uncertain engines are those whose events have a gap since the last resync.
+	Uncertain int `json:"uncertain"`
 	// Blocks known over all engines.
-	Blocks int
+	Blocks int `json:"blocks"`
 }
 
 // Stats counts engines and blocks.
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"time"
 
@@ -114,6 +115,7 @@
 // taken.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
+	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
 }
 
 // View returns the newest control state.
