limit: leave a share over for instances that have none yet

Cause: the first instance to ask for a share of a new contract got all of it.

Ruled out: the limiter's waiting (the request waited its 2 s) and the leader's confirmation (grants reached it each round).

Change: of a contract with at least four requests at once for each holder, shares for up to two more instances are left over. Shares are asked for at once when the configuration changes.

The new test, in which the leader asks first, fails without the change.

--- a/demo.sh
+++ b/demo.sh
@@ -48,7 +48,7 @@
 
 echo '== run a request'
 request() {
-  curl -fsS -H 'Authorization: Bearer demo-caller' -H 'Content-Type: application/json' "$@"
+  curl --fail-with-body -sS -H 'Authorization: Bearer demo-caller' -H 'Content-Type: application/json' "$@"
 }
 until_ok request -d '{"input":"warm-up"}' 127.0.0.1:7131/v1/workspaces/hostel/pipelines/guide/requests
 answer=$(request -d '{"input":"at the pharmacy"}' 127.0.0.1:7131/v1/workspaces/hostel/pipelines/guide/requests)
--- a/plantainlane/control/grants.go
+++ b/plantainlane/control/grants.go
@@ -35,6 +35,7 @@
 	if g.revision != c.config.Revision {
 		g.revision = c.config.Revision
 		g.limiter.SetContracts(c.now, c.config.Declarations().Contracts)
+		g.asked = time.Time{}
 	}
 	due := c.timing.GrantInterval
 	select {
@@ -73,6 +74,7 @@
 		}
 		l.grants = limit.NewLedger(c.now, ids...)
 	}
+	l.grants.SetInstances(len(l.rows))
 	if l.grantsRevision != c.state.Config.Revision {
 		l.grantsRevision = c.state.Config.Revision
 		l.grants.SetContracts(c.now, c.state.Config.Declarations().Contracts, func(contract *wire.Contract) float64 {
--- a/plantainlane/control/grants_test.go
+++ b/plantainlane/control/grants_test.go
@@ -80,14 +80,27 @@
 	return admitted
 }
 
-func TestGrantsReachInstancesAndFollowDemand(t *testing.T) {
-	is := is.New(t)
-	s := newGrantSite(wire.Contract{
-		Workspace: "w", Rate: wire.Rate{PerSecond: 40, Burst: 10}, Concurrency: 10,
+func grantContract(perSecond, burst float64, concurrency int) wire.Contract {
+	return wire.Contract{
+		Workspace: "w", Rate: wire.Rate{PerSecond: perSecond, Burst: burst}, Concurrency: concurrency,
 		Tokens: wire.Rate{PerSecond: 1000, Burst: 1000}, DefaultDeadlineMs: 1000, MaxDeadlineMs: 1000,
 		MaxBodyBytes: 1000, MaxResultBytes: 1000, Pipelines: []string{"p"}, Budget: wire.Budget{PeriodHours: 1},
 		Keys: []wire.ContractKey{{ID: "k", Sha256: strings.Repeat("0", 64)}},
-	}, "a", "b", "c")
+	}
+}
+
+// TestSecondInstanceNeedNotWaitForTheFirst has the leader ask for its share of a new contract first.
+func TestSecondInstanceNeedNotWaitForTheFirst(t *testing.T) {
+	is := is.New(t)
+	s := newGrantSite(grantContract(50, 100, 50), "a", "b", "c")
+	s.run(1200 * time.Millisecond)
+	is.True(s.admits("b", 500*time.Millisecond) > 0)
+	is.True(s.admits("c", 500*time.Millisecond) > 0)
+}
+
+func TestGrantsReachInstancesAndFollowDemand(t *testing.T) {
+	is := is.New(t)
+	s := newGrantSite(grantContract(40, 10, 10), "a", "b", "c")
 	s.run(2 * time.Second)
 	s.admits("b", 4*time.Second)
 	is.True(s.admits("b", 5*time.Second) >= 5*30)
--- a/plantainlane/limit/ledger.go
+++ b/plantainlane/limit/ledger.go
@@ -16,6 +16,10 @@
 	askingBound = 3 * time.Second
 	// rememberRequests is the time after which a request is too old to still arrive.
 	rememberRequests = 10 * time.Minute
+	// maxNewcomers is the number of instances that a share is left over for.
+	maxNewcomers = 2
+	// splitFor is the number of requests at once for each holder from which a share is left over.
+	splitFor = 4
 )
 
 // Ledger is the leader's record of the grants that may be in use. It belongs to one goroutine, and must only
@@ -26,8 +30,10 @@
 	// they hold, but get no more.
 	settled time.Time
 	// unheard are the instances that may hold grants of an earlier leader and did not report them yet.
-	unheard  map[string]bool
-	accounts map[string]*account
+	unheard map[string]bool
+	// instances is the number of instances that may ask.
+	instances int
+	accounts  map[string]*account
 	// newest is the newest request of each start of an instance.
 	newest map[holderKey]request
 }
@@ -81,6 +87,11 @@
 	return l
 }
 
+// SetInstances tells how many instances may ask for shares.
+func (l *Ledger) SetInstances(n int) {
+	l.instances = n
+}
+
 // SetContracts replaces the contracts. Used returns the cost units used in the budget's period so far; it is
 // asked for workspaces that are new to the Ledger.
 func (l *Ledger) SetContracts(now time.Time, contracts []wire.Contract, used func(c *wire.Contract) float64) {
@@ -133,7 +144,7 @@
 		asked[d.Workspace] = true
 		a.prune(now)
 		h := a.ask(now, key, d, r, l.isSettled(now))
-		g := a.share(now, key, h, l.isSettled(now))
+		g := a.share(now, key, h, l.isSettled(now), l.instances)
 		g.Revision = revision
 		h.grants = append(h.grants, outstanding{r.Sequence, g, now.Add(l.duration)})
 		answer.Grants = append(answer.Grants, g)
@@ -200,7 +211,7 @@
 }
 
 // share is the grant for a holder. Until grants of earlier leaders have ended it is what the holder has.
-func (a *account) share(now time.Time, key holderKey, h *holder, settled bool) wire.Grant {
+func (a *account) share(now time.Time, key holderKey, h *holder, settled bool, instances int) wire.Grant {
 	if !settled {
 		g := h.outstanding()
 		g.Workspace = a.contract.Workspace
@@ -220,9 +231,22 @@
 		}
 		demands = append(demands, Demand{GrantDemand: other.demand, Outstanding: other.inUse()})
 	}
+	for range a.newcomers(instances, len(demands)) {
+		demands = append(demands, Demand{})
+	}
 	return Divide(now, a.contract, demands, position, reserved, a.contract.Budget.Units-a.used)
 }
 
+// newcomers is the number of instances without a share for which one is left over, so that the first request
+// there need not wait until the others have given some of theirs up. A contract with little to split leaves none.
+func (a *account) newcomers(instances, holders int) int {
+	n := min(instances-holders, maxNewcomers)
+	if float64(a.contract.Concurrency) < float64(splitFor*(holders+n)) || a.contract.Rate.Burst < float64(splitFor*(holders+n)) {
+		return 0
+	}
+	return max(n, 0)
+}
+
 func sortedKeys(holders map[holderKey]*holder) []holderKey {
 	return slices.SortedFunc(maps.Keys(holders), func(a, b holderKey) int {
 		return cmp.Or(cmp.Compare(a.instance, b.instance), cmp.Compare(a.incarnation, b.incarnation))
