--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -11,11 +11,12 @@
 
 sha() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
 
-# settings N DISKS COUNT writes the settings of instance N, with a data folder if N is at most DISKS.
+# settings N DISKS COUNT writes the settings of instance N, with a data folder if N is at most DISKS. The first
+# one joins nobody: it starts the control log.
 settings() {
   local n=$1 disks=$2 count=$3 join='' folder='' i
   for i in $(seq "$count"); do
-    [ "$i" = "$n" ] || join+="\"127.0.0.1:75${i}4\","
+    [ "$n" = 1 ] || [ "$i" = "$n" ] || join+="\"127.0.0.1:75${i}4\","
   done
   [ "$n" -gt "$disks" ] || folder="\"data\": {\"folder\": \"$data/instance-$n\"},"
   cat <<EOF
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -15,7 +15,7 @@
 
 run() {
   local name=$1 status=0
-  instances=3 disks=3 declarations=bench/declarations.jsonc flags=(--compare)
+  instances=3 disks=${BENCH_DISKS:-3} declarations=bench/declarations.jsonc flags=(${BENCH_FLAGS---compare})
   on_mark() { echo "bench: nothing to do at mark $*"; }
   . "bench/experiments/$name.sh"
   start_instances "$instances" "$disks" && apply "$declarations" && fakes && await_fakes || { stop_all; return 1; }
