--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -106,9 +106,9 @@
 // send sends a request once and notes the outcome. It returns an error if no whole HTTP answer came.
 func (c *Caller) send(ctx context.Context, req *Request, entry string, arrival time.Time, lose bool, out *Outcome) error {
 	out.Result, out.Status = Lost, 0
-	if lose {
+	if bound := sendBound(req, lose); bound > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(req.Flow.LostAfterMs)*time.Millisecond)
+		ctx, cancel = context.WithTimeout(ctx, bound)
 		defer cancel()
 	}
 	r, err := newCallerRequest(ctx, req, entry, arrival)
@@ -134,6 +134,15 @@
 	return readWhole(resp.Body, req, out)
 }
 
+// sendBound returns how long the client waits for an answer to one send, 0 for no bound of its own.
+func sendBound(req *Request, lose bool) time.Duration {
+	ms := req.Flow.SendTimeoutMs
+	if lose {
+		ms = req.Flow.LostAfterMs
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func newCallerRequest(ctx context.Context, req *Request, entry string, arrival time.Time) (*http.Request, error) {
 	left := max(int(time.Until(arrival.Add(req.Deadline())).Milliseconds()), 1)
 	if !req.Idempotent {
--- a/standin/report/build.go
+++ b/standin/report/build.go
@@ -35,14 +35,9 @@
 	for _, w := range s.Workspaces {
 		tallies[w.Name] = newTally(w.Name)
 	}
-	rep.Seconds = make([]Second, (s.DurationMs+999)/1000)
+	rep.Seconds = seconds(r)
 	for i, req := range r.Schedule {
 		o := &r.Outcomes[i]
-		second := &rep.Seconds[min(int(req.Arrival/time.Second), len(rep.Seconds)-1)]
-		second.Offered++
-		if o.Result == load.Whole {
-			second.Whole++
-		}
 		if inWindow(rep.Measured, req.Arrival) {
 			overall.add(o)
 			tallies[req.Workspace].add(o)
@@ -64,6 +59,23 @@
 	return rep
 }
 
+// seconds counts requests by the second of their arrival.
+func seconds(r Run) []Second {
+	out := make([]Second, (r.Scenario.DurationMs+999)/1000)
+	tallies := make([]*tally, len(out))
+	for i := range tallies {
+		tallies[i] = newTally("")
+	}
+	for i, req := range r.Schedule {
+		tallies[min(int(req.Arrival/time.Second), len(out)-1)].add(&r.Outcomes[i])
+	}
+	for i, t := range tallies {
+		q := quantiles(t.latency)
+		out[i] = Second{Offered: t.group.Offered, Whole: t.group.Whole, P50Ms: q.P50, P99Ms: q.P99}
+	}
+	return out
+}
+
 // ledgerCost returns the ledgers' cost alone.
 func ledgerCost(l Ledgers) []CostLine {
 	lines := []CostLine{}
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -70,6 +70,9 @@
 type Second struct {
 	Offered int `json:"offered"`
 	Whole   int `json:"whole"`
+	// P50Ms and P99Ms are the latency of whole and late answers.
+	P50Ms float64 `json:"p50Ms"`
+	P99Ms float64 `json:"p99Ms"`
 }
 
 // Executions compares what callers were told with what fakes ran.
--- a/standin/report/text.go
+++ b/standin/report/text.go
@@ -22,6 +22,11 @@
 		fmt.Fprintf(t, " %.3f", ratio(float64(s.Whole), float64(s.Offered)))
 	}
 	fmt.Fprintln(t)
+	fmt.Fprint(t, "median ms by second:")
+	for _, s := range r.Seconds {
+		fmt.Fprintf(t, " %.0f", s.P50Ms)
+	}
+	fmt.Fprintln(t)
 	writeVerdicts(t, r.Verdicts)
 	return t.Flush()
 }
--- a/standin/scenario/read.go
+++ b/standin/scenario/read.go
@@ -131,6 +131,7 @@
 		fmt.Sprintf("more than 0, at most %d", maxPerSecond), f.PerSecond)
 	c.check(f.DeadlineMs > 0 && f.DeadlineMs <= maxDurationMs, path+".deadlineMs",
 		fmt.Sprintf("1 to %d", maxDurationMs), f.DeadlineMs)
+	c.check(f.SendTimeoutMs >= 0, path+".sendTimeoutMs", "0 or more", f.SendTimeoutMs)
 	c.check(f.Sends >= 1 && f.Sends <= maxSends, path+".sends", fmt.Sprintf("1 to %d", maxSends), f.Sends)
 	c.check(f.LostAnswerShare >= 0 && f.LostAnswerShare <= 1, path+".lostAnswerShare", "0 to 1", f.LostAnswerShare)
 	for i, p := range f.Phases {
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -71,6 +71,9 @@
 	LostAnswerShare float64 `json:"lostAnswerShare"`
 	// LostAfterMs is when the connection of such a request is closed.
 	LostAfterMs int `json:"lostAfterMs"`
+	// SendTimeoutMs is when a client gives a send up as silent and asks another entry; 0 waits for the
+	// deadline.
+	SendTimeoutMs int `json:"sendTimeoutMs"`
 	// Sends is how often a request is sent at most. Only sends whose outcome is unknown are repeated,
 	// with the same key where the pipeline is not idempotent.
 	Sends int `json:"sends"`
