--- /dev/null
+++ b/bench/experiments/impatient.sh
@@ -0,0 +1,3 @@
+fakes() {
+  start_fakes encoder encoder 10 7601 --capacity 2 --service-time 20ms --distribution constant
+}
--- a/standin/load/directory.go
+++ b/standin/load/directory.go
@@ -140,8 +140,17 @@
 	return "", false
 }
 
+// markFailed notes that an address gave no answer. Once all have failed only the last one counts, so that
+// those that answer again are tried.
 func (d *directory) markFailed(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.failed[address] = true
+	for _, e := range d.entries {
+		if !d.failed[e.Address] {
+			return
+		}
+	}
+	clear(d.failed)
+	d.failed[address] = true
 }
