scenario: check that each answer is the request's own, under faults

The load's inputs differ, and answers are compared with the stand-ins' rule, so a crossed, late or cut off answer shows. Requests with an idempotency key are sent again until they are answered whole, and the upstreams' ledger is searched for inputs that ran twice.

--- a/plantainctl/scenario/caller_test.go
+++ b/plantainctl/scenario/caller_test.go
@@ -153,19 +153,12 @@
 	return client.Do(req)
 }
 
-// executions SERVICE PATH
+// executions NAME PATH
 func executions(w *world, ts *testscript.TestScript, args []string) error {
-	if len(args) != 2 {
-		return errArguments
-	}
-	p, err := w.find(args[0])
+	ledger, err := w.ledger(args)
 	if err != nil {
 		return err
 	}
-	var ledger wire.Ledger
-	if err := getJSON(http.DefaultClient, "http://"+p.admin+"/ledger", &ledger); err != nil {
-		return err
-	}
 	n := 0
 	for _, t := range ledger.Totals {
 		if t.Path == args[1] {
@@ -176,6 +169,37 @@
 	return err
 }
 
+// doubled NAME PATH
+func doubled(w *world, ts *testscript.TestScript, args []string) error {
+	ledger, err := w.ledger(args)
+	if err != nil {
+		return err
+	}
+	n, runs := 0, map[string]int{}
+	for _, r := range ledger.Rows {
+		if r.Path != args[1] {
+			continue
+		}
+		if runs[r.Workspace+" "+r.Input]++; runs[r.Workspace+" "+r.Input] == 2 {
+			n++
+		}
+	}
+	_, err = fmt.Fprintln(ts.Stdout(), strconv.Itoa(n))
+	return err
+}
+
+func (w *world) ledger(args []string) (wire.Ledger, error) {
+	var ledger wire.Ledger
+	if len(args) != 2 {
+		return ledger, errArguments
+	}
+	p, err := w.find(args[0])
+	if err != nil {
+		return ledger, err
+	}
+	return ledger, getJSON(http.DefaultClient, "http://"+p.admin+"/ledger", &ledger)
+}
+
 // fault SERVICE FAULT
 func fault(w *world, _ *testscript.TestScript, args []string) error {
 	if len(args) != 2 {
--- a/plantainctl/scenario/load_test.go
+++ b/plantainctl/scenario/load_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -14,12 +15,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"plantainlane/standin/chain"
 	"plantainlane/wire"
 )
 
 const (
 	loadWorkers = 8
 	loadPause   = 40 * time.Millisecond
+	// loadSends is how often a request with an idempotency key is sent until its answer is whole.
+	loadSends = 3
 )
 
 // loader sends requests by several workers until it is stopped. Each worker keeps an entry answer for as
@@ -40,6 +44,7 @@
 const keptFailures = 5
 
 // load start NAME [request's options] WORKSPACE PIPELINE
+// load await NAME COUNT
 // load stop NAME
 func load(w *world, ts *testscript.TestScript, args []string) error {
 	switch {
@@ -51,12 +56,18 @@
 		l := &loader{world: w, caller: c, name: args[1], counts: map[string]int{}}
 		w.loads[args[1]] = l
 		return l.start()
+	case len(args) == 3 && args[0] == "await" && w.loads[args[1]] != nil:
+		more, err := strconv.Atoi(args[2])
+		if err != nil {
+			return err
+		}
+		return w.loads[args[1]].await(more)
 	case len(args) == 2 && args[0] == "stop" && w.loads[args[1]] != nil:
 		l := w.loads[args[1]]
 		l.stop()
-		_, err := fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d unknown=%d ran=%d broken=%d\n%s",
+		_, err := fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d unknown=%d ran=%d broken=%d foreign=%d\n%s",
 			l.counts["whole"], l.counts["notRun"], l.counts["unknown"], l.counts["ran"], l.counts["broken"],
-			strings.Join(l.failures, "\n"))
+			l.counts["foreign"], strings.Join(l.failures, "\n"))
 		return err
 	}
 	return errArguments
@@ -69,11 +80,23 @@
 	for i := range loadWorkers {
 		l.done.Go(func() { l.work(ctx, i) })
 	}
-	return await("load "+l.name, func() bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return l.counts["whole"] >= loadWorkers
-	})
+	return l.await(loadWorkers)
+}
+
+// await waits until so many more requests got an answer.
+func (l *loader) await(more int) error {
+	goal := l.answered() + more
+	return await("load "+l.name, func() bool { return l.answered() >= goal })
+}
+
+func (l *loader) answered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, c := range l.counts {
+		n += c
+	}
+	return n
 }
 
 // stop lets every worker finish its request.
@@ -101,8 +124,19 @@
 		if c.id != "" {
 			c.id = fmt.Sprintf("%s-%d-%d", c.id, worker, n)
 		}
-		kind, detail := c.outcome(client, entries[random.IntN(len(entries))].Address, l.world.model())
-		l.count(kind, detail)
+		c.input = fmt.Sprintf(`{"prompt": "%s of worker %d, number %d"}`, l.name, worker, n)
+		want, err := l.world.expected(c.pipeline, c.input)
+		if err != nil {
+			l.count("broken", err.Error())
+			return
+		}
+		for sends := 0; sends == 0 || c.id != "" && sends < loadSends; sends++ {
+			kind, detail := c.outcome(client, want, entries[random.IntN(len(entries))].Address, l.world.model())
+			l.count(kind, detail)
+			if kind == "whole" {
+				break
+			}
+		}
 		time.Sleep(loadPause)
 	}
 }
@@ -116,9 +150,9 @@
 	}
 }
 
-// outcome sends a request and returns whole, notRun, unknown or ran, or broken for an answer that was cut
-// off or never came.
-func (c caller) outcome(client *http.Client, address, model string) (kind, detail string) {
+// outcome sends a request and returns whole, notRun, unknown or ran, broken for an answer that was cut off
+// or never came, or foreign for one that isn't the request's own.
+func (c caller) outcome(client *http.Client, want chain.Output, address, model string) (kind, detail string) {
 	resp, err := c.send(context.Background(), client, address, model)
 	if err != nil {
 		return "broken", err.Error()
@@ -135,15 +169,28 @@
 		}
 		return p.Execution, p.Detail
 	}
-	if c.stream {
-		if !strings.Contains(string(body), "event: end\n") {
-			return "broken", "stream without end"
+	if _, data, found := strings.Cut(string(body), "event: problem\ndata: "); c.stream && found {
+		var p wire.Problem
+		if err := json.Unmarshal([]byte(data), &p); err != nil || p.Execution == "" {
+			return "broken", data
 		}
-		return "whole", ""
+		return p.Execution, p.Detail
+	}
+	if c.stream {
+		return judge(strings.Contains(string(body), "event: end\n"), isOwnStream(string(body), want), body)
 	}
 	var a wire.PipelineAnswer
-	if err := json.Unmarshal(body, &a); err != nil || a.Status != "complete" {
+	err = json.Unmarshal(body, &a)
+	complete := err == nil && a.Status == "complete" && a.Output != nil
+	return judge(complete, complete && isOwn(*a.Output, want), body)
+}
+
+func judge(complete, own bool, body []byte) (kind, detail string) {
+	switch {
+	case !complete:
 		return "broken", string(body)
+	case !own:
+		return "foreign", string(body)
 	}
 	return "whole", ""
 }
--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -57,6 +57,7 @@
 			"request":    word(request),
 			"load":       word(load),
 			"executions": word(executions),
+			"doubled":    word(doubled),
 			"http":       word(raw),
 		},
 	})
