--- a/plantainctl/scenario/load_test.go
+++ b/plantainctl/scenario/load_test.go
@@ -32,6 +32,7 @@
 	world  *world
 	caller caller
 	name   string
+	began  time.Time
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
@@ -41,7 +42,7 @@
 	failures []string
 }
 
-const keptFailures = 5
+const keptFailures = 20
 
 // load start NAME [request's options] WORKSPACE PIPELINE
 // load await NAME COUNT
@@ -76,7 +77,7 @@
 // start begins the load and waits until some requests were answered.
 func (l *loader) start() error {
 	ctx, cancel := context.WithCancel(context.Background())
-	l.cancel = cancel
+	l.cancel, l.began = cancel, time.Now()
 	for i := range loadWorkers {
 		l.done.Go(func() { l.work(ctx, i) })
 	}
@@ -131,8 +132,10 @@
 			return
 		}
 		for sends := 0; sends == 0 || c.id != "" && sends < loadSends; sends++ {
-			kind, detail := c.outcome(client, want, entries[random.IntN(len(entries))].Address, l.world.model())
-			l.count(kind, detail)
+			sent, entry := time.Now(), entries[random.IntN(len(entries))]
+			kind, detail := c.outcome(client, want, entry.Address, l.world.model())
+			l.count(kind, fmt.Sprintf("%s at %s from %v to %v: %s", kind, entry.Instance,
+				sent.Sub(l.began).Round(time.Millisecond), time.Since(l.began).Round(time.Millisecond), detail))
 			if kind == "whole" {
 				break
 			}
@@ -146,7 +149,7 @@
 	defer l.mu.Unlock()
 	l.counts[kind]++
 	if kind != "whole" && len(l.failures) < keptFailures {
-		l.failures = append(l.failures, kind+": "+detail)
+		l.failures = append(l.failures, detail)
 	}
 }
 
