--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -127,6 +127,7 @@
 	c.runProposals()
 	c.runQueries()
 	c.runRoster()
+	c.runRetention()
 	c.runOrders()
 	for len(c.loopback) > 0 {
 		f := c.loopback[0]
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -42,6 +42,8 @@
 	changes []waitingChange
 	// registering holds instances whose registration is under way.
 	registering map[string]int
+	// retentionAt is when old answers are dropped next.
+	retentionAt time.Time
 	// grants records what instances may be using of the contracts; nil until the first request.
 	grants *limit.Ledger
 	// grantsRevision is the revision whose contracts grants has.
--- a/plantainlane/instance/drain.go
+++ b/plantainlane/instance/drain.go
@@ -44,6 +44,7 @@
 	limit, cancel := context.WithTimeout(ctx, time.Duration(x.settings.Entry.DrainLimit))
 	defer cancel()
 	x.callers().shutdown(limit)
+	x.runner.Settle(limit)
 	x.flushCosts(limit)
 	klog.InfoS("drained")
 }
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -54,6 +54,7 @@
 	answers  *caller.Answers
 	fleet    *engine.Fleet
 	metrics  *metric.Metrics
+	runner   *pipeline.Runner
 	servers  []*server
 }
 
@@ -138,9 +139,10 @@
 func (x *Instance) listen(ctx context.Context) error {
 	l := x.settings.Listen
 	entry := x.settings.Entry
+	x.runner = x.newRunner(ctx)
 	callers := &caller.Server{
 		Views:        x,
-		Runner:       x.newRunner(ctx),
+		Runner:       x.runner,
 		Finder:       x,
 		Answers:      x.answers,
 		Metrics:      x.metrics,
@@ -205,6 +207,10 @@
 		x.reportCosts(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		x.reportLoad(ctx)
+		return nil
+	})
 	g.Go(func() error {
 		x.watchEngines(ctx)
 		return nil
--- a/plantainlane/pipeline/claim.go
+++ b/plantainlane/pipeline/claim.go
@@ -111,10 +111,10 @@
 // first the answer is given all the same and its commit goes on.
 func (x *execution) resolve(ctx context.Context, r wire.Resolution, answer *wire.PipelineAnswer) (*wire.PipelineAnswer, error) {
 	done := make(chan struct{})
-	go func() {
+	x.ending.Go(func() {
 		defer close(done)
 		x.resolveUntilCommitted(r)
-	}()
+	})
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -126,7 +126,7 @@
 }
 
 func (x *execution) resolveLater(r wire.Resolution) {
-	go x.resolveUntilCommitted(r)
+	x.ending.Go(func() { x.resolveUntilCommitted(r) })
 }
 
 // resolveUntilCommitted tries until the end of the claim is committed or this instance stops; a claim left
--- a/plantainlane/pipeline/runner.go
+++ b/plantainlane/pipeline/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,6 +66,21 @@
 	Ledger  *cost.Ledger
 	// Background outlives requests: claims are ended under it.
 	Background context.Context
+
+	ending sync.WaitGroup
+}
+
+// Settle returns once every claim whose request has ended is ended too, or ctx ended.
+func (r *Runner) Settle(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		r.ending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
 // execution is one request under way.
--- /dev/null
+++ b/plantainlane/state/claim_test.go
@@ -0,0 +1,129 @@
+package state
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"plantainlane/wire"
+)
+
+func claim(attempt, digest string) wire.Command {
+	return wire.Command{Claim: &wire.Claim{
+		Workspace: "w", Key: "k", Digest: digest, Attempt: attempt, RequestID: attempt, Instance: "i", Incarnation: 1, AtMs: 10,
+	}}
+}
+
+func resolve(attempt, to string) wire.Command {
+	return wire.Command{Resolve: &wire.Resolution{Workspace: "w", Key: "k", Attempt: attempt, State: to, Result: []byte(`{}`), AtMs: 20}}
+}
+
+func TestClaims(t *testing.T) {
+	register := wire.Command{Register: &wire.InstanceInfo{ID: "i", Incarnation: 1}}
+	restarted := wire.Command{Register: &wire.InstanceInfo{ID: "i", Incarnation: 2}}
+	forget := wire.Command{Forget: &wire.InstanceInfo{ID: "i", Incarnation: 1}}
+	expire := wire.Command{Expire: &wire.ExpireClaims{BeforeMs: 1000}}
+	tests := map[string]struct {
+		before []wire.Command
+		last   wire.Command
+		want   string
+	}{
+		"first":                        {nil, claim("a", "d"), ClaimWon},
+		"resent":                       {[]wire.Command{claim("a", "d")}, claim("a", "d"), ClaimWon},
+		"held by another":              {[]wire.Command{claim("a", "d")}, claim("b", "d"), ClaimRunning},
+		"other request":                {[]wire.Command{claim("a", "d")}, claim("b", "e"), ClaimMismatch},
+		"repeat after the answer":      {[]wire.Command{claim("a", "d"), resolve("a", ClaimRan)}, claim("b", "d"), ClaimRan},
+		"own repeat after the answer":  {[]wire.Command{claim("a", "d"), resolve("a", ClaimRan)}, claim("a", "d"), ClaimRan},
+		"repeat after unknown":         {[]wire.Command{claim("a", "d"), resolve("a", ClaimUnknown)}, claim("b", "d"), ClaimUnknown},
+		"repeat after not run":         {[]wire.Command{claim("a", "d"), resolve("a", ClaimNotRun)}, claim("b", "d"), ClaimWon},
+		"end by another":               {[]wire.Command{claim("a", "d")}, resolve("b", ClaimRan), ClaimAbsent},
+		"second end":                   {[]wire.Command{claim("a", "d"), resolve("a", ClaimRan)}, resolve("a", ClaimUnknown), ClaimRan},
+		"not run after the answer":     {[]wire.Command{claim("a", "d"), resolve("a", ClaimRan)}, resolve("a", ClaimNotRun), ClaimRan},
+		"claim after its release":      {[]wire.Command{resolve("a", ClaimNotRun)}, claim("a", "d"), ClaimNotRun},
+		"other claim after a release":  {[]wire.Command{resolve("a", ClaimNotRun)}, claim("b", "d"), ClaimWon},
+		"claimant restarted":           {[]wire.Command{register, claim("a", "d"), restarted}, claim("b", "d"), ClaimUnknown},
+		"claimant forgotten":           {[]wire.Command{register, claim("a", "d"), forget}, claim("b", "d"), ClaimUnknown},
+		"claimant resolves later":      {[]wire.Command{register, claim("a", "d"), forget, resolve("a", ClaimRan)}, claim("b", "d"), ClaimRan},
+		"key after its answer expired": {[]wire.Command{claim("a", "d"), resolve("a", ClaimRan), expire}, claim("b", "d"), ClaimExpired},
+		"running claims don't expire":  {[]wire.Command{claim("a", "d"), expire}, claim("b", "d"), ClaimRunning},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &State{}
+			for _, c := range tt.before {
+				_, err := s.Apply(c)
+				is.NoErr(err)
+			}
+			out, err := s.Apply(tt.last)
+			is.NoErr(err)
+			is.Equal(out.Claim.State, tt.want)
+		})
+	}
+}
+
+// TestOneWinnerAKey applies random commands and takes a snapshot at a random place. At most one attempt may win a
+// key between two ends as not run, and the restored state answers like the one that ran on.
+func TestOneWinnerAKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		s := &State{}
+		winner := ""
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				b, err := s.Encode()
+				is.NoErr(err)
+				s, err = Decode(b)
+				is.NoErr(err)
+			}
+			attempt := strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "attempt"))
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0, 1, 2:
+				out, err := s.Apply(claim(attempt, "d"))
+				is.NoErr(err)
+				if out.Claim.State == ClaimWon {
+					is.True(winner == "" || winner == attempt)
+					winner = attempt
+				}
+			case 3:
+				out, err := s.Apply(resolve(attempt, ClaimNotRun))
+				is.NoErr(err)
+				if out.Claim.State == ClaimNotRun {
+					is.Equal(attempt, winner)
+					winner = ""
+				}
+			case 4:
+				to := rapid.SampledFrom([]string{ClaimRan, ClaimUnknown}).Draw(t, "end")
+				out, err := s.Apply(resolve(attempt, to))
+				is.NoErr(err)
+				is.True(out.Claim.State == ClaimAbsent || attempt == winner)
+			case 5:
+				_, err := s.Apply(wire.Command{Expire: &wire.ExpireClaims{BeforeMs: 15}})
+				is.NoErr(err)
+			}
+		}
+	})
+}
+
+func TestChanges(t *testing.T) {
+	is := is.New(t)
+	s := &State{}
+	change := func(id string, base int, problems ...string) wire.ChangeOutcome {
+		set := wire.Declarations{Models: []wire.Model{{Name: id}}}
+		out, err := s.Apply(wire.Command{Change: &wire.ChangeSet{ChangeID: id, BaseRevision: base, Set: set}, ChangeProblems: problems})
+		is.NoErr(err)
+		return *out.Change
+	}
+	is.Equal(change("a", 0).Revision, 1)
+	lost := change("b", 0)
+	is.Equal(lost.State, ChangeConflict)
+	is.Equal(lost.CurrentRevision, 1)
+	is.Equal(change("c", 1, "bad").State, ChangeInvalid)
+	is.Equal(change("d", 1).Revision, 2)
+	is.Equal(change("a", 1).Revision, 1) // resent with whatever base
+	is.Equal(change("b", 2).State, ChangeConflict)
+	is.Equal(s.Config.Models.Len(), 2)
+	is.Equal(s.Config.Revision, 2)
+}
