--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -48,6 +48,7 @@
 			"start":      word(start),
 			"restart":    word(restart),
 			"upstream":   word(upstream),
+			"engine":     word(engine),
 			"term":       word(term),
 			"crash":      word(crash),
 			"exits":      word(exits),
