limit: keep state of workspaces with traffic only

Cause: with 25,000 contracts an instance held 46 MB of admission state, most of it cells of one processor each for workspaces that nobody asked for, and each change rebuilt maps of all contracts on every instance and the leader.

Change: both sides look contracts up in the published table and make a workspace's state at its first request; it goes 10 s after the last. The leader keeps which workspaces an instance asked for, in place of a search through all accounts at each request.

--- a/plantainlane/control/grants.go
+++ b/plantainlane/control/grants.go
@@ -34,7 +34,7 @@
 	}
 	if g.revision != c.config.Revision {
 		g.revision = c.config.Revision
-		g.limiter.SetContracts(c.now, c.config.Declarations().Contracts)
+		g.limiter.SetContracts(c.now, c.config.Contracts)
 		g.asked = time.Time{}
 	}
 	due := c.timing.GrantInterval
@@ -77,7 +77,7 @@
 	l.grants.SetInstances(len(l.rows))
 	if l.grantsRevision != c.state.Config.Revision {
 		l.grantsRevision = c.state.Config.Revision
-		l.grants.SetContracts(c.now, c.state.Config.Declarations().Contracts, func(contract *wire.Contract) float64 {
+		l.grants.SetContracts(c.state.Config.Contracts, func(contract *wire.Contract) float64 {
 			return c.state.SpentIn(contract, int(c.now.UnixMilli()))
 		})
 	}
--- a/plantainlane/limit/grant.go
+++ b/plantainlane/limit/grant.go
@@ -102,7 +102,7 @@
 	if d.RequestsPerSecond >= idleDemand || d.InFlight > 0 || w.lastTraffic.IsZero() {
 		w.lastTraffic = now
 	}
-	if len(*l.workspaces.Load()) <= fewWorkspaces || now.Sub(w.lastTraffic) < forgetIdle {
+	if l.contracts.Load().Len() <= fewWorkspaces || now.Sub(w.lastTraffic) < forgetIdle {
 		return false
 	}
 	delete(l.watched, w.name)
@@ -110,12 +110,17 @@
 	w.lastTraffic = time.Time{}
 	w.expires.Store(0)
 	l.giveUp(w.name)
+	l.deactivate(w.name)
 	return true
 }
 
 // watch returns the workspaces that shares are asked for, in order of their names.
 func (l *Limiter) watch() []*workspace {
-	known := *l.workspaces.Load()
+	if contracts := l.contracts.Load(); contracts.Len() <= fewWorkspaces {
+		for name := range contracts.All() {
+			l.watched[name] = l.workspace(name)
+		}
+	}
 	l.mu.Lock()
 	fresh := l.fresh
 	l.fresh = nil
@@ -123,10 +128,11 @@
 	for _, w := range fresh {
 		l.watched[w.name] = w
 	}
-	if len(known) <= fewWorkspaces {
-		maps.Copy(l.watched, known)
-	}
-	maps.DeleteFunc(l.watched, func(name string, w *workspace) bool { return known[name] != w })
+	active := l.active.Load()
+	maps.DeleteFunc(l.watched, func(name string, w *workspace) bool {
+		current, ok := active.Get(name)
+		return !ok || current != w
+	})
 	list := make([]*workspace, 0, len(l.watched))
 	for _, w := range l.watched {
 		list = append(list, w)
@@ -143,6 +149,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fresh = append(l.fresh, w)
+	if !l.active.Load().Has(w.name) && l.contracts.Load().Has(w.name) {
+		// The workspace was forgotten while this request came.
+		l.activate(w)
+	}
 }
 
 // giveUp voids answers under way for a workspace.
@@ -156,7 +166,7 @@
 func (l *Limiter) Release(instance string, incarnation int) wire.GrantRequest {
 	l.sequence++
 	l.applied = l.sequence
-	for _, w := range *l.workspaces.Load() {
+	for _, w := range l.active.Load().All() {
 		w.expires.Store(0)
 	}
 	return wire.GrantRequest{
--- a/plantainlane/limit/ledger.go
+++ b/plantainlane/limit/ledger.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"plantainlane/plantainlane/table"
 	"plantainlane/wire"
 )
 
@@ -33,7 +34,13 @@
 	unheard map[string]bool
 	// instances is the number of instances that may ask.
 	instances int
-	accounts  map[string]*account
+	contracts table.Table[*wire.Contract]
+	// used returns the cost units used in the period of a contract's budget.
+	used func(c *wire.Contract) float64
+	// accounts by workspace, made when a share is first asked for.
+	accounts map[string]*account
+	// held names the workspaces in an instance's newest request.
+	held map[holderKey]map[string]bool
 	// newest is the newest request of each start of an instance.
 	newest map[holderKey]request
 }
@@ -76,7 +83,7 @@
 func NewLedger(now time.Time, instances ...string) *Ledger {
 	l := &Ledger{
 		duration: GrantDuration, settled: now.Add(GrantDuration),
-		unheard: map[string]bool{}, accounts: map[string]*account{}, newest: map[holderKey]request{},
+		unheard: map[string]bool{}, accounts: map[string]*account{}, newest: map[holderKey]request{}, held: map[holderKey]map[string]bool{},
 	}
 	for _, id := range instances {
 		l.unheard[id] = true
@@ -94,20 +101,26 @@
 
 // SetContracts replaces the contracts. Used returns the cost units used in the budget's period so far; it is
 // asked for workspaces that are new to the Ledger.
-func (l *Ledger) SetContracts(now time.Time, contracts []wire.Contract, used func(c *wire.Contract) float64) {
-	next := make(map[string]*account, len(contracts))
-	for i := range contracts {
-		c := &contracts[i]
-		a := l.accounts[c.Workspace]
-		if a == nil {
-			a = &account{holders: map[holderKey]*holder{}, used: used(c), period: periodOf(now, c)}
-		} else {
-			a.rescale(a.contract, c)
-		}
+func (l *Ledger) SetContracts(contracts table.Table[*wire.Contract], used func(c *wire.Contract) float64) {
+	l.contracts, l.used = contracts, used
+}
+
+// account returns the record of a workspace, with its newest contract; nil without one.
+func (l *Ledger) account(now time.Time, name string) *account {
+	a := l.accounts[name]
+	c, ok := l.contracts.Get(name)
+	switch {
+	case !ok:
+		delete(l.accounts, name)
+		return nil
+	case a == nil:
+		a = &account{contract: c, holders: map[holderKey]*holder{}, used: l.used(c), period: periodOf(now, c)}
+		l.accounts[name] = a
+	case a.contract != c:
+		a.rescale(a.contract, c)
 		a.contract = c
-		next[c.Workspace] = a
 	}
-	l.accounts = next
+	return a
 }
 
 // rescale follows the instances, which cut what they hold down with the contract.
@@ -137,7 +150,7 @@
 	delete(l.unheard, r.Instance)
 	asked := map[string]bool{}
 	for _, d := range r.Demands {
-		a := l.accounts[d.Workspace]
+		a := l.account(now, d.Workspace)
 		if a == nil {
 			continue
 		}
@@ -149,19 +162,34 @@
 		h.grants = append(h.grants, outstanding{r.Sequence, g, now.Add(l.duration)})
 		answer.Grants = append(answer.Grants, g)
 	}
-	for name, a := range l.accounts {
-		if h := a.holders[key]; h != nil && !asked[name] {
+	l.release(key, asked)
+	return answer, true
+}
+
+// release ends the shares of an instance in workspaces that it left out of its newest request.
+func (l *Ledger) release(key holderKey, asked map[string]bool) {
+	for name := range l.held[key] {
+		if asked[name] || l.accounts[name] == nil {
+			continue
+		}
+		a := l.accounts[name]
+		if h := a.holders[key]; h != nil {
 			a.used += max(0, h.outstanding().UnitsLeft)
 			delete(a.holders, key)
 		}
 	}
-	return answer, true
+	l.held[key] = asked
 }
 
 // remember notes the newest request of an instance, and forgets instances that have not asked for long.
 func (l *Ledger) remember(now time.Time, key holderKey, sequence int) {
 	l.newest[key] = request{sequence, now}
-	maps.DeleteFunc(l.newest, func(_ holderKey, r request) bool { return now.Sub(r.at) > rememberRequests })
+	for k, r := range l.newest {
+		if now.Sub(r.at) > rememberRequests {
+			delete(l.newest, k)
+			delete(l.held, k)
+		}
+	}
 }
 
 func (l *Ledger) isSettled(now time.Time) bool {
--- a/plantainlane/limit/ledger_test.go
+++ b/plantainlane/limit/ledger_test.go
@@ -41,7 +41,7 @@
 	s.setContract(s.contract)
 	for i := range n {
 		m := &member{name: fmt.Sprint("i", i), limiter: New(epoch), rate: 30}
-		m.limiter.SetContracts(epoch, []wire.Contract{s.contract})
+		m.limiter.SetContracts(epoch, tableOf(s.contract))
 		s.members = append(s.members, m)
 	}
 	return s
@@ -49,7 +49,7 @@
 
 func (s *site) setContract(c wire.Contract) {
 	s.contract = c
-	s.ledger.SetContracts(s.now, []wire.Contract{c}, func(*wire.Contract) float64 { return 0 })
+	s.ledger.SetContracts(tableOf(c), func(*wire.Contract) float64 { return 0 })
 }
 
 // ask lets each instance ask for its grant; answers are lost or late as lossy says.
@@ -131,7 +131,7 @@
 	s.contract.Concurrency = 1000
 	s.setContract(s.contract)
 	for _, m := range s.members {
-		m.limiter.SetContracts(s.now, []wire.Contract{s.contract})
+		m.limiter.SetContracts(s.now, tableOf(s.contract))
 		m.rate = 0
 	}
 	run := func(busy int, seconds int) int {
@@ -189,7 +189,7 @@
 	is.True(ok)
 	is.Equal(answer.Grants[0].Requests, before)
 	fresh := New(s.now)
-	fresh.SetContracts(s.now, []wire.Contract{s.contract})
+	fresh.SetContracts(s.now, tableOf(s.contract))
 	answer, _ = s.ledger.Answer(s.now, fresh.Request(s.now, s.leader, "new", 1), 1)
 	is.Equal(answer.Grants[0].Requests.PerSecond, 0.0) // nothing is known to be free yet
 }
@@ -223,19 +223,19 @@
 	is := is.New(t)
 	c := contract("w") // 50 units a day
 	ledger := NewLedger(epoch)
-	ledger.SetContracts(epoch, []wire.Contract{c}, func(*wire.Contract) float64 { return 10 })
+	ledger.SetContracts(tableOf(c), func(*wire.Contract) float64 { return 10 })
 	spent := 0
 	var limiters [4]*Limiter
 	for i := range limiters {
 		limiters[i] = New(epoch)
-		limiters[i].SetContracts(epoch, []wire.Contract{c})
+		limiters[i].SetContracts(epoch, tableOf(c))
 	}
 	for second := range 400 {
 		now := epoch.Add(time.Duration(second) * time.Second)
 		for i, l := range limiters {
 			if second == 30 && i == 0 {
 				l = New(now) // killed and started again
-				l.SetContracts(now, []wire.Contract{c})
+				l.SetContracts(now, tableOf(c))
 				limiters[0] = l
 			}
 			incarnation := 1
--- a/plantainlane/limit/limiter.go
+++ b/plantainlane/limit/limiter.go
@@ -1,13 +1,13 @@
 package limit
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/table"
 	"plantainlane/wire"
 )
 
@@ -23,8 +23,10 @@
 	start      time.Time
 	processors *processors
 	cells      int
-	workspaces atomic.Pointer[map[string]*workspace]
-	wanted     chan struct{}
+	contracts  atomic.Pointer[table.Table[*wire.Contract]]
+	// active holds the workspaces that had traffic of late.
+	active atomic.Pointer[table.Table[*workspace]]
+	wanted chan struct{}
 	// sent are the grant requests that were not yet answered, by sequence.
 	sent map[int]sentRequest
 	// applied is the sequence of the newest answer in use.
@@ -35,6 +37,7 @@
 	// watched holds the workspaces that shares are asked for. Only they hold grants.
 	watched map[string]*workspace
 
+	// mu guards changes of active, and fresh.
 	mu sync.Mutex
 	// fresh holds workspaces with traffic that are not in watched yet.
 	fresh []*workspace
@@ -46,7 +49,8 @@
 		start: now.Add(-time.Nanosecond), processors: newProcessors(), cells: cellCount(),
 		wanted: make(chan struct{}, 1), sent: map[int]sentRequest{}, watched: map[string]*workspace{},
 	}
-	l.workspaces.Store(&map[string]*workspace{})
+	l.contracts.Store(&table.Table[*wire.Contract]{})
+	l.active.Store(&table.Table[*workspace]{})
 	return l
 }
 
@@ -54,8 +58,37 @@
 	return int64(now.Sub(l.start))
 }
 
+// workspace returns the state of a workspace, which is made at its first request; nil without a contract.
 func (l *Limiter) workspace(name string) *workspace {
-	return (*l.workspaces.Load())[name]
+	if w, ok := l.active.Load().Get(name); ok {
+		return w
+	}
+	c, ok := l.contracts.Load().Get(name)
+	if !ok {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w, ok := l.active.Load().Get(name); ok {
+		return w
+	}
+	w := newWorkspace(l, c)
+	l.activate(w)
+	return w
+}
+
+// activate adds a workspace to the active ones. The lock is held.
+func (l *Limiter) activate(w *workspace) {
+	next := l.active.Load().With(w.name, w)
+	l.active.Store(&next)
+}
+
+// deactivate forgets the state of a workspace.
+func (l *Limiter) deactivate(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := l.active.Load().Without(name)
+	l.active.Store(&next)
 }
 
 // workspace is the state of one contract on this instance.
@@ -95,28 +128,20 @@
 }
 
 // SetContracts replaces the contracts. A share held of a contract that changed is scaled with it, so that the
-// new limit holds at once over all instances.
-func (l *Limiter) SetContracts(now time.Time, contracts []wire.Contract) {
+// new limit holds at once over all instances. Its cost follows the workspaces with traffic.
+func (l *Limiter) SetContracts(now time.Time, contracts table.Table[*wire.Contract]) {
 	at := l.since(now)
-	old := *l.workspaces.Load()
-	next := make(map[string]*workspace, len(contracts))
-	for i := range contracts {
-		c := contracts[i]
-		w := old[c.Workspace]
-		if w == nil {
-			next[c.Workspace] = newWorkspace(l, &c)
-			continue
-		}
-		next[c.Workspace] = w
-		if before := w.contract.Swap(&c); limitsDiffer(before, &c) {
-			w.use(at, scale(w.granted, before, &c))
-		}
-	}
-	l.workspaces.Store(&next)
-	for name, w := range old {
-		if next[name] == nil {
+	l.contracts.Store(&contracts)
+	for name, w := range l.active.Load().All() {
+		c, ok := contracts.Get(name)
+		if !ok {
+			l.deactivate(name)
 			w.expires.Store(0)
 			w.room.wake(now)
+			continue
+		}
+		if before := w.contract.Swap(c); limitsDiffer(before, c) {
+			w.use(at, scale(w.granted, before, c))
 		}
 	}
 }
@@ -255,12 +280,3 @@
 	}
 	return 0
 }
-
-// Workspaces returns the contracts in use, by workspace.
-func (l *Limiter) Workspaces() map[string]wire.Contract {
-	contracts := map[string]wire.Contract{}
-	for name, w := range maps.All(*l.workspaces.Load()) {
-		contracts[name] = *w.contract.Load()
-	}
-	return contracts
-}
--- a/plantainlane/limit/limiter_test.go
+++ b/plantainlane/limit/limiter_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"plantainlane/plantainlane/table"
 	"plantainlane/wire"
 )
 
@@ -31,7 +32,7 @@
 // granted returns a Limiter that holds the whole of each contract, with full buckets.
 func granted(now time.Time, contracts ...wire.Contract) *Limiter {
 	l := New(now)
-	l.SetContracts(now, contracts)
+	l.SetContracts(now, tableOf(contracts...))
 	answer := wire.GrantAnswer{DurationMs: 3600_000}
 	for _, c := range contracts {
 		answer.Grants = append(answer.Grants, whole1(c))
@@ -130,11 +131,19 @@
 	is.Equal(l.Request(epoch, "leader", "i", 1).Demands[0].UnitsUsed, 3.0)
 }
 
+func tableOf(contracts ...wire.Contract) table.Table[*wire.Contract] {
+	var t table.Table[*wire.Contract]
+	for _, c := range contracts {
+		t = t.With(c.Workspace, &c)
+	}
+	return t
+}
+
 func TestGrantExpiresFromWhenItWasAskedFor(t *testing.T) {
 	is := is.New(t)
 	c := contract("w")
 	l := New(epoch)
-	l.SetContracts(epoch, []wire.Contract{c})
+	l.SetContracts(epoch, tableOf(c))
 	sequence := l.Request(epoch, "leader", "i", 1).Sequence
 	arrival := epoch.Add(2 * time.Second)
 	l.Grant(arrival, wire.GrantAnswer{Sequence: sequence, DurationMs: 3000, Grants: []wire.Grant{whole1(c)}})
@@ -150,14 +159,14 @@
 	is := is.New(t)
 	c := contract("w")
 	l := New(epoch)
-	l.SetContracts(epoch, []wire.Contract{c})
+	l.SetContracts(epoch, tableOf(c))
 	answer := func(sequence int) wire.GrantAnswer {
 		return wire.GrantAnswer{Sequence: sequence, DurationMs: 9000, Grants: []wire.Grant{whole1(c)}}
 	}
 	held := func() int {
 		l.Request(epoch, "b", "i", 1)
 		n := 0
-		for _, w := range *l.workspaces.Load() {
+		for _, w := range l.active.Load().All() {
 			if w.expires.Load() > l.since(epoch) {
 				n++
 			}
@@ -179,7 +188,7 @@
 	is := is.New(t)
 	c := contract("w")
 	l := New(epoch)
-	l.SetContracts(epoch, []wire.Contract{c})
+	l.SetContracts(epoch, tableOf(c))
 	first := l.Request(epoch, "a/1", "i", 1)
 	l.Grant(epoch, wire.GrantAnswer{Sequence: first.Sequence, DurationMs: 9000, Grants: []wire.Grant{whole1(c)}})
 	is.Equal(len(l.Request(epoch, "a/1", "i", 1).Held), 0)
@@ -194,7 +203,7 @@
 	for i := range contracts {
 		contracts[i] = contract("w" + strconv.Itoa(i))
 	}
-	l.SetContracts(epoch, contracts)
+	l.SetContracts(epoch, tableOf(contracts...))
 	asked := func(now time.Time) int { return len(l.Request(now, "a", "i", 1).Demands) }
 	is.Equal(asked(epoch), 0)
 	_, err := l.TryAdmit(epoch, Ask{Workspace: "w7"})
@@ -219,7 +228,7 @@
 	c := contract("w")
 	l := granted(epoch, c)
 	c.Rate, c.Concurrency = wire.Rate{PerSecond: 50, Burst: 5}, 2
-	l.SetContracts(epoch, []wire.Contract{c})
+	l.SetContracts(epoch, tableOf(c))
 	admits := 0
 	for range 50 {
 		if ticket, err := l.TryAdmit(epoch, Ask{Workspace: "w"}); err == nil {
@@ -228,7 +237,7 @@
 		}
 	}
 	is.Equal(admits, 5)
-	l.SetContracts(epoch, nil)
+	l.SetContracts(epoch, tableOf())
 	_, err := l.TryAdmit(epoch, Ask{Workspace: "w"})
 	is.True(errors.Is(err, ErrUnknownWorkspace))
 }
@@ -318,7 +327,7 @@
 		c := contract("w")
 		c.Rate = wire.Rate{PerSecond: 5, Burst: 5}
 		l := New(start)
-		l.SetContracts(start, []wire.Contract{c})
+		l.SetContracts(start, tableOf(c))
 		grant := func(perSecond float64) {
 			g := whole1(c)
 			g.Requests.PerSecond = perSecond
