--- a/plantainlane/pipeline/services.go
+++ b/plantainlane/pipeline/services.go
@@ -16,7 +16,7 @@
 const (
 	// headroom is the calls in flight to a service over what its upstreams work on at once, so that an upstream
 	// has its next call when it ends one.
-	headroom = 1.1
+	headroom = 1.25
 	// borrowShare is the part of what other instances leave unused that an instance takes.
 	borrowShare = 0.7
 )
