route: smooth reported load before it is bounded

Reports of load lag, and what this instance had in flight then is only known on average, so the difference scatters around the load of others. Bounding each difference at 0 made it read too high, and a weight of 0.5 passed the scatter on to the choice for a whole report interval. Now the raw difference is smoothed with a weight of 0.2 and bounded when used; a new upstream starts from its first report. The test of lagged load now gives the upstream as many reports as the smoothing needs to settle; what it asks of the choice is unchanged.

--- a/plantainlane/route/pick_test.go
+++ b/plantainlane/route/pick_test.go
@@ -72,7 +72,7 @@
 	is := is.New(t)
 	busy := row("busy", "a", 10)
 	b := newBalancer(busy, row("idle", "a", 10))
-	for range 4 { // reports are smoothed
+	for range 12 { // reports are smoothed
 		busy.Sequence++
 		busy.Load.InFlight = 8
 		b.Apply(warm, busy)
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -14,7 +14,7 @@
 	latencyRise = 0.25
 	latencyFall = 0.1
 	// othersShare is the weight of a new report against the ones before it.
-	othersShare = 0.5
+	othersShare = 0.2
 )
 
 // info is what an upstream announced of itself. It is never changed once published.
@@ -50,7 +50,8 @@
 	// capacity is the number of calls the upstream works on at once, at least 1.
 	capacity atomic.Int32
 	state    atomic.Int32
-	// others is the load that this instance did not cause, as float32 bits.
+	// others is the smoothed load that this instance did not cause, as float32 bits. Chance may make it less
+	// than 0.
 	others atomic.Uint32
 	// samples counts latency samples since the last ejection.
 	samples atomic.Int32
@@ -81,6 +82,7 @@
 	u := &upstream{service: s}
 	u.warmFrom.Store(now)
 	u.progress.Store(now)
+	u.others.Store(math.Float32bits(float32(row.Load.InFlight + row.Load.Queued)))
 	u.setRow(row)
 	return u
 }
@@ -98,13 +100,13 @@
 
 // report takes in the load an upstream reported, less the part that this instance caused.
 func (u *upstream) report(load wire.UpstreamLoad) {
-	fresh := max(float64(load.InFlight+load.Queued)-u.ownAverage, 0)
+	fresh := float64(load.InFlight+load.Queued) - u.ownAverage
 	old := float64(math.Float32frombits(u.others.Load()))
 	u.others.Store(math.Float32bits(float32(old + othersShare*(fresh-old))))
 }
 
 func (u *upstream) load() float64 {
-	return float64(u.inFlight.Load()) + float64(math.Float32frombits(u.others.Load()))
+	return float64(u.inFlight.Load()) + max(float64(math.Float32frombits(u.others.Load())), 0)
 }
 
 func (u *upstream) begin(now int64) {
--- a/plantainlane/route/view.go
+++ b/plantainlane/route/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -215,8 +216,9 @@
 	for _, u := range s.members {
 		if u.ejectedUntil.Load() == 0 {
 			r.Capacity += float64(u.capacity.Load())
-			r.Others += u.load() - float64(u.inFlight.Load())
+			r.Others += float64(math.Float32frombits(u.others.Load()))
 		}
 	}
+	r.Others = max(r.Others, 0)
 	return r
 }
