route: don't eject for a fault that all upstreams share

Failures in a row counted against an upstream also when all of them fail: with half of all calls failing, runs of five come every few seconds and half of the service was ejected. Now a run counts as far as it is unlikely at the share of calls that fail at all upstreams together. The budget saves up 100 retries, so that a share of 1 is not lost to scatter.

--- a/plantainlane/retry/budget.go
+++ b/plantainlane/retry/budget.go
@@ -6,7 +6,7 @@
 	// credit is what one retry or hedge takes from a Budget.
 	credit = 1000
 	// maxCredits bounds what a Budget saves up.
-	maxCredits = 20 * credit
+	maxCredits = 100 * credit
 	// firstCredits is what a Budget starts with.
 	firstCredits = 5 * credit
 )
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -62,6 +62,7 @@
 	if u.state.Load() == probation {
 		limit = 1
 	}
+	limit = max(limit, u.service.streaks.Load().outlier)
 	if u.failures.Load() >= limit {
 		u.eject(now, p)
 	}
@@ -106,6 +107,7 @@
 func (b *Balancer) Review(now time.Time) {
 	at := b.since(now)
 	for _, s := range *b.services.Load() {
+		s.reviewStreaks()
 		medians := s.medians()
 		for _, u := range s.members {
 			u.review(at, medians[u.info.Load().modelKey])
--- a/plantainlane/route/eject_test.go
+++ b/plantainlane/route/eject_test.go
@@ -99,6 +99,45 @@
 	is.Equal(b.service("encode").ejected.Load(), int32(0))
 }
 
+func TestCommonFaultEjectsNobody(t *testing.T) {
+	is := is.New(t)
+	list := rows(10, "a", 4)
+	b := newBalancer(list...)
+	random := rand.New(rand.NewPCG(9, 10))
+	now := warm
+	call := func(failureShare float64) {
+		for range 20 {
+			for _, r := range list {
+				u := b.index.get(r.ID)
+				u.begin(b.since(now))
+				o := Outcome{Latency: time.Millisecond}
+				if random.Float64() < failureShare {
+					o.Result = Failure
+				}
+				Target{upstream: u, balancer: b}.Done(now, o)
+			}
+		}
+		now = now.Add(ReviewEvery)
+		b.Review(now)
+	}
+	call(0)
+	for range 4 { // the share of failures rises within a second
+		call(0.3)
+	}
+	for range 40 {
+		call(0.5)
+	}
+	ejected := 0
+	for _, r := range list {
+		if isEjected(b, r.ID) {
+			ejected++
+		}
+	}
+	is.True(ejected <= 1)
+	fail(b, "a-004", now, 15) // far beyond the common fault
+	is.True(isEjected(b, "a-004"))
+}
+
 // call is a call in flight in a workload.
 type call struct {
 	target Target
--- a/plantainlane/route/outcome.go
+++ b/plantainlane/route/outcome.go
@@ -60,6 +60,7 @@
 	case Failure:
 		u.progress.Store(at)
 		u.failures.Add(1)
+		u.failed.Add(1)
 		u.observeLowerBound(o.Latency)
 		u.ejectOnFailures(at)
 	case Refused:
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -198,7 +198,7 @@
 	if slowness > 1 {
 		score *= slowness * slowness
 	}
-	if failures := u.failures.Load(); failures > 0 {
+	if failures := u.unusualFailures(); failures > 0 {
 		score *= float64(int32(1) << min(failures, maxFailures))
 	}
 	return candidate{
--- a/plantainlane/route/pool.go
+++ b/plantainlane/route/pool.go
@@ -39,6 +39,9 @@
 	ejected atomic.Int32
 	turn    atomic.Uint64
 	room    atomic.Pointer[Room]
+	streaks atomic.Pointer[streaks]
+	// ended and failed are the recent calls of all members; Review alone uses them.
+	ended, failed float64
 	// members of the service by ID; used by the goroutine that applies announcements alone.
 	members map[string]*upstream
 }
@@ -46,6 +49,7 @@
 func newService(name string) *service {
 	s := &service{name: name, members: map[string]*upstream{}}
 	s.pools.Store(&map[string]*pool{})
+	s.streaks.Store(&streaks{})
 	return s
 }
 
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -74,8 +74,12 @@
 	ownAverage float64
 	// wellFrom is when the last ejection ended or was forgiven; Review alone uses it.
 	wellFrom int64
+	// failed counts failures since the last Review.
+	failed atomic.Int32
+	// sampled is samples as of the last Review, which alone uses it.
+	sampled int32
 	// The size of a multiple of 64 bytes keeps the first cache line of each upstream whole.
-	_ [32]byte
+	_ [24]byte
 }
 
 func newUpstream(s *service, row wire.Announcement, now int64) *upstream {
