--- a/standin/engine/attempt.go
+++ b/standin/engine/attempt.go
@@ -81,7 +81,7 @@
 	closed  bool
 }
 
-// Cached waits for the first token and returns how many prompt blocks were found in the prefix cache.
+// Cached returns how many prompt blocks were found in the prefix cache. It is 0 before the sequence has started.
 func (s *Stream) Cached() int {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
