order: let one of two old versions make room

A late order of an old leader can leave two old versions on an engine without a free slot; the declared one then stalled for good with noRoom. Found by delaying an order past the change of leader.

--- a/plantainlane/order/plan.go
+++ b/plantainlane/order/plan.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// servesOther reports whether an engine serves another version of a model, too.
+func (r *row) servesOther(model string) bool {
+	return slices.ContainsFunc(r.state.Models, func(m wire.EngineModel) bool {
+		return m.State == loaded && m.Model != model && nameOf(m.Model) == nameOf(model)
+	})
+}
+
 // unloads reports whether an order to unload a model is under way.
 func (r *row) unloads(model string) bool {
 	return r.order != nil && r.order.Kind == Unload && r.order.Model == model
@@ -179,7 +186,7 @@
 		return true
 	}
 	if model != w.key {
-		return slices.Contains(w.serving, r) || len(w.serving) >= w.replicas
+		return slices.Contains(w.serving, r) || len(w.serving) >= w.replicas || r.servesOther(model)
 	}
 	if len(w.serving) <= w.replicas || w.coming > 0 {
 		return false
--- a/plantainlane/order/planner_test.go
+++ b/plantainlane/order/planner_test.go
@@ -76,9 +76,19 @@
 	})
 }
 
+func TestTwoOldVersionsMakeRoom(t *testing.T) {
+	inSite(t, func(is *is.I, ctx context.Context) {
+		s := newSite(ctx, 2, func(_ int, cfg *engine.Config) { cfg.Models = []string{"a@1", "a@2"} }, model("a", "3", 2))
+		s.lowest["a"] = 2
+		is.True(s.run(time.Minute, s.lead(1, 1)))
+		is.Equal(s.lowest["a"], 2)
+	})
+}
+
 // A leader is cut off silently with an order on its way and more to come; the next one changes the declarations.
 func TestCutOffLeaderComesBackWithQueuedOrders(t *testing.T) {
-	for seed := range uint64(20) {
+	queued := 0
+	for seed := range uint64(40) {
 		for _, checks := range []bool{true, false} {
 			inSite(t, func(is *is.I, ctx context.Context) {
 				s := newSite(ctx, 4, func(i int, cfg *engine.Config) { cfg.ChecksFencing = checks },
@@ -87,7 +97,10 @@
 				is.True(s.run(time.Minute, old))
 
 				s.models = []wire.Model{model("a", "2", 2), model("b", "1", 2)}
-				s.run(time.Duration(seed)*tick, old)
+				if seed%2 == 1 {
+					old.link.delay = 3 * time.Second // some are still on their way when the next one leads
+				}
+				s.run(time.Duration(seed)*tick/2, old)
 				old.link.sever()
 				old.confirmed = false // its lease runs on for a while
 				s.run(time.Second, old)
@@ -118,9 +131,39 @@
 				old.step()
 				is.Equal(len(old.last.Orders), 0)
 				is.Equal(old.late, 0)
+				queued += old.queued
 			})
 		}
 	}
+	if queued < 40 {
+		t.Errorf("only %d orders were queued behind the cut", queued)
+	}
+}
+
+// An order of the old leader is on its way to an engine that ignores fencing numbers when the next one leads.
+func TestNextLeaderWaitsForOrdersUnderWay(t *testing.T) {
+	inSite(t, func(is *is.I, ctx context.Context) {
+		s := newSite(ctx, 1, func(_ int, cfg *engine.Config) { cfg.ChecksFencing, cfg.Slots = false, 3 }, model("a", "1", 1))
+		old := s.lead(1, 1)
+		is.True(s.run(time.Minute, old))
+		s.models = []wire.Model{model("a", "2", 1)}
+		old.link.least = 3 * time.Second
+		for len(old.last.Orders) == 0 {
+			s.run(tick, old)
+		}
+		old.link.sever()
+		s.models = []wire.Model{model("a", "3", 1)}
+		next := s.lead(2, 2)
+		is.True(s.run(time.Minute, next))
+		is.True(!mixed(s))
+		late := 0
+		for _, o := range s.engines["e0"].Ledger().Orders {
+			if o.Order.Model == "a@2" && o.Order.Kind == Load {
+				late++
+			}
+		}
+		is.Equal(late, 1) // it did arrive, and was put right
+	})
 }
 
 func TestLoadsArePacedUrgentFirst(t *testing.T) {
--- a/plantainlane/order/site_test.go
+++ b/plantainlane/order/site_test.go
@@ -24,6 +24,7 @@
 	random *rand.Rand
 	loss   float64
 	repeat float64
+	least  time.Duration
 	delay  time.Duration
 	cut    bool
 	held   []func()
@@ -44,10 +45,16 @@
 		copies = 2
 	}
 	for range copies {
-		time.AfterFunc(time.Duration(l.random.Int64N(int64(l.delay)+1)), f)
+		time.AfterFunc(l.least+time.Duration(l.random.Int64N(int64(l.delay)+1)), f)
 	}
 }
 
+func (l *link) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
 func (l *link) sever() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,8 +94,8 @@
 	confirmed bool
 	inbox     chan Report
 	last      Actions
-	// late counts orders decided after the lease.
-	late int
+	// late counts orders decided after the lease, queued those decided behind a cut.
+	late, queued int
 }
 
 const tick = 100 * time.Millisecond
@@ -135,6 +142,9 @@
 		if !now.Before(l.until) {
 			l.late++
 		}
+		if l.link.isCut() {
+			l.queued++
+		}
 		l.link.carry(func() {
 			answer := l.site.engines[d.Order.Upstream].Order(l.site.ctx, d.Order)
 			l.link.carry(func() { l.inbox <- Report{Upstream: d.Order.Upstream, Answer: &answer} })
