--- a/plantainlane/journal/journal_test.go
+++ b/plantainlane/journal/journal_test.go
@@ -67,7 +67,7 @@
 		}
 	case 2:
 		if number%3 == 0 {
-			s.Snapshot = wire.Snapshot{Index: last + rng.IntN(3), Term: 1000 + number, Data: []byte("whole")}
+			s.Snapshot = wire.Snapshot{Index: max(s.Snapshot.Index+1, last-2+rng.IntN(5)), Term: 1000 + number, Data: []byte("whole")}
 			s.Entries = nil
 			snap := s.Snapshot
 			b.Snapshot, b.Install = &snap, true
@@ -114,16 +114,18 @@
 				t.Fatalf("seed %d round %d: %+v, not %+v", seed, round, stored.Start, start)
 			}
 			first := number
-			for range rng.IntN(40) {
-				number++
-				var b Batch
-				b, start = randomBatch(rng, number, start)
-				written = append(written, start)
-				j.Write(b)
-			}
-			if rng.IntN(3) == 0 {
-				j.Close()
+			fs.stepsLeft = 1 + rng.IntN(60)
+			for range rng.IntN(20) {
+				var queue []Batch
+				for range 1 + rng.IntN(3) {
+					number++
+					var b Batch
+					b, start = randomBatch(rng, number, start)
+					queue, written = append(queue, b), append(written, start)
+				}
+				j.store(queue)
 			}
+			j.Close()
 			acknowledged := max(first, w.synced().Batch)
 			fs = fs.crash(rng)
 			start, number = settle(t, seed, fs, written, first, acknowledged)
--- a/plantainlane/journal/memory_test.go
+++ b/plantainlane/journal/memory_test.go
@@ -19,12 +19,14 @@
 	space int
 	// syncsLeft until every sync fails; negative for never.
 	syncsLeft int
+	// stepsLeft until the folder takes no more changes; negative for never.
+	stepsLeft int
 }
 
 type inode struct{ data, synced []byte }
 
 func newMemory() *memory {
-	return &memory{files: map[string]*inode{}, durable: map[string]*inode{}, space: -1, syncsLeft: -1}
+	return &memory{files: map[string]*inode{}, durable: map[string]*inode{}, space: -1, syncsLeft: -1, stepsLeft: -1}
 }
 
 // crash returns the folder as the next process finds it: unsynced bytes survive up to a random length,
@@ -67,9 +69,20 @@
 	return bytes.Clone(f.data), nil
 }
 
+// stopped counts a change and tells whether the folder takes no more.
+func (m *memory) stopped() bool {
+	if m.stepsLeft > 0 {
+		m.stepsLeft--
+	}
+	return m.stepsLeft == 0
+}
+
 func (m *memory) Create(name string) (File, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopped() {
+		return nil, syscall.EIO
+	}
 	f := &inode{}
 	m.files[name] = f
 	return &openFile{m: m, f: f}, nil
@@ -78,6 +91,9 @@
 func (m *memory) Rename(from, to string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopped() {
+		return syscall.EIO
+	}
 	m.files[to] = m.files[from]
 	delete(m.files, from)
 	return nil
@@ -86,6 +102,9 @@
 func (m *memory) Remove(name string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopped() {
+		return syscall.EIO
+	}
 	delete(m.files, name)
 	return nil
 }
@@ -93,7 +112,7 @@
 func (m *memory) SyncFolder() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failsSync() {
+	if m.stopped() || m.failsSync() {
 		return syscall.EIO
 	}
 	m.durable = maps.Clone(m.files)
@@ -116,6 +135,9 @@
 func (o *openFile) Write(b []byte) (int, error) {
 	o.m.mu.Lock()
 	defer o.m.mu.Unlock()
+	if o.m.stopped() {
+		return 0, syscall.EIO
+	}
 	n := len(b)
 	if o.m.space >= 0 {
 		n = min(n, o.m.space)
@@ -131,7 +153,7 @@
 func (o *openFile) Sync() error {
 	o.m.mu.Lock()
 	defer o.m.mu.Unlock()
-	if o.m.failsSync() {
+	if o.m.stopped() || o.m.failsSync() {
 		return syscall.EIO
 	}
 	o.f.synced = bytes.Clone(o.f.data)
