consensus: step down after an unanswered leader transfer

A successor that was asked to take over may start its election at any later time and voters don't make it wait, so the leader that asked can confirm nothing any more; it granted leases on for up to an election timeout. It now confirms nothing once it asked, and steps down if nobody took over.

--- a/plantainlane/consensus/leader.go
+++ b/plantainlane/consensus/leader.go
@@ -76,7 +76,10 @@
 		return
 	}
 	if n.lead.transferTo != "" && now.Sub(n.lead.transferAt) >= n.cfg.ElectionTimeout {
-		n.lead.transferTo, n.lead.asked = "", false
+		n.endTransfer(now)
+		if n.role != Leader {
+			return
+		}
 	}
 	if now.Sub(n.newestRound().at) >= n.cfg.HeartbeatInterval {
 		n.beginRound(now)
@@ -115,9 +118,10 @@
 
 // ConfirmedAt returns the start of the newest round that a quorum answered in the leader's term: no later
 // leader had been elected by then. It is zero unless the replica leads and has committed an entry of its
-// own term, so that everything acknowledged before that time is committed here.
+// own term, so that everything acknowledged before that time is committed here. It is also zero once a
+// successor was asked to take over, since voters then no longer wait for this leader to fall silent.
 func (n *Node) ConfirmedAt() time.Time {
-	if !n.isLeaderReady() || n.lead.confirmed.number == 0 {
+	if !n.isLeaderReady() || n.lead.confirmed.number == 0 || n.lead.asked {
 		return time.Time{}
 	}
 	return n.lead.confirmed.at
--- a/plantainlane/consensus/membership_test.go
+++ b/plantainlane/consensus/membership_test.go
@@ -93,6 +93,39 @@
 	is.Equal(n.commit, 2)
 }
 
+func TestLeaderThatAskedItsSuccessorConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	n := leaderOf(t, now, "a", "b", "c")
+	acknowledge(n, "b", 2, now)
+	acknowledge(n, "c", 2, now)
+	is.True(!n.ConfirmedAt().IsZero())
+	is.NoErr(n.Transfer("b", now))
+	n.Ready(now)
+	acknowledge(n, "b", 2, now)
+	is.True(n.ConfirmedAt().IsZero())
+	later := now.Add(DefaultElectionTimeout - time.Millisecond)
+	n.Confirm(later)
+	acknowledge(n, "b", 2, later)
+	n.Tick(now.Add(DefaultElectionTimeout))
+	is.Equal(n.role, Follower)
+}
+
+func TestTruncatedMembershipIsUndone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	n := leaderOf(t, now, "a", "b", "c")
+	acknowledge(n, "b", 2, now)
+	acknowledge(n, "c", 2, now)
+	_, err := n.ProposeReplicas(wire.ReplicaSet{Voters: []string{"a", "b"}}, now)
+	is.NoErr(err)
+	n.step(wire.ConsensusMessage{
+		Kind: kindAppend, From: "c", Term: 3, PrevIndex: 2, PrevTerm: 2,
+		Entries: []wire.LogEntry{{Index: 3, Term: 3, Kind: KindNoop}},
+	}, now)
+	is.Equal(n.replicas().Voters, []string{"a", "b", "c"})
+}
+
 func TestMembershipSequences(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		c := newCluster(rapid.Uint64().Draw(rt, "seed"), 3)
--- a/plantainlane/consensus/transfer.go
+++ b/plantainlane/consensus/transfer.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// endTransfer gives up on a successor. One that was asked may still start its election at any time, so the
+// leader then steps down.
+func (n *Node) endTransfer(now time.Time) {
+	if n.lead.asked {
+		n.becomeFollower(n.hard.Term, "", now)
+		return
+	}
+	n.lead.transferTo = ""
+}
+
 func (n *Node) handleTimeoutNow(m wire.ConsensusMessage, now time.Time) {
 	if m.Term == n.hard.Term && n.role == Follower && n.isVoter(n.cfg.ID) {
 		n.campaign(true, now)
--- a/plantainlane/journal/open.go
+++ b/plantainlane/journal/open.go
@@ -67,7 +67,7 @@
 	if _, err := rand.Read(random); err != nil {
 		return "", err
 	}
-	id := identity{Format: format, Replica: owner + "." + hex.EncodeToString(random)}
+	id := identity{Format: format, Replica: owner + "/" + hex.EncodeToString(random)}
 	return id.Replica, j.writeFile(identityName, id)
 }
 
