replica: run the control log on replicas with a disk

Control had a log of one replica in memory.

QuorumFresh is half the election timeout, so that clocks may run at different rates.

--- a/demo.sh
+++ b/demo.sh
@@ -18,6 +18,7 @@
 trap 'exit 130' INT TERM
 
 rm -rf data && mkdir -p data
+bin/plantainlane bootstrap demo/instance-a.jsonc
 for i in a b c; do
   bin/plantainlane serve "demo/instance-$i.jsonc" 2>"data/$i.log" &
   pids+=($!)
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -37,6 +37,10 @@
 	state *state.State
 	// applied is the index of the newest entry that state includes.
 	applied int
+	// compacted is the index of the newest snapshot asked for.
+	compacted int
+	// voters is how many replicas vote once enough instances have a disk.
+	voters int
 	// deltas holds recent change sets by the revision they made.
 	deltas map[int]*wire.ChangeSet
 
@@ -71,11 +75,16 @@
 // WithLog gives the instance a replica of the control log and the state that the log's snapshot holds.
 func WithLog(l Log, s *state.State, applied int) Option {
 	return func(c *Core) {
-		c.log, c.state, c.applied = l, s, applied
+		c.log, c.state, c.applied, c.compacted = l, s, applied, applied
 		c.config = s.Config
 	}
 }
 
+// WithVoters sets how many replicas vote once enough instances have a disk; an odd number.
+func WithVoters(n int) Option {
+	return func(c *Core) { c.voters = n }
+}
+
 // WithTiming replaces the default periods.
 func WithTiming(t Timing) Option {
 	return func(c *Core) { c.timing = t }
@@ -95,14 +104,15 @@
 func New(self wire.InstanceInfo, opts ...Option) *Core {
 	c := &Core{
 		timing:    DefaultTiming(),
+		voters:    DefaultVoters,
 		self:      self,
 		random:    rand.New(rand.NewPCG(uint64(self.Incarnation), 0)),
 		deltas:    make(map[int]*wire.ChangeSet),
 		peers:     make(map[string]wire.InstanceInfo),
 		roster:    roster.New(),
 		instances: instanceRows{rows: table.Table[wire.InstanceInfo]{}},
-		proposals: newProposals(),
-		queries:   newQueries(),
+		proposals: newProposals(self.Incarnation),
+		queries:   newQueries(self.Incarnation),
 		dirty:     true,
 	}
 	for _, o := range opts {
@@ -121,6 +131,7 @@
 	c.runReplication()
 	c.runLeadership()
 	c.runInstances()
+	c.runMembership()
 	c.runLeases()
 	c.runConfig()
 	c.runGrants()
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -44,6 +44,10 @@
 	registering map[string]int
 	// retentionAt is when old answers are dropped next.
 	retentionAt time.Time
+	// unanswered holds since when a replica has not answered, by replica ID.
+	unanswered map[string]time.Time
+	// transferAt is when leadership was last offered to another voter.
+	transferAt time.Time
 	// grants records what instances may be using of the contracts; nil until the first request.
 	grants *limit.Ledger
 	// grantsRevision is the revision whose contracts grants has.
@@ -79,8 +83,10 @@
 		rows:        make(map[string]*leaseRow),
 		waiting:     make(map[int]origin),
 		registering: make(map[string]int),
+		unanswered:  make(map[string]time.Time),
 	}
 	c.setLeader(c.self.ID, term)
+	c.announceLeadership()
 	c.record(wire.Event{Kind: "leadershipTaken"})
 }
 
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"plantainlane/wire"
@@ -9,6 +11,13 @@
 // keptRequests is the number of lease requests whose answers are still taken.
 const keptRequests = 16
 
+// maxAsked is the number of peers asked at once who leads.
+const maxAsked = 8
+
+// overdueAfter is the number of lease intervals without a grant after which a peer is asked, too, since the
+// known leader may be gone.
+const overdueAfter = 3
+
 // leaseHolder is an instance's side of its configuration lease.
 type leaseHolder struct {
 	// until is when the lease lapses, by this instance's own clock.
@@ -39,11 +48,7 @@
 	if c.now.Before(c.leases.due) {
 		return
 	}
-	to := c.leader
-	if to == "" {
-		to = c.anyPeer()
-	}
-	if to == "" {
+	if c.leader == "" && len(c.peers) == 0 {
 		return
 	}
 	req := wire.LeaseRequest{
@@ -53,17 +58,42 @@
 		InstancesVersion: c.instances.version,
 		InstancesTerm:    c.instances.term,
 	}
-	c.send(to, wire.Frame{LeaseRequest: &req})
-	if to == c.leader && c.leases.sequence%4 == 0 && c.leases.until.Before(c.now.Add(c.timing.Lease/2)) {
-		c.askOthersForLeader(req)
+	if c.leader == "" {
+		c.askPeers(req, maxAsked)
+		return
+	}
+	c.send(c.leader, wire.Frame{LeaseRequest: &req})
+	overdue := c.leases.until.Before(c.now.Add(c.timing.Lease - overdueAfter*c.timing.LeaseInterval))
+	if overdue {
+		c.askPeers(req, 1)
 	}
 }
 
-// askOthersForLeader sends a request to another peer too, since the known leader has not granted a lease
-// for a while and may be gone.
-func (c *Core) askOthersForLeader(req wire.LeaseRequest) {
-	if other := c.anyPeer(); other != "" && other != c.leader {
-		c.send(other, wire.Frame{LeaseRequest: &req})
+// askPeers asks other instances who leads.
+func (c *Core) askPeers(req wire.LeaseRequest, count int) {
+	ids := slices.Sorted(maps.Keys(c.peers))
+	c.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		if count > 0 && id != c.leader {
+			c.send(id, wire.Frame{LeaseRequest: &req})
+			count--
+		}
+	}
+}
+
+// announceLeadership tells all known instances who leads, so that they renew their leases there at once.
+func (c *Core) announceLeadership() {
+	a := wire.LeaseAnswer{Leader: c.self.ID, Term: c.lead.term, LeaderAddress: c.self.PeerAddress}
+	ids := make(map[string]bool)
+	for id := range c.peers {
+		ids[id] = true
+	}
+	for id := range c.state.Instances.All() {
+		ids[id] = true
+	}
+	delete(ids, c.self.ID)
+	for _, id := range slices.Sorted(maps.Keys(ids)) {
+		c.send(id, wire.Frame{LeaseAnswer: &a})
 	}
 }
 
--- a/plantainlane/control/log.go
+++ b/plantainlane/control/log.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"plantainlane/plantainlane/consensus"
 	"plantainlane/wire"
 )
 
@@ -16,15 +17,25 @@
 	// Tick runs what time makes due.
 	Tick(now time.Time)
 	// Take returns what came of the calls since the last Take.
-	Take() LogOutput
+	Take(now time.Time) LogOutput
 	// Leadership tells who leads. Replica is empty while nobody is known to.
 	Leadership() Leadership
 	// ConfirmedSince tells whether this replica leads and a quorum confirmed a round begun at or after t.
 	ConfirmedSince(t time.Time) bool
-	// Compact tells that the state up to index is encoded in data and the log before it may go.
-	Compact(index int, data []byte)
+	// Compact hands over the state after index, so that the log before it may go. It calls encode on
+	// another goroutine.
+	Compact(index int, encode func() ([]byte, error))
 	// Replicas returns the membership in force.
 	Replicas() wire.ReplicaSet
+	// ReplicaStatuses returns the replicas as the leader sees them; nil on other replicas.
+	ReplicaStatuses(now time.Time) []consensus.ReplicaStatus
+	// ProposeReplicas appends a membership. It returns an error if it isn't one valid step now.
+	ProposeReplicas(set wire.ReplicaSet, now time.Time) error
+	// Transfer hands leadership to the most up-to-date other voter, if there is one.
+	Transfer(now time.Time)
+	// Identity returns the ID of this replica, empty once its storage failed, and of the log it belongs
+	// to, empty for a new replica.
+	Identity() (replica, log string)
 }
 
 // LogOutput is what came of calls to a Log.
@@ -47,13 +58,6 @@
 	Self bool
 }
 
-// Kinds of log entries, as wire.LogEntry carries them.
-const (
-	EntryCommand = iota
-	EntryNoOp
-	EntryReplicas
-)
-
 // replicaSeparator parts the instance ID from the rest of a replica ID.
 const replicaSeparator = "/"
 
--- a/plantainlane/control/proposal.go
+++ b/plantainlane/control/proposal.go
@@ -36,8 +36,15 @@
 	call int
 }
 
-func newProposals() proposals {
-	return proposals{rows: make(map[int]*proposal)}
+// callBits is the share of a call ID that counts the calls of one incarnation.
+const callBits = 20
+
+// firstCall returns where an incarnation's call IDs start, so that an answer to an earlier incarnation's
+// call is never taken for the answer to another.
+func firstCall(incarnation int) int { return incarnation << callBits }
+
+func newProposals(incarnation int) proposals {
+	return proposals{rows: make(map[int]*proposal), call: firstCall(incarnation)}
 }
 
 // propose takes a command from this instance's own traffic or operators. Every command can be sent again:
--- a/plantainlane/control/query.go
+++ b/plantainlane/control/query.go
@@ -22,8 +22,8 @@
 	call int
 }
 
-func newQueries() queries {
-	return queries{rows: make(map[int]pendingQuery)}
+func newQueries(incarnation int) queries {
+	return queries{rows: make(map[int]pendingQuery), call: firstCall(incarnation)}
 }
 
 func (c *Core) query(to string, f wire.Frame, until time.Time, reply chan<- wire.Frame) {
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"plantainlane/plantainlane/consensus"
 	"plantainlane/plantainlane/state"
 	"plantainlane/wire"
 )
@@ -20,7 +21,7 @@
 	if c.lead != nil && (!l.Self || l.Term != c.lead.term) {
 		c.giveUpLeadership()
 	}
-	out := c.log.Take()
+	out := c.log.Take(c.now)
 	for i := range out.Messages {
 		m := out.Messages[i]
 		c.send(InstanceOf(m.To), wire.Frame{Consensus: &m})
@@ -34,6 +35,17 @@
 	if l.Replica != "" {
 		c.setLeader(InstanceOf(l.Replica), l.Term)
 	}
+	c.self.Replica, c.self.ReplicaLog = c.log.Identity()
+	c.compact()
+}
+
+// compact hands a snapshot of the state to the log now and then.
+func (c *Core) compact() {
+	if c.applied-c.compacted < c.timing.SnapshotEvery {
+		return
+	}
+	c.compacted = c.applied
+	c.log.Compact(c.applied, c.state.Freeze().Encode)
 }
 
 func (c *Core) restore(s wire.Snapshot) {
@@ -43,13 +55,13 @@
 		// read. Going on would diverge.
 		panic(err)
 	}
-	c.state, c.applied = restored, s.Index
+	c.state, c.applied, c.compacted = restored, s.Index, s.Index
 	c.adopt(restored.Config)
 }
 
 func (c *Core) applyEntry(e wire.LogEntry) {
 	c.applied = e.Index
-	if e.Kind != EntryCommand {
+	if e.Kind != consensus.KindCommand {
 		return
 	}
 	var cmd wire.Command
--- a/plantainlane/control/solo.go
+++ b/plantainlane/control/solo_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"plantainlane/plantainlane/consensus"
 	"plantainlane/wire"
 )
 
@@ -33,7 +34,7 @@
 func (s *Solo) Tick(time.Time) {}
 
 // Take returns the entries proposed since the last call.
-func (s *Solo) Take() LogOutput {
+func (s *Solo) Take(time.Time) LogOutput {
 	out := LogOutput{Committed: s.committed}
 	s.committed = nil
 	return out
@@ -48,7 +49,19 @@
 func (s *Solo) ConfirmedSince(time.Time) bool { return true }
 
 // Compact does nothing: entries aren't kept.
-func (s *Solo) Compact(int, []byte) {}
+func (s *Solo) Compact(int, func() ([]byte, error)) {}
+
+// ReplicaStatuses returns nothing: the membership never changes.
+func (s *Solo) ReplicaStatuses(time.Time) []consensus.ReplicaStatus { return nil }
+
+// ProposeReplicas does nothing.
+func (s *Solo) ProposeReplicas(wire.ReplicaSet, time.Time) error { return nil }
+
+// Transfer does nothing: there is no other voter.
+func (s *Solo) Transfer(time.Time) {}
+
+// Identity returns the one replica.
+func (s *Solo) Identity() (string, string) { return s.replica, "solo" }
 
 // Replicas returns the one replica.
 func (s *Solo) Replicas() wire.ReplicaSet {
--- a/plantainlane/control/timing.go
+++ b/plantainlane/control/timing.go
@@ -12,7 +12,7 @@
 	// LeaseInterval is the period of lease requests.
 	LeaseInterval time.Duration
 	// QuorumFresh is how old the leader's last confirmed round may be when it grants a lease. It is at
-	// most the election timeout.
+	// most half the election timeout, so that clocks may run at different rates.
 	QuorumFresh time.Duration
 	// SilentAfter is how long an instance may be unheard before it leaves the entry answer.
 	SilentAfter time.Duration
@@ -24,6 +24,10 @@
 	AcceptWait time.Duration
 	// GrantInterval is the period of requests for shares of the contracts.
 	GrantInterval time.Duration
+	// ReplaceAfter is how long a voter may be unheard before a spare replaces it.
+	ReplaceAfter time.Duration
+	// SnapshotEvery is the number of log entries between two snapshots.
+	SnapshotEvery int
 	// DigestInterval is the period of anti-entropy between instances.
 	DigestInterval time.Duration
 }
@@ -34,12 +38,14 @@
 		Tick:           100 * time.Millisecond,
 		Lease:          10 * time.Second,
 		LeaseInterval:  time.Second,
-		QuorumFresh:    time.Second,
+		QuorumFresh:    500 * time.Millisecond,
 		SilentAfter:    3 * time.Second,
 		ForgetAfter:    30 * time.Second,
 		ProposalRetry:  500 * time.Millisecond,
 		AcceptWait:     14 * time.Second,
 		GrantInterval:  time.Second,
 		DigestInterval: time.Second,
+		ReplaceAfter:   15 * time.Second,
+		SnapshotEvery:  4096,
 	}
 }
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"plantainlane/plantainlane/announce"
 	"plantainlane/plantainlane/caller"
+	"plantainlane/plantainlane/consensus"
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/cost"
 	"plantainlane/plantainlane/engine"
@@ -22,9 +24,9 @@
 	"plantainlane/plantainlane/order"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/pipeline"
+	"plantainlane/plantainlane/replica"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/settings"
-	"plantainlane/plantainlane/state"
 	"plantainlane/plantainlane/timeline"
 	"plantainlane/plantainlane/upstream"
 	"plantainlane/wire"
@@ -38,6 +40,9 @@
 	redial = 500 * time.Millisecond
 	// unusedPeer is how long a connection to an instance that is no neighbor is kept without use.
 	unusedPeer = 30 * time.Second
+	// heartbeatsPerTimeout is the number of rounds that the leader of the control log begins in an election
+	// timeout.
+	heartbeatsPerTimeout = 5
 )
 
 // Instance is one entry instance.
@@ -56,6 +61,8 @@
 	metrics  *metric.Metrics
 	runner   *pipeline.Runner
 	servers  []*server
+	// replica is nil on an instance without a data folder.
+	replica *replica.Opened
 }
 
 // New assembles an instance that isn't running yet. Its goroutines end with ctx.
@@ -89,25 +96,43 @@
 		Redial:      redial,
 		Unused:      unusedPeer,
 	}, &frames{x, ctx}, clock{x.clock})
-	x.loop = control.NewLoop(x.newCore(), x.net, x.services, nil)
+	if err := x.openReplica(now); err != nil {
+		return nil, err
+	}
+	var wake <-chan struct{}
+	if x.replica != nil {
+		wake = x.replica.Wake()
+	}
+	x.loop = control.NewLoop(x.newCore(), x.net, x.services, wake)
 	x.loop.Orders = &order.Courier{Client: x.fleet.Client(), Report: func(r order.Report) {
 		x.loop.Deliver(ctx, control.OrderReported{Report: r})
 	}}
 	return x, x.listen(ctx)
 }
 
+// openReplica opens the data folder, if there is one.
+func (x *Instance) openReplica(now time.Time) (err error) {
+	if x.settings.Data == nil {
+		return nil
+	}
+	timeout := time.Duration(x.settings.Control.ElectionTimeout)
+	cfg := consensus.Config{ElectionTimeout: timeout, HeartbeatInterval: timeout / heartbeatsPerTimeout}
+	x.replica, err = replica.Open(x.settings.Data.Folder, x.self.ID, cfg, now)
+	return err
+}
+
 func (x *Instance) newCore() *control.Core {
 	t := control.DefaultTiming()
 	t.Tick = time.Duration(x.settings.Control.Tick)
 	t.Lease = time.Duration(x.settings.Control.Lease)
-	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout)
+	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout) / 2
 	w := x.settings.WeightStore
 	opts := []control.Option{control.WithOrders(func() *order.Planner {
 		return order.NewPlanner(order.WithWeightRate(wire.Rate{PerSecond: w.PerSecond, Burst: w.Burst}),
 			order.WithSeed(uint64(x.self.Incarnation)))
 	}), control.WithTiming(t), control.WithRecorder(x.ring), control.WithLimiter(x.limiter)}
-	if x.self.HasData {
-		opts = append(opts, control.WithLog(control.NewSolo(x.self.ID, 1), &state.State{}, 0))
+	if r := x.replica; r != nil {
+		opts = append(opts, control.WithLog(r, r.State, r.Applied), control.WithVoters(x.settings.Data.Voters))
 	}
 	return control.New(x.self, opts...)
 }
@@ -202,6 +227,11 @@
 	for _, address := range x.settings.Join {
 		x.net.Join(address)
 	}
+	if x.replica != nil {
+		for _, i := range x.replica.Known {
+			x.net.Know(i)
+		}
+	}
 	klog.InfoS("serving", "instance", x.self.ID, "incarnation", x.self.Incarnation, "callers", x.self.CallerAddress)
 	g.Go(func() error {
 		x.reportCosts(ctx)
@@ -221,5 +251,9 @@
 		x.closeServers()
 		return nil
 	})
-	return g.Wait()
+	err := g.Wait()
+	if x.replica != nil {
+		err = errors.CombineErrors(err, x.replica.Close())
+	}
+	return err
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -912,6 +912,12 @@
 	// Region.
 	Region string `json:"region" cbor:"region"`
 
+	// ID of its replica; empty without a data folder, and once its storage failed.
+	Replica string `json:"replica" cbor:"replica"`
+
+	// ID of the log that its replica belongs to; empty for a new replica.
+	ReplicaLog string `json:"replicaLog" cbor:"replicaLog"`
+
 	// Whether the leader has not heard from it lately.
 	Silent bool `json:"silent" cbor:"silent"`
 
