--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -44,6 +44,7 @@
   mkdir -p "$data"
   for n in $(seq "$count"); do
     settings "$n" "$disks" "$count" >"$data/entry-$n.jsonc"
+    if [ "$n" = 1 ]; then bin/plantainlane bootstrap "$data/entry-$n.jsonc" >"$data/bootstrap.log"; fi
     bin/plantainlane serve "$data/entry-$n.jsonc" 2>"$data/entry-$n.log" &
     instance_pid[$n]=$!
   done
--- a/plantainctl/scenario/words_test.go
+++ b/plantainctl/scenario/words_test.go
@@ -72,6 +72,11 @@
 		return err
 	}
 	w.instances = append(w.instances, p)
+	if args[1] == "first-with-disk" {
+		if err := ts.Exec("plantainlane", "bootstrap", p.name+".json"); err != nil {
+			return err
+		}
+	}
 	return w.serve(ts, p)
 }
 
