--- a/plantainlane/replica/site_test.go
+++ b/plantainlane/replica/site_test.go
@@ -273,6 +273,9 @@
 // Know implements control.Sender.
 func (m *member) Know(wire.InstanceInfo) {}
 
+// Keep implements control.Sender.
+func (m *member) Keep([]wire.InstanceInfo) {}
+
 // nothing is a balancer that takes no notice.
 type nothing struct{}
 
