state: refuse old keys by the time in them

Cause: the hash of every key was kept for good, about 60 bytes each; one purchase a second would come to 1.9 GB a year on each replica.

Change: a key that is a UUID of version 7 is refused by its time once its answer was dropped, and leaves nothing behind; hashes of other keys go after 400 days.

--- a/plantainlane/control/scale_test.go
+++ b/plantainlane/control/scale_test.go
@@ -180,6 +180,8 @@
 		{40, 50, 250, 0},
 		{40, 1200, 250, 0},
 		{160, 50, 250, 0},
+		{160, 4000, 25_000, 85},
+		{460, 12_000, 25_000, 85},
 	} {
 		b.Run(fmt.Sprintf("instances=%d/upstreams=%d/workspaces=%d/active=%d", size.instances, size.upstreams, size.workspaces, size.active), func(b *testing.B) {
 			s := newScaleSite(size.instances, size.workspaces)
--- a/plantainlane/state/claim.go
+++ b/plantainlane/state/claim.go
@@ -2,8 +2,10 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 
 	"plantainlane/wire"
 )
@@ -28,6 +30,13 @@
 	ClaimAbsent = "absent"
 )
 
+const (
+	// keepHashesMs is how long the hash of a key is kept after its answer was dropped, in milliseconds.
+	keepHashesMs = int(400 * 24 * time.Hour / time.Millisecond)
+	// timeOrdered is the version of UUIDs that carry their time.
+	timeOrdered = 7
+)
+
 // Claim is the row of one idempotency key.
 type Claim struct {
 	// Claim is the command that created the row.
@@ -53,7 +62,7 @@
 	id := ClaimKey(c.Workspace, c.Key)
 	old, ok := s.Claims.Get(id)
 	if !ok {
-		if s.Expired.Has(expiredKey(id)) {
+		if s.Expired.Has(expiredKey(id)) || isForgotten(c.Key, s.ForgottenMs) {
 			return wire.ClaimState{State: ClaimExpired}
 		}
 		if s.Released.Has(c.Attempt) {
@@ -124,21 +133,41 @@
 	}
 }
 
-// expireClaims replaces claims that ended before a time by the hash of their key, so that the key is
-// never run again.
+// expireClaims drops claims that ended before a time. The hash of the key stays, so that the key is never run
+// again, unless the key's own time tells that it is too old.
 func (s *State) expireClaims(beforeMs int) {
+	s.ForgottenMs = max(s.ForgottenMs, beforeMs)
 	for id, c := range s.Claims.All() {
 		if c.State == ClaimRunning || c.EndedMs >= beforeMs {
 			continue
 		}
 		s.dropClaim(id)
-		s.Expired = s.Expired.With(expiredKey(id), c.EndedMs)
+		if !isForgotten(c.Claim.Key, s.ForgottenMs) {
+			s.Expired = s.Expired.With(expiredKey(id), c.EndedMs)
+		}
 	}
 	for attempt, atMs := range s.Released.All() {
 		if atMs < beforeMs {
 			s.Released = s.Released.Without(attempt)
 		}
 	}
+	for key, endedMs := range s.Expired.All() {
+		if endedMs < beforeMs-keepHashesMs {
+			s.Expired = s.Expired.Without(key)
+		}
+	}
+}
+
+// isForgotten tells whether a key is a UUID of version 7 that was made before a time. The answers of such keys are
+// dropped without a trace.
+func isForgotten(key string, beforeMs int) bool {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != timeOrdered {
+		return false
+	}
+	seconds, nanos := id.Time().UnixTime()
+	made := time.Unix(seconds, nanos)
+	return made.UnixMilli() < int64(beforeMs)
 }
 
 // ClaimOf returns the claim that a request of a workspace holds.
--- a/plantainlane/state/claim_test.go
+++ b/plantainlane/state/claim_test.go
@@ -127,3 +127,29 @@
 	is.Equal(s.Config.Models.Len(), 2)
 	is.Equal(s.Config.Revision, 2)
 }
+
+// TestKeysThatCarryTheirTime uses a UUID of version 7 made in 1970 and one made in 2100.
+func TestKeysThatCarryTheirTime(t *testing.T) {
+	const old, late = "00000000-0010-7000-8000-000000000000", "03bb2cc3-d800-7000-8000-000000000000"
+	for key, hashes := range map[string]int{old: 0, late: 1, "other": 1} {
+		t.Run(key, func(t *testing.T) {
+			is := is.New(t)
+			s := &State{}
+			run := func(c wire.Command) Outcome {
+				out, err := s.Apply(c)
+				is.NoErr(err)
+				return out
+			}
+			first, end := claim("a", "d"), resolve("a", ClaimRan)
+			first.Claim.Key, end.Resolve.Key = key, key
+			is.Equal(run(first).Claim.State, ClaimWon)
+			run(end)
+			run(wire.Command{Expire: &wire.ExpireClaims{BeforeMs: 1000}})
+			is.Equal(s.Claims.Len(), 0)
+			is.Equal(s.Expired.Len(), hashes)
+			again := claim("b", "d")
+			again.Claim.Key = key
+			is.Equal(run(again).Claim.State, ClaimExpired)
+		})
+	}
+}
--- a/plantainlane/state/snapshot.go
+++ b/plantainlane/state/snapshot.go
@@ -15,6 +15,7 @@
 	Released     []expiredClaim       `cbor:"released"`
 	Instances    []wire.InstanceInfo  `cbor:"instances"`
 	Fencing      int                  `cbor:"fencing"`
+	ForgottenMs  int                  `cbor:"forgottenMs"`
 	Costs        []keyedCost          `cbor:"costs"`
 	Spent        []keyedSpent         `cbor:"spent"`
 }
@@ -48,6 +49,7 @@
 		Revision:     s.Config.Revision,
 		Declarations: s.Config.Declarations(),
 		Fencing:      s.Fencing,
+		ForgottenMs:  s.ForgottenMs,
 	}
 	for _, id := range s.changeOrder {
 		c, _ := s.Changes.Get(id)
@@ -80,7 +82,7 @@
 	if err := wire.Decode(b, &im); err != nil {
 		return nil, err
 	}
-	s := &State{Fencing: im.Fencing}
+	s := &State{ForgottenMs: im.ForgottenMs, Fencing: im.Fencing}
 	s.Config = Config{}.With(im.Declarations, nil, im.Revision)
 	for _, c := range im.Changes {
 		s.remember(c)
--- a/plantainlane/state/state.go
+++ b/plantainlane/state/state.go
@@ -30,6 +30,9 @@
 	Claims table.Table[Claim]
 	// Expired holds the key hashes of claims whose result was forgotten.
 	Expired table.Table[int]
+	// ForgottenMs is the time before which keys that carry their time are refused, in milliseconds since 1970.
+	// It never falls.
+	ForgottenMs int
 	// Released holds claim attempts that were taken back before their claim was committed, with the time
 	// in milliseconds since 1970. Their claim, should it still come, is not made.
 	Released table.Table[int]
