pipeline: move a stream after one resumption without a token

A frozen engine takes connections and brings nothing: three resumptions of 2 s each would use up a deadline of 6 s. A resumption that brings no token is the last one, and may be silent for half as long.

--- a/plantainlane/engine/stream.go
+++ b/plantainlane/engine/stream.go
@@ -61,7 +61,8 @@
 
 // Break is a stream that broke.
 type Break struct {
-	// Reachable says that the engine may still hold the attempt.
+	// Reachable says that the engine may still hold the attempt: the stream has brought tokens since it was last
+	// resumed.
 	Reachable bool
 	// Leaving says that the engine takes no new work.
 	Leaving bool
--- a/plantainlane/pipeline/generate.go
+++ b/plantainlane/pipeline/generate.go
@@ -20,6 +20,8 @@
 	exportTimeout = 250 * time.Millisecond
 	// cancelTimeout bounds the word to an engine that an attempt is over.
 	cancelTimeout = time.Second
+	// resumeHaste divides the time that a resumption may be silent: its engine has the next token at hand.
+	resumeHaste = 2
 	// resumePause is the time between a break and a second or later resumption.
 	resumePause = 100 * time.Millisecond
 )
@@ -104,6 +106,7 @@
 	defer func() { a.tokens = a.progress.Next() - begun }()
 	call := a.call
 	for resumed := 0; ; resumed++ {
+		before := a.progress.Next()
 		end, err := x.Caller.Stream(ctx, call, func(t upstream.Token) error { return x.takeToken(a, t) })
 		if err == nil {
 			err = a.progress.End(end.Tokens)
@@ -119,13 +122,17 @@
 		if !isBreak(ctx, err) || a.target.Role == "" || x.Engines == nil || a.progress.Next() == 0 {
 			return upstream.Answer{}, err
 		}
-		move := engine.After(engine.Break{Reachable: true, Leaving: x.Engines.Leaving(a.target.ID), Resumed: resumed})
+		move := engine.After(engine.Break{
+			Reachable: resumed == 0 || a.progress.Next() > before,
+			Leaving:   x.Engines.Leaving(a.target.ID), Resumed: resumed,
+		})
 		if move != engine.Resume {
 			a.export = move == engine.Import
 			return upstream.Answer{}, err
 		}
 		x.record("streamResumed", call.Attempt, a.target.ID, kindOf(err))
 		call.Offset, call.Continued = a.progress.Next(), false
+		call.SilentAfter = a.call.SilentAfter / resumeHaste
 		if resumed > 0 && !pause(ctx, resumePause) {
 			return upstream.Answer{}, context.Cause(ctx)
 		}
--- a/plantainlane/pipeline/generate_test.go
+++ b/plantainlane/pipeline/generate_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -32,6 +33,8 @@
 	breakAfter func(call upstream.Call) (int, error)
 	// dead engines can't be reached.
 	dead map[string]bool
+	// frozen engines take connections and bring nothing.
+	frozen map[string]bool
 	// leaving engines take no new work.
 	leaving map[string]bool
 	// mute loses words to engines that an attempt is over.
@@ -40,7 +43,8 @@
 
 func newEngineWorld(ctx context.Context) *engineWorld {
 	w := &engineWorld{
-		world: newWorld(), engines: map[string]*fake.Engine{}, dead: map[string]bool{}, leaving: map[string]bool{},
+		world: newWorld(), engines: map[string]*fake.Engine{}, dead: map[string]bool{},
+		frozen: map[string]bool{}, leaving: map[string]bool{},
 		breakAfter: func(upstream.Call) (int, error) { return 0, nil },
 	}
 	for i := range 3 {
@@ -81,6 +85,12 @@
 	if w.dead[call.Address] {
 		return upstream.End{}, errors.Wrap(upstream.ErrNotRun, "connection refused")
 	}
+	if w.frozen[call.Address] {
+		if err := sleepOr(ctx, call.SilentAfter); err != nil {
+			return upstream.End{}, err
+		}
+		return upstream.End{}, errors.Wrap(upstream.ErrSilent, "test")
+	}
 	s, err := w.open(call)
 	if err != nil {
 		return upstream.End{}, &upstream.StatusError{Status: 404}
@@ -248,6 +258,27 @@
 	})
 }
 
+func TestStreamOfAFrozenEngineMovesAfterOneResumption(t *testing.T) {
+	inEngineWorld(t, func(is *is.I, ctx context.Context, w *engineWorld, e *entry) {
+		w.breakAfter = func(call upstream.Call) (int, error) {
+			if len(w.frozen) > 0 {
+				return 0, nil
+			}
+			w.frozen[call.Address] = true
+			return 7, upstream.ErrSilent
+		}
+		var r reader
+		seen := &waits{}
+		e.Observer = seen
+		_, err := e.Run(ctx, r.request(is))
+		is.NoErr(err)
+		is.Equal(r.text, chain.Text("00112233", answerTokens))
+		silent := time.Duration(hedged.SilentAfterMs) * time.Millisecond
+		longest := slices.Max(seen.Gaps)
+		is.True(longest > silent/2 && longest < silent) // one resumption, at half the patience
+	})
+}
+
 func TestStreamOfALeavingEngineMovesWithItsCache(t *testing.T) {
 	inEngineWorld(t, func(is *is.I, ctx context.Context, w *engineWorld, e *entry) {
 		w.breakAfter = func(call upstream.Call) (int, error) {
