--- a/plantainlane/pipeline/generate.go
+++ b/plantainlane/pipeline/generate.go
@@ -20,6 +20,8 @@
 	exportTimeout = 250 * time.Millisecond
 	// cancelTimeout bounds the word to an engine that an attempt is over.
 	cancelTimeout = time.Second
+	// engineSilence is how long a stream from an engine may be silent at most; it sends a comment each 500 ms.
+	engineSilence = 1500 * time.Millisecond
 	// resumeHaste divides the time that a resumption may be silent: its engine has the next token at hand.
 	resumeHaste = 2
 	// resumePause is the time between a break and a second or later resumption.
@@ -69,6 +71,9 @@
 		return nil
 	}
 	a.progress, a.tokenAt = s.progress.Clone(), s.tokenAt
+	if s.stage.Streams && (a.call.SilentAfter == 0 || a.call.SilentAfter > engineSilence) {
+		a.call.SilentAfter = engineSilence
+	}
 	if a.call.Model != "" {
 		a.call.Model = versionOn(a.target.Models, a.call.Model, x.Engines.Declared(a.call.Model))
 		x.Engines.Sent(a.target.ID, a.call.Model, s.body)
