--- /dev/null
+++ b/plantainctl/scenario/operator_test.go
@@ -0,0 +1,74 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"plantainlane/wire"
+)
+
+// race COUNT FILE
+func race(w *world, ts *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return errArguments
+	}
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	addresses := w.addresses(operatorPort)
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	states := map[string]int{}
+	for i := range n {
+		running.Go(func() {
+			out, err := exec.Command(filepath.Join(programs, "plantainctl"), "--json", "-i", addresses[i%len(addresses)],
+				"--credential-file", filepath.Join(w.folder, "operator.key"),
+				"apply", "--base", "1", "--change-id", fmt.Sprintf("race-%d", i), ts.MkAbs(args[1])).Output()
+			var outcome wire.ChangeOutcome
+			if json.Unmarshal(out, &outcome) != nil {
+				outcome.State = fmt.Sprint(err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			states[outcome.State]++
+		})
+	}
+	running.Wait()
+	_, err = fmt.Fprintf(ts.Stdout(), "accepted=%d conflict=%d\n%v\n", states["accepted"], states["conflict"], states)
+	return err
+}
+
+// resolve returns the name that leader and crashed stand for: the instance that leads now, and the one that
+// was killed last.
+func (w *world) resolve(name string) (string, error) {
+	switch name {
+	case "crashed":
+		return w.crashed, nil
+	case "leader":
+		var status wire.StatusAnswer
+		err := await("a leader", func() bool {
+			out, err := w.ctl("status", "--json")
+			return err == nil && json.Unmarshal(out, &status) == nil && status.Leader != ""
+		})
+		return status.Leader, err
+	}
+	return name, nil
+}
+
+// ctl runs plantainctl against the instances that run.
+func (w *world) ctl(args ...string) ([]byte, error) {
+	all := []string{"--credential-file", filepath.Join(w.folder, "operator.key")}
+	for _, a := range w.addresses(operatorPort) {
+		all = append(all, "-i", a)
+	}
+	out, err := exec.Command(filepath.Join(programs, "plantainctl"), append(all, args...)...).Output()
+	return out, errors.Wrap(err, "plantainctl")
+}
--- a/plantainctl/scenario/words_test.go
+++ b/plantainctl/scenario/words_test.go
@@ -39,6 +39,10 @@
 		return err
 	}
 	w.site, w.examples = args[0], examples
+	key := []byte(w.site + "-operator-example")
+	if err := os.WriteFile(filepath.Join(w.folder, "operator.key"), key, 0o600); err != nil {
+		return err
+	}
 	ts.Setenv("EXAMPLES", examples)
 	ts.Setenv("PLANTAINCTL_CREDENTIAL", w.site+"-operator-example")
 	return nil
@@ -80,7 +84,7 @@
 	return w.serve(ts, p)
 }
 
-// restart INSTANCE
+// restart INSTANCE|crashed
 func restart(w *world, ts *testscript.TestScript, args []string) error {
 	p, err := w.one(args)
 	if err != nil {
@@ -104,7 +108,11 @@
 	if len(args) != 1 {
 		return nil, errArguments
 	}
-	return w.find(args[0])
+	name, err := w.resolve(args[0])
+	if err != nil {
+		return nil, err
+	}
+	return w.find(name)
 }
 
 // upstream NAME GROUP [OPTION...]
@@ -148,12 +156,13 @@
 	return p.cmd.Process.Signal(syscall.SIGTERM)
 }
 
-// crash NAME
+// crash NAME|leader
 func crash(w *world, ts *testscript.TestScript, args []string) error {
 	p, err := w.one(args)
 	if err != nil {
 		return err
 	}
+	w.crashed = p.name
 	if err := p.cmd.Process.Kill(); err != nil {
 		return err
 	}
--- a/plantainctl/scenario/world_test.go
+++ b/plantainctl/scenario/world_test.go
@@ -34,6 +34,8 @@
 	instances []*process
 	upstreams []*process
 	loads     map[string]*loader
+	// crashed is the process that was killed last.
+	crashed string
 }
 
 // process is a program that the script started.
