--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -58,6 +58,7 @@
 			"request":    word(request),
 			"load":       word(load),
 			"executions": word(executions),
+			"voter":      word(voter),
 			"race":       word(race),
 			"doubled":    word(doubled),
 			"http":       word(raw),
--- a/plantainctl/scenario/operator_test.go
+++ b/plantainctl/scenario/operator_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -72,3 +74,34 @@
 	out, err := exec.Command(filepath.Join(programs, "plantainctl"), append(all, args...)...).Output()
 	return out, errors.Wrap(err, "plantainctl")
 }
+
+var startedAs = regexp.MustCompile(`"msg":"serving".*"incarnation":(\d+)`)
+
+// voter INSTANCE
+//
+// It waits until the replica of the instance's newest start votes.
+func voter(w *world, _ *testscript.TestScript, args []string) error {
+	p, err := w.one(args)
+	if err != nil {
+		return err
+	}
+	starts := startedAs.FindAllStringSubmatch(w.log(p), -1)
+	if len(starts) == 0 {
+		return errors.Newf("%s has not started", p.name)
+	}
+	incarnation, err := strconv.Atoi(starts[len(starts)-1][1])
+	if err != nil {
+		return err
+	}
+	var out []byte
+	err = await(p.name+" votes", func() bool {
+		var status wire.StatusAnswer
+		if out, err = w.ctl("status", "--json"); err != nil || json.Unmarshal(out, &status) != nil {
+			return false
+		}
+		return slices.ContainsFunc(status.Instances, func(i wire.InstanceStatus) bool {
+			return i.Info.ID == p.name && i.Info.Incarnation == incarnation && i.Lease == "held" && i.Replica == "voter"
+		})
+	})
+	return errors.Wrapf(err, "newest status: %s", out)
+}
