--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -51,6 +51,8 @@
 			"engine":     word(engine),
 			"term":       word(term),
 			"crash":      word(crash),
+			"freeze":     word(freeze),
+			"thaw":       word(thaw),
 			"exits":      word(exits),
 			"wipe":       word(wipe),
 			"fault":      word(fault),
--- a/plantainctl/scenario/operator_test.go
+++ b/plantainctl/scenario/operator_test.go
@@ -48,12 +48,14 @@
 	return err
 }
 
-// resolve returns the name that leader and crashed stand for: the instance that leads now, and the one that
-// was killed last.
+// resolve returns the name that leader, crashed and frozen stand for: the instance that leads now, the one
+// that was killed last, and the one that was frozen last.
 func (w *world) resolve(name string) (string, error) {
 	switch name {
 	case "crashed":
 		return w.crashed, nil
+	case "frozen":
+		return w.frozen, nil
 	case "leader":
 		var status wire.StatusAnswer
 		err := await("a leader", func() bool {
--- a/plantainctl/scenario/words_test.go
+++ b/plantainctl/scenario/words_test.go
@@ -171,6 +171,27 @@
 	return nil
 }
 
+// freeze NAME
+//
+// The process stands still, and its connections stay open without a byte, as in a silent partition.
+func freeze(w *world, _ *testscript.TestScript, args []string) error {
+	p, err := w.one(args)
+	if err != nil {
+		return err
+	}
+	w.frozen = p.name
+	return p.cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+// thaw NAME
+func thaw(w *world, _ *testscript.TestScript, args []string) error {
+	p, err := w.one(args)
+	if err != nil {
+		return err
+	}
+	return p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // exits NAME CODE
 func exits(w *world, ts *testscript.TestScript, args []string) error {
 	if len(args) != 2 {
--- a/plantainctl/scenario/world_test.go
+++ b/plantainctl/scenario/world_test.go
@@ -36,6 +36,8 @@
 	loads     map[string]*loader
 	// crashed is the process that was killed last.
 	crashed string
+	// frozen is the process that was made to stand still last.
+	frozen string
 }
 
 // process is a program that the script started.
