control: show the role of the replica that an instance has now

Status named the role by instance: after a data folder was wiped, the instance counted as voter while only its lost replica still was one, and an operator who went by it lost the quorum by stopping another instance.

--- a/plantainlane/control/query.go
+++ b/plantainlane/control/query.go
@@ -141,7 +141,7 @@
 	return s
 }
 
-// roleSet holds the replica role of each instance in a membership.
+// roleSet holds the role of each replica in a membership.
 type roleSet struct {
 	roles map[string]string
 }
@@ -149,16 +149,16 @@
 func replicaRoles(r wire.ReplicaSet) roleSet {
 	out := roleSet{make(map[string]string)}
 	for _, id := range r.Learners {
-		out.roles[InstanceOf(id)] = "learner"
+		out.roles[id] = "learner"
 	}
 	for _, id := range r.Voters {
-		out.roles[InstanceOf(id)] = "voter"
+		out.roles[id] = "voter"
 	}
 	return out
 }
 
 func (r roleSet) of(i wire.InstanceInfo) string {
-	if role := r.roles[i.ID]; role != "" {
+	if role := r.roles[i.Replica]; role != "" {
 		return role
 	}
 	if i.HasData {
