--- a/plantainctl/command/command_test.go
+++ b/plantainctl/command/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -226,3 +227,35 @@
 	secret := file(t, "secret\n")
 	is.Equal(Run(context.Background(), []string{"plantainctl", "-i", "127.0.0.1:1", "--credential-file", secret, "status"}, nil, &out, &out), 1)
 }
+
+func TestTimelineFollowsAndPrintsEachEventOnce(t *testing.T) {
+	is := is.New(t)
+	event := func(wall int, kind string) string {
+		return fmt.Sprintf(`{"time":{"wallMs":%d,"logical":0},"instance":"a","kind":%q}`, wall, kind)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	polls := []string{
+		event(10_000, "first"),
+		event(10_000, "first") + "," + event(9_000, "late") + "," + event(20_000, "second"),
+		event(20_000, "second"),
+	}
+	var queries []string
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := min(len(queries), len(polls)-1)
+		queries = append(queries, r.URL.Query().Get("sinceMs"))
+		_, _ = w.Write([]byte(`{"events":[` + polls[n] + `]}`))
+		if len(queries) > len(polls) {
+			cancel()
+		}
+	}))
+	defer s.Close()
+	t.Setenv(envCredential, "secret")
+	var out, errOut bytes.Buffer
+	code := Run(ctx, []string{"plantainctl", "-i", strings.TrimPrefix(s.URL, "http://"), "timeline", "--follow"}, nil, &out, &errOut)
+	is.Equal(code, 0)
+	is.Equal(strings.Count(out.String(), "first"), 1)
+	is.Equal(strings.Count(out.String(), "late"), 1)
+	is.Equal(strings.Count(out.String(), "second"), 1)
+	is.Equal(queries[:4], []string{"", "5000", "15000", "15000"}) // a while before the newest event
+}
