--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -61,6 +61,7 @@
 			"load":       word(load),
 			"executions": word(executions),
 			"voter":      word(voter),
+			"changes":    word(changes),
 			"race":       word(race),
 			"doubled":    word(doubled),
 			"http":       word(raw),
--- a/plantainctl/scenario/operator_test.go
+++ b/plantainctl/scenario/operator_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os/exec"
@@ -13,7 +14,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"plantainlane/plantainctl/operator"
 	"plantainlane/wire"
+	"plantainlane/wire/declaration"
+	"plantainlane/wire/jsonc"
 )
 
 // race COUNT FILE
@@ -107,3 +111,33 @@
 	})
 	return errors.Wrapf(err, "newest status: %s", out)
 }
+
+// changes COUNT FILE
+func changes(w *world, ts *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return errArguments
+	}
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	text := ts.ReadFile(args[1])
+	client := operator.New(w.addresses(operatorPort), w.site+"-operator-example")
+	for i := range n {
+		var set wire.Declarations
+		if err := jsonc.Read(args[1], []byte(text), &set, declaration.Defaults()...); err != nil {
+			return err
+		}
+		set.Contracts[0].Concurrency += i
+		current, err := client.Declarations(context.Background())
+		if err != nil {
+			return err
+		}
+		change := wire.ChangeSet{ChangeID: fmt.Sprintf("change-%d", i), BaseRevision: current.Revision, Set: set, Remove: []wire.DeclarationName{}}
+		out, err := client.Change(context.Background(), change)
+		if err != nil || out.State != "accepted" {
+			return errors.Newf("change %d: %v %v", i, out, err)
+		}
+	}
+	return nil
+}
--- a/wire/jsonc/decode.go
+++ b/wire/jsonc/decode.go
@@ -66,6 +66,9 @@
 		d.text(in, out, path)
 		return
 	}
+	if isNull(in) && slices.Contains(nullable, out.Kind()) {
+		return
+	}
 	switch out.Kind() {
 	case reflect.Pointer:
 		v := d.fresh(out.Type().Elem())
@@ -83,6 +86,14 @@
 	}
 }
 
+// nullable are the kinds of values that null leaves as they are, since writers of JSON use it for none.
+var nullable = []reflect.Kind{reflect.Map, reflect.Pointer, reflect.Slice}
+
+func isNull(in hujson.Value) bool {
+	l, ok := in.Value.(hujson.Literal)
+	return ok && l.Kind() == 'n'
+}
+
 func (d *decoder) text(in hujson.Value, out reflect.Value, path string) {
 	l, ok := in.Value.(hujson.Literal)
 	if !ok || l.Kind() != '"' {
--- a/wire/jsonc/jsonc_test.go
+++ b/wire/jsonc/jsonc_test.go
@@ -68,6 +68,13 @@
 	is.Equal(raw.A, []int{1, 2})
 }
 
+func TestNullIsNone(t *testing.T) {
+	is := is.New(t)
+	got := target{Limits: []limit{{1, 1}}}
+	is.NoErr(Read("f", []byte(`{"limits": null, "byZone": null, "extra": null}`), &got))
+	is.Equal(got, target{Limits: []limit{{1, 1}}})
+}
+
 func TestLineOfNearestValue(t *testing.T) {
 	is := is.New(t)
 	doc, err := Parse("f", []byte("\n{\n\"limits\": [\n{\"rate\": 1}]}"))
