--- a/plantainctl/scenario/caller_test.go
+++ b/plantainctl/scenario/caller_test.go
@@ -220,3 +220,41 @@
 	}
 	return nil
 }
+
+// charged WORKSPACE STAGE NAME PATH
+//
+// It waits until a stage's cost equals what the upstreams have counted for the workspace.
+func charged(w *world, ts *testscript.TestScript, args []string) error {
+	if len(args) != 4 {
+		return errArguments
+	}
+	var charge, count float64
+	err := await("cost of "+args[1], func() bool {
+		ledger, err := w.ledger(args[2:])
+		if err != nil {
+			return false
+		}
+		var answer wire.CostAnswer
+		out, err := w.ctl("cost", "--json", "--workspace", args[0])
+		if err != nil || json.Unmarshal(out, &answer) != nil {
+			return false
+		}
+		charge, count = 0, 0
+		for _, r := range answer.Rows {
+			if r.Stage == args[1] {
+				charge += r.Units + r.WastedUnits
+			}
+		}
+		for _, t := range ledger.Totals {
+			if t.Workspace == args[0] && t.Path == args[3] {
+				count += t.Units
+			}
+		}
+		return charge == count && count > 0
+	})
+	if err != nil {
+		return errors.Newf("%v: charged %g, counted %g", err, charge, count)
+	}
+	_, err = fmt.Fprintf(ts.Stdout(), "%g\n", charge)
+	return err
+}
--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -62,6 +62,7 @@
 			"executions": word(executions),
 			"voter":      word(voter),
 			"changes":    word(changes),
+			"charged":    word(charged),
 			"race":       word(race),
 			"doubled":    word(doubled),
 			"http":       word(raw),
