--- a/plantainlane/control/proposal.go
+++ b/plantainlane/control/proposal.go
@@ -108,7 +108,7 @@
 		return
 	}
 	c.lead.waiting[index] = from
-	c.runReplication()
+	c.proposed = true
 }
 
 // leadChange answers a change that needs no log entry: one that is only validated, or was already made. It
--- /dev/null
+++ b/plantainlane/replica/bench_test.go
@@ -0,0 +1,187 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"plantainlane/plantainlane/consensus"
+	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/journal"
+	"plantainlane/plantainlane/state"
+	"plantainlane/wire"
+)
+
+// lone is a control goroutine with the only replica of a log, on a real folder.
+type lone struct {
+	opened *Opened
+	loop   *control.Loop
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+func startLone(b *testing.B, path string) *lone {
+	b.Helper()
+	opened, err := Open(path, "i0", consensus.Config{}, time.Now())
+	if err != nil {
+		b.Fatal(err)
+	}
+	info := wire.InstanceInfo{ID: "i0", Incarnation: int(time.Now().UnixNano()), HasData: true}
+	core := control.New(info, control.WithVoters(1), control.WithLog(opened, opened.State, opened.Applied))
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &lone{opened: opened, stop: cancel, done: make(chan struct{})}
+	l.loop = control.NewLoop(core, &member{}, nothing{}, opened.Wake())
+	go func() {
+		l.loop.Run(ctx)
+		close(l.done)
+	}()
+	return l
+}
+
+func (l *lone) close(b *testing.B) {
+	l.stop()
+	<-l.done
+	if err := l.opened.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// awaitLease returns once the instance serves under a revision.
+func (l *lone) awaitLease(revision int) {
+	for {
+		v := l.loop.Publisher.View()
+		if v.LeaseHeld(time.Now()) && v.Config.Revision >= revision {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func newFolder(b *testing.B) string {
+	b.Helper()
+	path := filepath.Join(b.TempDir(), "data")
+	if _, err := Bootstrap(path, "i0"); err != nil {
+		b.Fatal(err)
+	}
+	return path
+}
+
+// BenchmarkCommit reports commits by one writer and by 64 at a time, each waiting for its own.
+func BenchmarkCommit(b *testing.B) {
+	for _, writers := range []int{1, 64} {
+		b.Run(fmt.Sprint("writers=", writers), func(b *testing.B) {
+			l := startLone(b, newFolder(b))
+			defer l.close(b)
+			l.awaitLease(0)
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			done := make(chan struct{})
+			b.ResetTimer()
+			for range writers {
+				go func() {
+					for left.Add(-1) >= 0 {
+						a := l.loop.Propose(context.Background(), wire.Command{Fencing: &wire.FencingAdvance{}})
+						if !a.Committed {
+							b.Error(a.Refusal)
+						}
+					}
+					done <- struct{}{}
+				}()
+			}
+			for range writers {
+				<-done
+			}
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+		})
+	}
+}
+
+// BenchmarkRestart reports the time from opening the folder until the instance serves under the newest
+// revision, fresh and with 10,000 changes behind it.
+func BenchmarkRestart(b *testing.B) {
+	for _, changes := range []int{0, 10_000} {
+		b.Run(fmt.Sprint("changes=", changes), func(b *testing.B) {
+			path := newFolder(b)
+			prepare(b, path, changes)
+			var opening time.Duration
+			b.ResetTimer()
+			for range b.N {
+				begin := time.Now()
+				l := startLone(b, path)
+				opening += time.Since(begin)
+				l.awaitLease(changes)
+				b.StopTimer()
+				l.close(b)
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(opening.Milliseconds())/float64(b.N), "open-ms")
+		})
+	}
+}
+
+// prepare writes the log that changes would have left, with a snapshot every 4,096 entries.
+func prepare(b *testing.B, path string, changes int) {
+	b.Helper()
+	folder, err := journal.OpenFolder(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer folder.Close()
+	j, stored, err := journal.Open(folder, "i0", func(journal.Synced) {})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer j.Close()
+	every := control.DefaultTiming().SnapshotEvery
+	s := &state.State{}
+	for i := range changes {
+		c := &wire.ChangeSet{ChangeID: fmt.Sprint("c", i), BaseRevision: i, Set: policy(fmt.Sprint("service", i%100))}
+		data, err := wire.Encode(wire.Command{Change: c})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := s.Apply(wire.Command{Change: c}); err != nil {
+			b.Fatal(err)
+		}
+		e := wire.LogEntry{Index: i + 2, Term: 1, Data: data}
+		batch := journal.Batch{Number: i + 2, Entries: []wire.LogEntry{e}}
+		if e.Index%every == 0 {
+			image, err := s.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			voters := wire.ReplicaSet{Voters: []string{stored.Replica}, Learners: []string{}}
+			j.Write(batch)
+			batch = journal.Batch{Number: i + 2, Snapshot: &wire.Snapshot{Index: e.Index, Term: 1, Replicas: voters, Data: image}}
+		}
+		j.Write(batch)
+	}
+}
+
+// BenchmarkApply reports applying one committed change of one contract with few and many workspaces.
+func BenchmarkApply(b *testing.B) {
+	for _, workspaces := range []int{250, 25_000} {
+		b.Run(fmt.Sprint("workspaces=", workspaces), func(b *testing.B) {
+			s := &state.State{}
+			contract := func(i int) wire.Declarations {
+				return wire.Declarations{Contracts: []wire.Contract{{Workspace: fmt.Sprint("workspace", i), Models: []string{"m"}}}}
+			}
+			apply := func(n, workspace int) {
+				c := &wire.ChangeSet{ChangeID: fmt.Sprint(n), BaseRevision: n, Set: contract(workspace)}
+				if _, err := s.Apply(wire.Command{Change: c}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for i := range workspaces {
+				apply(i, i)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				apply(workspaces+i, i%workspaces)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/plantainlane/replica/replica_test.go
@@ -0,0 +1,47 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/consensus"
+	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/journal"
+)
+
+// kept is a storage that keeps batches and reports nothing by itself.
+type kept struct{ batches []journal.Batch }
+
+func (k *kept) Write(b journal.Batch) { k.batches = append(k.batches, b) }
+
+func TestFailedStorageStopsTheReplica(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	start, err := consensus.Bootstrap("a/1", "log")
+	is.NoErr(err)
+	storage, mailbox := &kept{}, NewMailbox()
+	r, err := New(consensus.Config{ID: "a/1"}, start, storage, mailbox, now)
+	is.NoErr(err)
+	for range 3 {
+		r.Tick(now)
+		r.Take(now)
+		mailbox.Synced(journal.Synced{Batch: len(storage.batches)})
+	}
+	is.True(r.Leadership().Self)
+	_, ok := r.Propose([]byte("x"), now)
+	is.True(ok)
+	r.Take(now)
+
+	mailbox.Synced(journal.Synced{Batch: len(storage.batches) - 1, Err: errors.Mark(errors.New("no space"), journal.ErrFailed)})
+	r.Tick(now)
+	is.Equal(r.Take(now), control.LogOutput{})
+	is.Equal(r.Leadership(), control.Leadership{})
+	is.True(!r.ConfirmedSince(time.Time{}))
+	id, _ := r.Identity()
+	is.Equal(id, "")
+	_, ok = r.Propose([]byte("y"), now)
+	is.True(!ok)
+}
--- a/plantainlane/replica/site_test.go
+++ b/plantainlane/replica/site_test.go
@@ -240,6 +240,9 @@
 // Send implements control.Sender. What happens to a frame depends on the seed, the two ends and the count of
 // frames between them only.
 func (m *member) Send(to string, f wire.Frame) {
+	if m.site == nil {
+		return
+	}
 	s := m.site
 	s.mu.Lock()
 	defer s.mu.Unlock()
