control: keep zones without a majority when fewer voters are placed than wanted

With five voters wanted and four places found, the set was cut to three of which two could share a zone. The choice is now made anew for the smaller number.

--- a/plantainlane/control/placement.go
+++ b/plantainlane/control/placement.go
@@ -67,8 +67,9 @@
 			taken = append(taken, c.replica)
 		}
 	}
-	if len(taken) > 0 && len(taken)%2 == 0 {
-		taken = taken[:len(taken)-1]
+	if len(taken) > 0 && len(taken) < n {
+		// A smaller set, which leaves each zone fewer places.
+		return placeVoters(candidates, len(taken)-1+len(taken)%2)
 	}
 	return taken
 }
--- a/plantainlane/replica/control_test.go
+++ b/plantainlane/replica/control_test.go
@@ -177,6 +177,17 @@
 	if o.waiting() > 0 || len(s.voterIDs()) != voters {
 		t.Fatalf("seed %d: open changes %v, voters %v after healing", seed, o.open, s.voterIDs())
 	}
+	zones := map[string]int{}
+	for _, m := range s.members {
+		if slices.Contains(s.voterIDs(), m.info.ID) {
+			zones[m.info.Zone]++
+		}
+	}
+	for zone, count := range zones {
+		if count > voters/2 {
+			t.Fatalf("seed %d: %d of %d voters in %s", seed, count, voters, zone)
+		}
+	}
 	o.requireSame(t)
 }
 
