--- a/plantainctl/scenario/load_test.go
+++ b/plantainctl/scenario/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -66,9 +67,9 @@
 	case len(args) == 2 && args[0] == "stop" && w.loads[args[1]] != nil:
 		l := w.loads[args[1]]
 		l.stop()
-		_, err := fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d unknown=%d ran=%d broken=%d foreign=%d\n%s",
+		_, err := fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d unknown=%d ran=%d broken=%d foreign=%d unreached=%d\n%s",
 			l.counts["whole"], l.counts["notRun"], l.counts["unknown"], l.counts["ran"], l.counts["broken"],
-			l.counts["foreign"], strings.Join(l.failures, "\n"))
+			l.counts["foreign"], l.counts["unreached"], strings.Join(l.failures, "\n"))
 		return err
 	}
 	return errArguments
@@ -154,10 +155,14 @@
 }
 
 // outcome sends a request and returns whole, notRun, unknown or ran, broken for an answer that was cut off
-// or never came, or foreign for one that isn't the request's own.
+// or never came, foreign for one that isn't the request's own, or unreached if no connection was made.
 func (c caller) outcome(client *http.Client, want chain.Output, address, model string) (kind, detail string) {
 	resp, err := c.send(context.Background(), client, address, model)
-	if err != nil {
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return "unreached", err.Error()
+	case err != nil:
 		return "broken", err.Error()
 	}
 	defer resp.Body.Close()
