--- a/plantainlane/pipeline/attempt.go
+++ b/plantainlane/pipeline/attempt.go
@@ -44,6 +44,11 @@
 		q.Avoid = nil
 		target, ok = x.Picker.Pick(now, q)
 	}
+	if !ok && q.Model != x.Model && s.stage.UsesModel {
+		// The version that the stream began on is gone.
+		q.Model = x.Model
+		target, ok = x.Picker.Pick(now, q)
+	}
 	if !ok {
 		return nil, errors.Wrap(ErrNoUpstream, s.stage.Service)
 	}
--- a/plantainlane/pipeline/generate.go
+++ b/plantainlane/pipeline/generate.go
@@ -45,7 +45,7 @@
 }
 
 // query describes the next attempt of a stage to the balancer. A stream that has begun stays with its model
-// version.
+// version while any engine serves that.
 func (x *execution) query(s *stageRun) route.Query {
 	q := route.Query{Service: s.stage.Service, Avoid: s.tried}
 	if !s.stage.UsesModel {
@@ -81,8 +81,12 @@
 	if s.progress.Next() == 0 {
 		return nil
 	}
+	kv := s.kv
+	if kv != nil && kv.Model != a.call.Model {
+		kv = nil
+	}
 	body, err := json.Marshal(wire.Continuation{
-		Input: s.body, Offset: s.progress.Next(), Text: s.progress.Text(), Import: s.kv,
+		Input: s.body, Offset: s.progress.Next(), Text: s.progress.Text(), Import: kv,
 	})
 	a.call.Body, a.call.Continued, a.call.Offset = body, true, s.progress.Next()
 	return errors.Wrap(err, "encode continuation")
--- a/plantainlane/pipeline/generate_test.go
+++ b/plantainlane/pipeline/generate_test.go
@@ -57,6 +57,19 @@
 	return w
 }
 
+// announce gives an instance an announcement of an engine, and the engine the announced model.
+func (w *engineWorld) announce(ctx context.Context, e *entry, id string, sequence int, model string) {
+	w.engines[id].Order(ctx, wire.Order{
+		ID: fmt.Sprint(sequence), Upstream: id, Kind: "load", Model: model, Adapters: []string{}, Incarnation: 1,
+		ExpiresMs: int(time.Now().Add(time.Hour).UnixMilli()),
+	})
+	time.Sleep(3 * time.Second)
+	e.Services.Apply(time.Now().Add(-time.Hour), wire.Announcement{
+		ID: id, Address: id, Service: "s", Region: "r", Zone: "z", Capacity: 8, Incarnation: 1, Sequence: sequence,
+		Role: "both", Models: []string{model},
+	})
+}
+
 // open starts, resumes or continues a stream on the called engine.
 func (w *engineWorld) open(call upstream.Call) (*fake.Stream, error) {
 	e := w.engines[call.Address]
@@ -165,10 +178,7 @@
 		policy.HedgeQuantile, policy.MaxAttempts, policy.RetryBudget = 0, 4, 1
 		e := w.newEntry(t, "a", 0, policy)
 		for id := range w.engines {
-			e.Services.Apply(time.Now().Add(-time.Hour), wire.Announcement{
-				ID: id, Address: id, Service: "s", Region: "r", Zone: "z", Capacity: 8, Incarnation: 1, Sequence: 1,
-				Role: "both", Models: []string{"m@1"},
-			})
+			w.announce(ctx, e, id, 1, "m@1")
 		}
 		e.Services.Review(time.Now())
 		e.Caller, e.Engines = w, w
@@ -279,6 +289,27 @@
 	})
 }
 
+func TestStreamGoesOnAtAnotherVersionIfItsOwnIsGone(t *testing.T) {
+	inEngineWorld(t, func(is *is.I, ctx context.Context, w *engineWorld, e *entry) {
+		w.breakAfter = func(call upstream.Call) (int, error) {
+			if len(w.dead) > 0 {
+				is.Equal(call.Model, "m@2")
+				return 0, nil
+			}
+			is.Equal(call.Model, "m@1")
+			w.dead[call.Address] = true
+			for id := range w.engines {
+				w.announce(ctx, e, id, 2, "m@2")
+			}
+			return 7, upstream.ErrTruncated
+		}
+		var r reader
+		_, err := e.Run(ctx, r.request(is))
+		is.NoErr(err)
+		is.Equal(r.text, chain.Text("00112233", answerTokens))
+	})
+}
+
 func TestStreamOfALeavingEngineMovesWithItsCache(t *testing.T) {
 	inEngineWorld(t, func(is *is.I, ctx context.Context, w *engineWorld, e *entry) {
 		w.breakAfter = func(call upstream.Call) (int, error) {
