--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Tests that KNOWN-RED.txt lists, as a pattern for -skip.
 RED := $(shell sed -n 's/^\(Test[^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
-.PHONY: build test demo lint
+.PHONY: build test demo lint experiments speed
 
 build:
 	mkdir -p bin
@@ -19,3 +19,9 @@
 lint:
 	gofumpt -l plantainctl plantainlane standin wire
 	golangci-lint run $(MODULES)
+
+experiments: build
+	bench/run.sh
+
+speed: build
+	bench/speed.sh
