--- a/wire/declaration/check.go
+++ b/wire/declaration/check.go
@@ -200,7 +200,7 @@
 
 func (c *checker) policy(d wire.UpstreamPolicy) {
 	c.identifier("service", d.Service)
-	c.number("retryBudget", d.RetryBudget, 0, 1)
+	c.number("retryBudget", d.RetryBudget, 0, 4)
 	c.integer("maxAttempts", d.MaxAttempts, 1, MaxAttempts)
 	if d.HedgeQuantile != 0 {
 		c.number("hedgeQuantile", d.HedgeQuantile, 0.5, 0.9999)
