--- a/plantainlane/control/scale_test.go
+++ b/plantainlane/control/scale_test.go
@@ -96,13 +96,17 @@
 	return set
 }
 
-func (s *scaleSite) announce(i, upstream, sequence int) {
-	a := wire.Announcement{
+func scaleAnnouncement(upstream, sequence int) wire.Announcement {
+	return wire.Announcement{
 		ID: "upstream-" + strconv.Itoa(upstream), Incarnation: 1_780_000_000_000, Sequence: sequence, Service: "writer",
 		Zone: "zone-" + strconv.Itoa(upstream%scaleZones), Region: "region", Address: "10.0.1.1:9000", Capacity: 16,
 		Models: []string{"phrase@7"}, Adapters: []string{}, Role: "both", TTLMs: 15_000,
 		Load: wire.UpstreamLoad{InFlight: sequence % 16, Queued: sequence % 3, FreeBlocks: 1000 - sequence%100},
 	}
+}
+
+func (s *scaleSite) announce(i, upstream, sequence int) {
+	a := scaleAnnouncement(upstream, sequence)
 	s.inbox[i] = append(s.inbox[i], Announced{Announcement: a, Credential: "c", Reply: make(chan error, 1)})
 }
 
