pipeline: finish a claimed request whose caller went away

Change: once the claim is won, the work goes on until its deadline, and its answer is stored for the repeat.

The new step of TestAtMostOnceAtEachStep is told unknown without the change and gets the first answer with it.

--- a/plantainlane/pipeline/claim.go
+++ b/plantainlane/pipeline/claim.go
@@ -25,6 +25,9 @@
 	if !won {
 		return stored, err
 	}
+	// A caller that goes away does not end the work: it may have run, and a repeat is to get its answer.
+	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), x.Deadline, ErrDeadline)
+	defer cancel()
 	answer, err := x.run(ctx)
 	r := wire.Resolution{
 		Workspace: x.Contract.Workspace,
--- a/plantainlane/pipeline/once_test.go
+++ b/plantainlane/pipeline/once_test.go
@@ -96,6 +96,16 @@
 		{"answer after the deadline", func(w *world, _ *entry, _ context.CancelFunc) {
 			onBuy(w, true, untilDone)
 		}, Unknown, Unknown, 1},
+		{"caller leaves before the answer", func(w *world, _ *entry, leave context.CancelFunc) {
+			healthy := w.respond
+			w.respond = func(ctx context.Context, call upstream.Call, run func()) (upstream.Answer, error) {
+				answer, err := healthy(ctx, call, run)
+				if call.Path == "/buy" {
+					leave()
+				}
+				return answer, errors.Join(err, context.Cause(ctx))
+			}
+		}, "complete", "complete", 1},
 		{"caller leaves while it runs", func(w *world, _ *entry, leave context.CancelFunc) {
 			onBuy(w, true, func(ctx context.Context) error { leave(); return untilDone(ctx) })
 		}, Unknown, Unknown, 1},
