limit: take an empty share for none

Cause: until a new leader knows what others hold it grants shares of nothing. The instance then told its callers that the budget was used up and to come back after 30 s, where the next grants came within a second.

Change: a share that allows nothing counts as none, and the request waits. The new test is told ErrBudget without the change.

--- a/plantainlane/limit/grant.go
+++ b/plantainlane/limit/grant.go
@@ -212,7 +212,7 @@
 	for _, g := range answer.Grants {
 		w := l.workspace(g.Workspace)
 		spent, asked := sent.spent[g.Workspace]
-		if w == nil || !asked {
+		if w == nil || !asked || isEmpty(g) {
 			continue
 		}
 		given[g.Workspace] = true
@@ -235,6 +235,11 @@
 	}
 }
 
+// isEmpty tells whether a grant allows nothing, as the leader's first ones may until it knows what others hold.
+func isEmpty(g wire.Grant) bool {
+	return g.Concurrency == 0 && g.Requests.PerSecond == 0 && g.UnitsLeft == 0
+}
+
 // use puts the rates and the concurrency of a grant in force.
 func (w *workspace) use(now int64, g wire.Grant) {
 	w.granted = g
--- a/plantainlane/limit/limiter_test.go
+++ b/plantainlane/limit/limiter_test.go
@@ -184,6 +184,18 @@
 	is.Equal(held(), 0)
 }
 
+// TestEmptyShareIsNoShare expects a request to wait for the next grants, and not to be told that the budget is used up.
+func TestEmptyShareIsNoShare(t *testing.T) {
+	is := is.New(t)
+	c := contract("w")
+	l := New(epoch)
+	l.SetContracts(epoch, tableOf(c))
+	r := l.Request(epoch, "a/1", "i", 1)
+	l.Grant(epoch, wire.GrantAnswer{Sequence: r.Sequence, DurationMs: 9000, Grants: []wire.Grant{{Workspace: "w"}}})
+	_, err := l.TryAdmit(epoch, Ask{Workspace: "w"})
+	is.True(errors.Is(err, ErrNoGrant))
+}
+
 func TestNewLeaderIsToldWhatIsHeld(t *testing.T) {
 	is := is.New(t)
 	c := contract("w")
