control: ask for shares more often while there are few workspaces

Cause: while traffic began at one instance and another drained, requests at the first waited 2 s and were refused over-rate or over-concurrency far below the contract (TestScenarios/new-traffic, 4 of 6 runs, two at a time): a share moves in two rounds of the instance that holds it, at 1 s each.

Change: with up to 64 contracts the round is 250 ms. With more it stays at 1 s, for the bytes that docs/CAPACITY.md reckons with.

--- a/plantainlane/control/grants.go
+++ b/plantainlane/control/grants.go
@@ -11,6 +11,10 @@
 // soonAgain is the least time between two requests for grants.
 const soonAgain = 100 * time.Millisecond
 
+// fewInterval is the period of requests for grants while there are few workspaces, so that shares follow traffic
+// sooner.
+const fewInterval = 250 * time.Millisecond
+
 // grants is an instance's side of the shares of contracts.
 type grants struct {
 	limiter *limit.Limiter
@@ -38,6 +42,9 @@
 		g.asked = time.Time{}
 	}
 	due := c.timing.GrantInterval
+	if c.config.Contracts.Len() <= limit.FewWorkspaces {
+		due = min(due, fewInterval)
+	}
 	select {
 	case <-g.limiter.Wanted():
 		due = soonAgain
--- a/plantainlane/limit/grant.go
+++ b/plantainlane/limit/grant.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// fewWorkspaces is the number of contracts up to which an instance asks a share of each. Beyond, it asks
+	// FewWorkspaces is the number of contracts up to which an instance asks a share of each. Beyond, it asks
 	// for those with traffic only.
-	fewWorkspaces = 64
+	FewWorkspaces = 64
 	// forgetIdle is how long after its last traffic a workspace's share is given up.
 	forgetIdle = 10 * time.Second
 	// unbounded is the credits of a budget without bound.
@@ -102,7 +102,7 @@
 	if d.RequestsPerSecond >= idleDemand || d.InFlight > 0 || w.lastTraffic.IsZero() {
 		w.lastTraffic = now
 	}
-	if l.contracts.Load().Len() <= fewWorkspaces || now.Sub(w.lastTraffic) < forgetIdle {
+	if l.contracts.Load().Len() <= FewWorkspaces || now.Sub(w.lastTraffic) < forgetIdle {
 		return false
 	}
 	delete(l.watched, w.name)
@@ -116,7 +116,7 @@
 
 // watch returns the workspaces that shares are asked for, in order of their names.
 func (l *Limiter) watch() []*workspace {
-	if contracts := l.contracts.Load(); contracts.Len() <= fewWorkspaces {
+	if contracts := l.contracts.Load(); contracts.Len() <= FewWorkspaces {
 		for name := range contracts.All() {
 			l.watched[name] = l.workspace(name)
 		}
--- a/plantainlane/limit/limiter_test.go
+++ b/plantainlane/limit/limiter_test.go
@@ -211,7 +211,7 @@
 func TestManyWorkspacesAreAskedForByTraffic(t *testing.T) {
 	is := is.New(t)
 	l := New(epoch)
-	contracts := make([]wire.Contract, 2*fewWorkspaces)
+	contracts := make([]wire.Contract, 2*FewWorkspaces)
 	for i := range contracts {
 		contracts[i] = contract("w" + strconv.Itoa(i))
 	}
