--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -28,6 +28,7 @@
   },
   "join": [$join],
   $folder
+  "timeline": {"events": ${TIMELINE_EVENTS:-65536}},
   "credentials": {
     "peer": "bench-peer-secret-0123",
     "upstreams": [{"name": "bench", "services": ["*"], "sha256": "$(sha $upstream_credential)"}],
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -44,7 +44,9 @@
 	c.duration("upstreams.idleConnectionLimit", s.Upstreams.IdleConnectionLimit, time.Millisecond, maxDuration)
 	c.number("weightStore.perSecond", s.WeightStore.PerSecond, minWeightRate, maxWeightRate)
 	c.number("weightStore.burst", s.WeightStore.Burst, minWeightRate, maxWeightRate)
-	c.integer("timeline.events", s.Timeline.Events, minEvents, maxEvents)
+	if s.Timeline.Events != 0 {
+		c.integer("timeline.events", s.Timeline.Events, minEvents, maxEvents)
+	}
 	c.integer("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
 	if s.Log.Format != "json" && s.Log.Format != "text" {
 		c.fail("log.format", `"json" or "text"`, strconv.Quote(s.Log.Format))
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -141,7 +141,7 @@
 
 // Timeline bounds the recorded events.
 type Timeline struct {
-	// Events is how many events the instance keeps. Default 65536.
+	// Events is how many events the instance keeps; 0 records none. Default 65536.
 	Events int `json:"events"`
 }
 
