limit: let every request without a share wait for the next grants

Cause: of two requests that came together at an instance without a share, the second was refused with no-grant at once, since its wait was reckoned from a rate of nothing for the first (TestScenarios/first-traffic, 1 of 10 runs of the suite beside other load).

Change: without a share the wait is that for the next grants, whoever waits. The new test fails without the change.

--- a/plantainlane/limit/limiter_test.go
+++ b/plantainlane/limit/limiter_test.go
@@ -358,3 +358,28 @@
 		is.True(time.Since(start) < time.Second)
 	})
 }
+
+// TestSecondRequestWithoutAShareWaitsToo arrives when another one waits, before either is known to the other.
+func TestSecondRequestWithoutAShareWaitsToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		c := contract("w")
+		l := New(start)
+		l.SetContracts(start, tableOf(c))
+		ask := Ask{Workspace: "w", Deadline: start.Add(3 * time.Second), Needs: 100 * time.Millisecond}
+		admitted := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := l.workspace("w").room.wait(t.Context(), start, ask, ErrNoGrant)
+				admitted <- err
+			}()
+			synctest.Wait()
+		}
+		r := l.Request(time.Now(), "leader", "i", 1)
+		time.Sleep(100 * time.Millisecond)
+		l.Grant(time.Now(), wire.GrantAnswer{Sequence: r.Sequence, DurationMs: 9000, Grants: []wire.Grant{whole1(c)}})
+		is.NoErr(<-admitted)
+		is.NoErr(<-admitted)
+	})
+}
--- a/plantainlane/limit/room.go
+++ b/plantainlane/limit/room.go
@@ -105,7 +105,8 @@
 		w.latest = limit
 	}
 	expected := r.workspace.retryAfter(reason) + r.backlog()
-	if r.workspace.isUnderfed(reason) {
+	if errors.Is(reason, ErrNoGrant) || r.workspace.isUnderfed(reason) {
+		// What is held now says nothing of how fast those that wait will be served.
 		expected = grantWait
 	}
 	if now.Add(expected).After(w.latest) {
