control: give up the shares of a drained instance

Cause: a stopped instance's shares of the contracts stayed reserved until they expired, up to 10 s.

Change: once a draining instance has answered its last request it gives them up. In the new test another instance then takes over within a second; without the change it does not.

--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -201,6 +201,8 @@
 		c.query(in.To, in.Frame, in.Until, in.Reply)
 	case OrderReported:
 		c.orders.inbox = append(c.orders.inbox, in.Report)
+	case TrafficEnded:
+		c.releaseGrants()
 	case LoadMeasured:
 		c.self.Load = quantizeLoad(in.Share)
 	}
--- a/plantainlane/control/grants.go
+++ b/plantainlane/control/grants.go
@@ -22,6 +22,8 @@
 	asked time.Time
 	// revision whose contracts the limiter has.
 	revision int
+	// released tells that all shares were given up for good.
+	released bool
 }
 
 // WithLimiter keeps the limiter in contracts and grants.
@@ -33,7 +35,7 @@
 // one.
 func (c *Core) runGrants() {
 	g := &c.grants
-	if g.limiter == nil {
+	if g.limiter == nil || g.released {
 		return
 	}
 	if g.revision != c.config.Revision {
@@ -59,6 +61,19 @@
 	c.send(c.leader, wire.Frame{GrantRequest: &packed})
 }
 
+// releaseGrants gives up all shares, so that the other instances need not wait until they expire.
+func (c *Core) releaseGrants() {
+	g := &c.grants
+	if g.limiter == nil || g.released {
+		return
+	}
+	g.released = true
+	packed := limit.PackRequest(g.limiter.Release(c.self.ID, c.self.Incarnation))
+	if c.leader != "" {
+		c.send(c.leader, wire.Frame{GrantRequest: &packed})
+	}
+}
+
 // takeGrantRequest answers an instance that may hold a lease, if a quorum confirmed this leader of late.
 func (c *Core) takeGrantRequest(from string, packed wire.PackedGrantRequest) {
 	r, err := limit.UnpackRequest(packed)
--- a/plantainlane/control/grants_test.go
+++ b/plantainlane/control/grants_test.go
@@ -109,3 +109,14 @@
 	total := s.admits("c", 10*time.Second)
 	is.True(total <= 40*10+10)
 }
+
+// TestStoppedInstanceLeavesItsShare has one instance hold nearly all of a contract and stop.
+func TestStoppedInstanceLeavesItsShare(t *testing.T) {
+	is := is.New(t)
+	s := newGrantSite(grantContract(100, 10, 10), "a", "b", "c")
+	s.admits("b", 5*time.Second)
+	s.step("b", TrafficEnded{})
+	s.admits("c", 600*time.Millisecond)
+	is.True(s.admits("c", time.Second) >= 60)
+	is.Equal(s.admits("b", time.Second), 0)
+}
--- a/plantainlane/control/input.go
+++ b/plantainlane/control/input.go
@@ -77,6 +77,9 @@
 	Share float64
 }
 
+// TrafficEnded tells that a draining instance has answered its last request.
+type TrafficEnded struct{}
+
 func (FrameReceived) input()   {}
 func (PeerConnected) input()   {}
 func (PeerLost) input()        {}
@@ -86,4 +89,5 @@
 func (DrainRequested) input()  {}
 func (StatusRequested) input() {}
 func (QueryRequested) input()  {}
+func (TrafficEnded) input()    {}
 func (LoadMeasured) input()    {}
--- a/plantainlane/instance/drain.go
+++ b/plantainlane/instance/drain.go
@@ -45,6 +45,7 @@
 	defer cancel()
 	x.callers().shutdown(limit)
 	x.runner.Settle(limit)
+	x.loop.Deliver(limit, control.TrafficEnded{})
 	x.flushCosts(limit)
 	klog.InfoS("drained")
 }
