caller: name only connected instances while the lease is lapsed

Cause: with the quorum lost nobody marks instances as silent, and the entry answer named one that had been dead for 90 s.

Change: an instance whose lease has lapsed names only the instances that it has a connection to, which heartbeats prove.

--- a/plantainlane/caller/entries.go
+++ b/plantainlane/caller/entries.go
@@ -24,18 +24,20 @@
 }
 
 // Entries returns the instances that callers may use: neither draining nor silent, and this one only while
-// it holds its lease. Weights fall with load; a zone prefers its instances.
+// it holds its lease. Without a lease what the leader said of the others may be old, and only those that this
+// instance is connected to are named. Weights fall with load; a zone prefers its instances.
 func Entries(v *control.View, zone string, now time.Time) wire.EntryAnswer {
+	held := v.LeaseHeld(now)
 	a := wire.EntryAnswer{Revision: v.Config.Revision, Entries: []wire.EntryAddress{}}
 	for id, i := range v.Instances.All() {
-		if id == v.Self.ID {
+		if id == v.Self.ID || (!held && !v.Connected[id]) {
 			continue
 		}
 		if i.CallerAddress != "" && !i.Draining && !i.Silent {
 			a.Entries = append(a.Entries, entry(i, zone))
 		}
 	}
-	if v.LeaseHeld(now) && !v.Draining {
+	if held && !v.Draining {
 		a.Entries = append(a.Entries, entry(v.Self, zone))
 	}
 	return a
--- a/plantainlane/caller/server_test.go
+++ b/plantainlane/caller/server_test.go
@@ -187,5 +187,8 @@
 	for _, e := range near {
 		is.Equal(e.Weight, map[string]float64{"a": 1, "b": 0.125}[e.Instance])
 	}
-	is.Equal(len(Entries(v, "", now.Add(time.Hour)).Entries), 1)
+	lapsed := now.Add(time.Hour)
+	is.Equal(len(Entries(v, "", lapsed).Entries), 0) // what the leader said is old
+	v.Connected = map[string]bool{"b": true}
+	is.Equal(Entries(v, "", lapsed).Entries[0].Instance, "b")
 }
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -172,20 +172,31 @@
 		LeaseUntil: c.leases.until,
 		Draining:   c.draining,
 		Instances:  c.instances.rows,
+		Connected:  c.connected(),
 		Upstreams:  c.roster.View(),
 		Leader:     c.leader,
 	}
 	return c.view, true
 }
 
+func (c *Core) connected() map[string]bool {
+	ids := make(map[string]bool, len(c.peers))
+	for id := range c.peers {
+		ids[id] = true
+	}
+	return ids
+}
+
 func (c *Core) take(in Input) {
 	switch in := in.(type) {
 	case FrameReceived:
 		c.takeFrame(in.Frame)
 	case PeerConnected:
 		c.peers[in.Info.ID] = in.Info
+		c.dirty = true
 	case PeerLost:
 		delete(c.peers, in.ID)
+		c.dirty = true
 	case Proposed:
 		c.propose(in)
 	case Announced:
--- a/plantainlane/control/view.go
+++ b/plantainlane/control/view.go
@@ -22,6 +22,8 @@
 	Draining bool
 	// Instances known, by ID.
 	Instances table.Table[wire.InstanceInfo]
+	// Connected holds the IDs of the instances that this one has a connection to.
+	Connected map[string]bool
 	// Upstreams known.
 	Upstreams roster.View
 	// Leader is the leader's instance ID; empty while unknown.
