announce, roster, control, limit, caller: say things once

A read of the whole tree found, without a change of behaviour: announcements and cache events each checked the credential, decoded the body and matched the service in their own copy; a search over two lists derived what Roster.Lapse had known; the set of connected instances was built for every view, not only when it changes; request bodies were copied before they were decoded; problem.WithRevision was never called, and limit.Divide only by a test, which has it now.

--- a/plantainlane/announce/cache.go
+++ b/plantainlane/announce/cache.go
@@ -1,9 +1,7 @@
 package announce
 
 import (
-	"encoding/json"
 	"net/http"
-	"slices"
 
 	"github.com/labstack/echo/v5"
 
@@ -23,15 +21,10 @@
 }
 
 func (s *Server) cacheEvents(c *echo.Context) error {
-	cred, ok := s.credentialOf(c.Request())
-	if !ok {
-		return problem.Write(c, problem.New(http.StatusUnauthorized, "unknown-credential", "credential is not known"))
-	}
 	var m wire.CacheEvents
-	d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&m); err != nil {
-		return problem.Write(c, problem.New(http.StatusBadRequest, "malformed-body", err.Error()))
+	cred, refusal := s.read(c, &m)
+	if refusal != nil {
+		return problem.Write(c, *refusal)
 	}
 	if m.Upstream != c.Param("id") || m.FirstSequence < 1 {
 		return problem.Write(c, problem.New(http.StatusBadRequest, "bad-events", "upstream or firstSequence is out of range"))
@@ -52,5 +45,5 @@
 	if row.Credential != "" {
 		return row.Credential == cred.Name
 	}
-	return slices.Contains(cred.Services, row.Announcement.Service) || slices.Contains(cred.Services, anyService)
+	return mayAnnounce(cred, row.Announcement.Service)
 }
--- a/plantainlane/announce/server.go
+++ b/plantainlane/announce/server.go
@@ -67,21 +67,36 @@
 	return found, found != nil
 }
 
-func (s *Server) announce(c *echo.Context) error {
+// read returns the credential of a request and decodes its body, or says why it is refused.
+func (s *Server) read(c *echo.Context, into any) (*settings.UpstreamCredential, *wire.Problem) {
 	cred, ok := s.credentialOf(c.Request())
 	if !ok {
-		return problem.Write(c, problem.New(http.StatusUnauthorized, "unknown-credential", "credential is not known"))
+		p := unknownCredential()
+		return nil, &p
 	}
-	var a wire.Announcement
 	d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&a); err != nil {
-		return problem.Write(c, problem.New(http.StatusBadRequest, "malformed-body", err.Error()))
+	if err := d.Decode(into); err != nil {
+		p := problem.New(http.StatusBadRequest, "malformed-body", err.Error())
+		return nil, &p
+	}
+	return cred, nil
+}
+
+func unknownCredential() wire.Problem {
+	return problem.New(http.StatusUnauthorized, "unknown-credential", "credential is not known")
+}
+
+func (s *Server) announce(c *echo.Context) error {
+	var a wire.Announcement
+	cred, refusal := s.read(c, &a)
+	if refusal != nil {
+		return problem.Write(c, *refusal)
 	}
 	if field := badField(&a, c.Param("id")); field != "" {
 		return problem.Write(c, problem.New(http.StatusBadRequest, "bad-announcement", "value is out of range", problem.WithField(field)))
 	}
-	if !slices.Contains(cred.Services, a.Service) && !slices.Contains(cred.Services, anyService) {
+	if !mayAnnounce(cred, a.Service) {
 		return problem.Write(c, problem.New(http.StatusForbidden, "foreign-service", "credential may not announce the service"))
 	}
 	err := s.deliver(c, func(reply chan<- error) control.Input {
@@ -96,7 +111,7 @@
 func (s *Server) leave(c *echo.Context) error {
 	cred, ok := s.credentialOf(c.Request())
 	if !ok {
-		return problem.Write(c, problem.New(http.StatusUnauthorized, "unknown-credential", "credential is not known"))
+		return problem.Write(c, unknownCredential())
 	}
 	incarnation, err1 := strconv.Atoi(c.QueryParam("incarnation"))
 	sequence, err2 := strconv.Atoi(c.QueryParam("sequence"))
@@ -112,6 +127,10 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+func mayAnnounce(cred *settings.UpstreamCredential, service string) bool {
+	return slices.Contains(cred.Services, service) || slices.Contains(cred.Services, anyService)
+}
+
 // badField returns the first field of an announcement that is out of range.
 func badField(a *wire.Announcement, id string) string {
 	switch {
--- a/plantainlane/caller/admit.go
+++ b/plantainlane/caller/admit.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -169,7 +170,7 @@
 }
 
 func decodeStrictly(body []byte, into any) error {
-	d := json.NewDecoder(strings.NewReader(string(body)))
+	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
 		return err
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -51,6 +51,8 @@
 	grants    grants
 	instances instanceRows
 	peers     map[string]wire.InstanceInfo
+	// connected is published with the views, and replaced when peers changes.
+	connected map[string]bool
 	roster    *roster.Roster
 	proposals proposals
 	queries   queries
@@ -172,19 +174,20 @@
 		LeaseUntil: c.leases.until,
 		Draining:   c.draining,
 		Instances:  c.instances.rows,
-		Connected:  c.connected(),
+		Connected:  c.connected,
 		Upstreams:  c.roster.View(),
 		Leader:     c.leader,
 	}
 	return c.view, true
 }
 
-func (c *Core) connected() map[string]bool {
-	ids := make(map[string]bool, len(c.peers))
+// peersChanged notes which instances there is a connection to, for the next views.
+func (c *Core) peersChanged() {
+	c.connected = make(map[string]bool, len(c.peers))
 	for id := range c.peers {
-		ids[id] = true
+		c.connected[id] = true
 	}
-	return ids
+	c.dirty = true
 }
 
 func (c *Core) take(in Input) {
@@ -193,10 +196,10 @@
 		c.takeFrame(in.Frame)
 	case PeerConnected:
 		c.peers[in.Info.ID] = in.Info
-		c.dirty = true
+		c.peersChanged()
 	case PeerLost:
 		delete(c.peers, in.ID)
-		c.dirty = true
+		c.peersChanged()
 	case Proposed:
 		c.propose(in)
 	case Announced:
--- a/plantainlane/control/upstreams.go
+++ b/plantainlane/control/upstreams.go
@@ -101,15 +101,17 @@
 // takeUpstreams takes what another instance sent, passes on news at a larger site, and asks for what is missing.
 func (c *Core) takeUpstreams(from string, d wire.UpstreamDelta) {
 	changed, renewed := c.roster.Merge(d.Announcements, c.now)
-	gone := c.roster.Lapse(d.Lapsed)
-	c.gone = append(c.gone, gone...)
+	lapsed := c.roster.Lapse(d.Lapsed)
+	for _, l := range lapsed {
+		c.gone = append(c.gone, l.ID)
+	}
 	var unknown []string
 	if d.Renewals != nil {
 		var news []wire.Announcement
 		news, unknown = c.roster.Renew(*d.Renewals, c.now)
 		renewed = append(renewed, news...)
 	}
-	if len(changed)+len(renewed)+len(gone) > 0 {
+	if len(changed)+len(renewed)+len(lapsed) > 0 {
 		c.dirty = true
 	}
 	if len(unknown) > 0 {
@@ -121,23 +123,10 @@
 	if !c.isLarge() {
 		return
 	}
-	c.spreadChanges(wire.UpstreamDelta{Announcements: changed, Lapsed: lapses(d.Lapsed, gone)}, from)
+	c.spreadChanges(wire.UpstreamDelta{Announcements: changed, Lapsed: lapsed}, from)
 	c.spreadRenewals(renewed, from)
 }
 
-// lapses returns the entries of a list whose IDs are in another.
-func lapses(list []wire.UpstreamLapse, ids []string) []wire.UpstreamLapse {
-	var out []wire.UpstreamLapse
-	for _, l := range list {
-		for _, id := range ids {
-			if l.ID == id {
-				out = append(out, l)
-			}
-		}
-	}
-	return out
-}
-
 // expireUpstreams drops upstreams that were not renewed. At a larger site an upstream of another availability
 // zone lapses by the word of that zone, or with all of that zone's instances; one of the own zone is asked for
 // before it lapses, since a renewal may have missed this instance.
--- a/plantainlane/limit/ledger_test.go
+++ b/plantainlane/limit/ledger_test.go
@@ -194,6 +194,17 @@
 	is.Equal(answer.Grants[0].Requests.PerSecond, 0.0) // nothing is known to be free yet
 }
 
+// divide returns the share of the instance at position i in demands, whose order must be the same at
+// every call. Reserved is what instances that no longer ask may still use; left is the cost units left in the period. The
+// share and everything outstanding elsewhere never exceed the contract.
+func divide(now time.Time, c *wire.Contract, demands []Demand, i int, reserved wire.Grant, left float64) wire.Grant {
+	t := totals{reserved: reserved}
+	for _, d := range demands {
+		t.add(d)
+	}
+	return t.share(now, c, demands[i], i, left)
+}
+
 func TestScarceLimitsGoAround(t *testing.T) {
 	is := is.New(t)
 	c := contract("w")
@@ -205,7 +216,7 @@
 		var concurrency int
 		var burst float64
 		for i := range demands {
-			g := Divide(now, &c, demands, i, wire.Grant{}, 0)
+			g := divide(now, &c, demands, i, wire.Grant{}, 0)
 			demands[i].Outstanding = g
 			concurrency += g.Concurrency
 			burst += g.Requests.Burst
--- a/plantainlane/limit/share.go
+++ b/plantainlane/limit/share.go
@@ -23,17 +23,6 @@
 	Outstanding wire.Grant
 }
 
-// Divide returns the share of the instance at position i in demands, whose order must be the same at
-// every call. Reserved is what instances that no longer ask may still use; left is the cost units left in the period. The
-// share and everything outstanding elsewhere never exceed the contract.
-func Divide(now time.Time, c *wire.Contract, demands []Demand, i int, reserved wire.Grant, left float64) wire.Grant {
-	t := totals{reserved: reserved}
-	for _, d := range demands {
-		t.add(d)
-	}
-	return t.share(now, c, demands[i], i, left)
-}
-
 // totals sums over the instances that ask for a share of one contract.
 type totals struct {
 	// asking is the number of instances.
--- a/plantainlane/problem/problem.go
+++ b/plantainlane/problem/problem.go
@@ -37,11 +37,6 @@
 	return func(p *wire.Problem) { p.Field = &field }
 }
 
-// WithRevision tells the newest committed revision.
-func WithRevision(revision int) Option {
-	return func(p *wire.Problem) { p.CurrentRevision = &revision }
-}
-
 // WithRetryAfter tells when asking again can help; 0 says nothing.
 func WithRetryAfter(d time.Duration) Option {
 	return func(p *wire.Problem) {
--- a/plantainlane/roster/renewal.go
+++ b/plantainlane/roster/renewal.go
@@ -81,9 +81,9 @@
 }
 
 // Lapse takes the word of an upstream's own availability zone that it lapsed. One that was heard of since is
-// left. It returns the IDs of the upstreams that lapsed.
-func (r *Roster) Lapse(list []wire.UpstreamLapse) []string {
-	var ids []string
+// left. It returns the entries that took effect.
+func (r *Roster) Lapse(list []wire.UpstreamLapse) []wire.UpstreamLapse {
+	var lapsed []wire.UpstreamLapse
 	for _, l := range list {
 		row, ok := r.view.Rows.Get(l.ID)
 		a := wire.Announcement{Incarnation: l.Incarnation, Sequence: l.Sequence}
@@ -91,7 +91,7 @@
 			continue
 		}
 		r.lapse(l.ID, row)
-		ids = append(ids, l.ID)
+		lapsed = append(lapsed, l)
 	}
-	return ids
+	return lapsed
 }
