--- /dev/null
+++ b/plantainlane/batch/desk.go
@@ -0,0 +1,276 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plantainlane/wire"
+)
+
+// Member is an instance that may own queues.
+type Member struct {
+	ID string
+	// Zone is its availability zone.
+	Zone string
+}
+
+// Peers is what a Desk uses of the other instances. It is safe for concurrent use.
+type Peers interface {
+	// Send passes a frame to an instance. It doesn't block; the frame may be lost.
+	Send(to string, f wire.Frame)
+	// Members returns the instances that can be reached and may own queues, this one included.
+	Members() []Member
+}
+
+const (
+	// memberCheck is the period at which a waiting order looks whether its owner can still be reached.
+	memberCheck = 150 * time.Millisecond
+	// maxOwners is the number of owners that an order is given to, one after the other.
+	maxOwners = 4
+)
+
+// Desk takes this instance's orders to the owners of the queues, and serves the queues that it owns itself.
+type Desk struct {
+	self   string
+	peers  Peers
+	maker  Maker
+	supply func(service string) Supply
+	ctx    context.Context
+
+	mu     sync.Mutex
+	owners map[string]*owner
+	// calls holds this instance's orders at other instances.
+	calls map[int]chan Outcome
+	call  int
+	// remote holds the orders of other instances here.
+	remote map[remoteCall]remoteOrder
+}
+
+type remoteCall struct {
+	from string
+	call int
+}
+
+type remoteOrder struct {
+	order *Order
+	owner *owner
+}
+
+// NewDesk returns a desk. Its goroutines end with ctx. Calls are numbered from firstCall on, so that those of an
+// earlier start are not mistaken for its own.
+func NewDesk(ctx context.Context, self string, firstCall int, peers Peers, maker Maker, supply func(service string) Supply) *Desk {
+	return &Desk{
+		self: self, peers: peers, maker: maker, supply: supply, ctx: ctx, call: firstCall,
+		owners: make(map[string]*owner),
+		calls:  make(map[int]chan Outcome),
+		remote: make(map[remoteCall]remoteOrder),
+	}
+}
+
+// Owner returns the member that owns a service's queue by rendezvous hashing; empty without members.
+func Owner(service string, members []Member) string {
+	best, most := "", uint64(0)
+	for _, m := range members {
+		weight := xxhash.Sum64String(service + "\x00" + m.ID)
+		if best == "" || weight > most || weight == most && m.ID < best {
+			best, most = m.ID, weight
+		}
+	}
+	return best
+}
+
+// Make orders pieces and waits for them, until ctx ends. An order whose owner is lost is given to the next one.
+func (d *Desk) Make(ctx context.Context, service string, o Order) Outcome {
+	for range maxOwners {
+		to := Owner(service, d.peers.Members())
+		out := d.try(ctx, to, service, o)
+		if out.Reason != ReasonNoOwner || ctx.Err() != nil {
+			return out
+		}
+	}
+	return Outcome{Reason: ReasonNoOwner}
+}
+
+func (d *Desk) try(ctx context.Context, to, service string, o Order) Outcome {
+	if to == "" {
+		return Outcome{Reason: ReasonNoOwner}
+	}
+	reply := make(chan Outcome, 1)
+	var give func()
+	if to == d.self {
+		give = d.giveHere(service, &o, reply)
+	} else {
+		give = d.giveTo(to, service, &o, reply)
+	}
+	ticker := time.NewTicker(memberCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case out := <-reply:
+			return out
+		case <-ctx.Done():
+			give()
+			return Outcome{Reason: ReasonCancelled}
+		case <-ticker.C:
+			if to != d.self && !d.reaches(to) {
+				give()
+				return Outcome{Reason: ReasonNoOwner}
+			}
+		}
+	}
+}
+
+func (d *Desk) reaches(id string) bool {
+	for _, m := range d.peers.Members() {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// giveHere adds an order to a queue of this instance. It returns how to give it up.
+func (d *Desk) giveHere(service string, o *Order, reply chan Outcome) (giveUp func()) {
+	o.Reply = func(out Outcome) { reply <- out }
+	w := d.owner(service)
+	d.deliver(w, added{o})
+	return func() { d.deliver(w, cancelled{o}) }
+}
+
+// giveTo sends an order to another instance. It returns how to give it up.
+func (d *Desk) giveTo(to, service string, o *Order, reply chan Outcome) (giveUp func()) {
+	d.mu.Lock()
+	d.call++
+	call := d.call
+	d.calls[call] = reply
+	d.mu.Unlock()
+	now := time.Now()
+	inputs := o.Inputs
+	if inputs == nil {
+		inputs = []string{}
+	}
+	d.peers.Send(to, wire.Frame{Call: call, PieceOrder: &wire.PieceOrder{
+		Service: service, Request: o.Request, Stage: o.Stage, Pieces: o.Pieces, Key: o.Key, Inputs: inputs,
+		Zone: o.Zone, Bytes: o.Bytes, Priority: o.Priority,
+		DueMs:  int(o.Due.Sub(now) / time.Millisecond),
+		LeftMs: int(o.Deadline.Sub(now) / time.Millisecond),
+	}})
+	return func() {
+		d.mu.Lock()
+		delete(d.calls, call)
+		d.mu.Unlock()
+		yes := true
+		d.peers.Send(to, wire.Frame{Call: call, PieceCancel: &yes})
+	}
+}
+
+// Release gives up results of a service.
+func (d *Desk) Release(service string, handles []string) {
+	to := Owner(service, d.peers.Members())
+	switch to {
+	case "":
+	case d.self:
+		d.deliver(d.owner(service), released{handles})
+	default:
+		d.peers.Send(to, wire.Frame{PieceRelease: &wire.PieceRelease{Service: service, Handles: handles}})
+	}
+}
+
+// Frame takes a frame of another instance. It returns false for one that is none of a desk's.
+func (d *Desk) Frame(f wire.Frame) bool {
+	switch {
+	case f.PieceOrder != nil:
+		d.takeOrder(f.From, f.Call, f.PieceOrder)
+	case f.PieceAnswer != nil:
+		d.takeAnswer(f.Call, f.PieceAnswer)
+	case f.PieceCancel != nil:
+		d.takeCancel(remoteCall{f.From, f.Call})
+	case f.PieceRelease != nil:
+		d.deliver(d.owner(f.PieceRelease.Service), released{f.PieceRelease.Handles})
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *Desk) takeOrder(from string, call int, p *wire.PieceOrder) {
+	if p.Pieces < 1 {
+		d.answer(from, call, Outcome{Reason: ReasonFailed})
+		return
+	}
+	now := time.Now()
+	key := remoteCall{from, call}
+	o := &Order{
+		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Zone: p.Zone,
+		Bytes: p.Bytes, Priority: p.Priority,
+		Due:      now.Add(time.Duration(p.DueMs) * time.Millisecond),
+		Deadline: now.Add(time.Duration(p.LeftMs) * time.Millisecond),
+	}
+	o.Reply = func(out Outcome) {
+		d.mu.Lock()
+		delete(d.remote, key)
+		d.mu.Unlock()
+		d.answer(from, call, out)
+	}
+	w := d.owner(p.Service)
+	d.mu.Lock()
+	d.remote[key] = remoteOrder{o, w}
+	d.mu.Unlock()
+	d.deliver(w, added{o})
+}
+
+func (d *Desk) answer(to string, call int, out Outcome) {
+	handles := out.Handles
+	if handles == nil {
+		handles = []string{}
+	}
+	d.peers.Send(to, wire.Frame{Call: call, PieceAnswer: &wire.PieceAnswer{
+		Handles: handles, Reason: string(out.Reason), RetryAfterMs: int(out.RetryAfter / time.Millisecond),
+	}})
+}
+
+func (d *Desk) takeAnswer(call int, a *wire.PieceAnswer) {
+	d.mu.Lock()
+	reply := d.calls[call]
+	delete(d.calls, call)
+	d.mu.Unlock()
+	if reply != nil {
+		reply <- Outcome{
+			Handles: a.Handles, Reason: Reason(a.Reason),
+			RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond,
+		}
+	}
+}
+
+func (d *Desk) takeCancel(key remoteCall) {
+	d.mu.Lock()
+	r, ok := d.remote[key]
+	delete(d.remote, key)
+	d.mu.Unlock()
+	if ok {
+		d.deliver(r.owner, cancelled{r.order})
+	}
+}
+
+// owner returns the queue of a service on this instance and starts it if need be.
+func (d *Desk) owner(service string) *owner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.owners[service]
+	if w == nil {
+		w = newOwner(service, d.maker, d.supply(service))
+		d.owners[service] = w
+		go w.run(d.ctx)
+	}
+	return w
+}
+
+func (d *Desk) deliver(w *owner, m message) {
+	select {
+	case w.inbox <- m:
+	case <-d.ctx.Done():
+	}
+}
--- /dev/null
+++ b/plantainlane/batch/owner.go
@@ -0,0 +1,145 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"plantainlane/plantainlane/site"
+)
+
+// Maker talks to the upstreams that make pieces. It is safe for concurrent use.
+type Maker interface {
+	// Make makes the pieces of a call and returns a result for each item. Busy tells that the upstream
+	// refused the call because it is full.
+	Make(ctx context.Context, c *Call) (results []Result, busy bool, err error)
+	// Free frees results at the upstreams that hold them.
+	Free(ctx context.Context, handles []string)
+}
+
+const (
+	// ownerTick is the period at which an owner looks for orders whose time is over.
+	ownerTick = 50 * time.Millisecond
+	// ownerInbox is the number of messages that may wait for an owner.
+	ownerInbox = 1024
+	// callPatience is how many times its expected time a call may take.
+	callPatience = 4
+	// callSlack is added to the time a call may take.
+	callSlack = 500 * time.Millisecond
+)
+
+// message is an input of an owner's main loop.
+type message interface{ isMessage() }
+
+type added struct{ order *Order }
+
+type cancelled struct{ order *Order }
+
+type released struct{ handles []string }
+
+type ended struct {
+	call    *Call
+	results []Result
+	busy    bool
+}
+
+func (added) isMessage()     {}
+func (cancelled) isMessage() {}
+func (released) isMessage()  {}
+func (ended) isMessage()     {}
+
+// Supply tells an owner what it works with. It is called by the owner's main loop.
+type Supply func() (spec site.Batch, workers []Worker, ok bool)
+
+// owner runs the queue of one service.
+type owner struct {
+	service string
+	queue   *Queue
+	maker   Maker
+	supply  Supply
+	inbox   chan message
+}
+
+func newOwner(service string, maker Maker, supply Supply) *owner {
+	return &owner{
+		service: service,
+		queue:   NewQueue(site.Batch{}),
+		maker:   maker,
+		supply:  supply,
+		inbox:   make(chan message, ownerInbox),
+	}
+}
+
+// run serves the queue until ctx ends.
+func (o *owner) run(ctx context.Context) {
+	ticker := time.NewTicker(ownerTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-o.inbox:
+			o.take(ctx, m)
+		case <-ticker.C:
+			if o.queue.Waiting() == 0 {
+				continue
+			}
+		}
+		o.refresh()
+		o.start(ctx)
+	}
+}
+
+func (o *owner) refresh() {
+	spec, workers, ok := o.supply()
+	if ok {
+		o.queue.SetSpec(spec)
+		o.queue.SetWorkers(workers)
+	}
+}
+
+func (o *owner) take(ctx context.Context, m message) {
+	now := time.Now()
+	switch m := m.(type) {
+	case added:
+		o.refresh()
+		o.queue.Add(now, m.order)
+	case cancelled:
+		o.queue.Release(o.queue.Cancel(m.order))
+	case released:
+		o.queue.Release(m.handles)
+	case ended:
+		o.queue.Release(o.queue.Done(now, m.call, m.results, m.busy))
+	}
+	if handles := o.queue.Freeable(); len(handles) > 0 {
+		go o.maker.Free(ctx, handles)
+	}
+}
+
+// start sends the calls that can be sent now.
+func (o *owner) start(ctx context.Context) {
+	for {
+		c := o.queue.Next(time.Now())
+		if c == nil {
+			return
+		}
+		go o.make(ctx, c)
+	}
+}
+
+func (o *owner) make(ctx context.Context, c *Call) {
+	limit := callPatience*c.Expected.Sub(c.Began) + callSlack
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	results, busy, err := o.maker.Make(callCtx, c)
+	if err != nil {
+		klog.InfoS("pieces not made", "service", o.service, "upstream", c.Worker.ID, "pieces", len(c.Items),
+			"busy", busy, "took", time.Since(c.Began), "err", err)
+		results = nil
+	}
+	select {
+	case o.inbox <- ended{call: c, results: results, busy: busy}:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/plantainlane/batch/queue.go
@@ -0,0 +1,513 @@
+// Package batch makes the pieces of requests in calls that hold pieces of many requests. The queue of a service
+// has one owner among the instances; every instance orders pieces there.
+//
+// Load pattern: a call takes a long time whatever it holds and an upstream makes one at a time, while each
+// instance alone sees less than one request in the time of a call. One queue for all instances fills the calls:
+// waiting for a free upstream is the time in which a call fills.
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"plantainlane/plantainlane/site"
+)
+
+// Order is pieces of one stage of one request.
+type Order struct {
+	// Request ID.
+	Request string
+	// Stage number in the request's route.
+	Stage int
+	// Pieces is the number of pieces. Positive.
+	Pieces int
+	// Key of the pieces, for a stage that needs no results.
+	Key string
+	// Inputs of each piece, for a stage that needs results.
+	Inputs []string
+	// Zone in which the results are needed.
+	Zone string
+	// Bytes is the approximate size of a result.
+	Bytes int
+	// Due is when the results should be there for the request to be on time.
+	Due time.Time
+	// Deadline is when the results are of no use any more.
+	Deadline time.Time
+	// Priority ranks the request; 0 is the highest.
+	Priority int
+	// Reply is called once, with the outcome.
+	Reply func(Outcome)
+
+	// next is the first piece not sent yet.
+	next int
+	// again holds pieces to be sent once more.
+	again []int
+	// handles of the pieces made, by piece.
+	handles []string
+	made    int
+	// tries is the number of pieces that failed.
+	tries int
+	done  bool
+}
+
+// Outcome ends an order.
+type Outcome struct {
+	// Handles of the results, by piece; nil unless all were made.
+	Handles []string
+	// Reason why pieces were not made; empty if they were.
+	Reason Reason
+	// RetryAfter is when there may be room, if the order was turned away.
+	RetryAfter time.Duration
+}
+
+// Reason tells why pieces were not made.
+type Reason string
+
+const (
+	// ReasonLate orders can't be made before their deadline.
+	ReasonLate Reason = "late"
+	// ReasonGone orders need a result that is gone.
+	ReasonGone Reason = "gone"
+	// ReasonFailed orders failed too often.
+	ReasonFailed Reason = "failed"
+	// ReasonRoom pieces found no room at the upstream.
+	ReasonRoom Reason = "room"
+	// ReasonNoOwner orders reached no owner of the queue.
+	ReasonNoOwner Reason = "noOwner"
+	// ReasonCancelled orders were given up by the caller.
+	ReasonCancelled Reason = "cancelled"
+)
+
+// Item is one piece in a call.
+type Item struct {
+	Order *Order
+	Piece int
+}
+
+// Call is pieces for one upstream.
+type Call struct {
+	// Worker that makes the pieces.
+	Worker *Worker
+	Items  []Item
+	// Began is when the call was sent.
+	Began time.Time
+	// Expected is when the call should end.
+	Expected time.Time
+}
+
+// Result is what an upstream says of one piece.
+type Result struct {
+	// Handle of the result; empty if the piece was not made.
+	Handle string
+	// Reason why it was not made.
+	Reason Reason
+}
+
+// Worker is an upstream that makes pieces.
+type Worker struct {
+	ID      string
+	Address string
+	Zone    string
+	// Leaving upstreams get no new calls.
+	Leaving bool
+
+	calls int
+	// used is the room that results take, in bytes.
+	used int
+	held map[string]heldResult
+	// unneeded results were given up and still take room.
+	unneeded []string
+	// slowness is the time of calls over the expected time, smoothed. 1 at first.
+	slowness float64
+	failures int
+	// notBefore is when the upstream may be tried again after a failure.
+	notBefore time.Time
+}
+
+type heldResult struct {
+	bytes int
+	until time.Time
+}
+
+const (
+	// maxTries is the number of failed pieces after which an order fails.
+	maxTries = 6
+	// nearBonus is how much earlier an order is served by an upstream of the zone that needs its results.
+	nearBonus = 150 * time.Millisecond
+	// priorityStep is how much later an order counts as due for each rank of its priority.
+	priorityStep = 100 * time.Millisecond
+	// slowShare is the weight of the newest call in an upstream's slowness.
+	slowShare = 0.4
+	// firstPause and maxPause bound the time an upstream is left alone after failures.
+	firstPause = 300 * time.Millisecond
+	maxPause   = 3 * time.Second
+	// slowLimit is the slowness from which an upstream only gets calls while orders would wait too long.
+	slowLimit = 2.0
+	// maxRetryAfter bounds the time that callers are told to wait.
+	maxRetryAfter = 2 * time.Second
+)
+
+// Queue holds the orders of one service and chooses the calls. It is used by one goroutine and does no I/O.
+type Queue struct {
+	spec    site.Batch
+	orders  []*Order
+	workers map[string]*Worker
+	// waiting is the number of pieces not sent yet.
+	waiting int
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(spec site.Batch) *Queue {
+	return &Queue{spec: spec, workers: make(map[string]*Worker)}
+}
+
+// SetSpec takes a changed description of the calls.
+func (q *Queue) SetSpec(spec site.Batch) { q.spec = spec }
+
+// SetWorkers takes the upstreams known now. Those that are missing are forgotten.
+func (q *Queue) SetWorkers(list []Worker) {
+	seen := make(map[string]bool, len(list))
+	for _, w := range list {
+		seen[w.ID] = true
+		known := q.workers[w.ID]
+		if known == nil || known.Address != w.Address {
+			known = &Worker{ID: w.ID, Address: w.Address, Zone: w.Zone, slowness: 1, held: make(map[string]heldResult)}
+			q.workers[w.ID] = known
+		}
+		known.Leaving = w.Leaving
+	}
+	for id := range q.workers {
+		if !seen[id] {
+			delete(q.workers, id)
+		}
+	}
+}
+
+// Waiting is the number of pieces that wait for a call.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// Add takes an order. One that can't be made in time is turned away at once.
+func (q *Queue) Add(now time.Time, o *Order) {
+	if wait := q.estimate(now, o); now.Add(wait).After(o.Deadline) {
+		over := now.Add(wait).Sub(o.Deadline)
+		o.finish(Outcome{Reason: ReasonLate, RetryAfter: min(over, maxRetryAfter)})
+		return
+	}
+	o.handles = make([]string, o.Pieces)
+	q.orders = append(q.orders, o)
+	q.waiting += o.Pieces
+}
+
+// estimate is the time until an order added now would be made: the pieces that are due before it, in full calls
+// over all upstreams, and its own call.
+func (q *Queue) estimate(now time.Time, o *Order) time.Duration {
+	usable := 0
+	for _, w := range q.workers {
+		if !w.Leaving && w.slowness < slowLimit {
+			usable++
+		}
+	}
+	own := q.callTime(min(o.Pieces, q.spec.Size))
+	if usable == 0 || q.spec.Size == 0 {
+		return own
+	}
+	ahead := 0
+	for _, other := range q.orders {
+		if other.rank().Before(o.rank()) && now.Before(other.Deadline) {
+			ahead += other.unsent()
+		}
+	}
+	calls := ahead / q.spec.Size
+	return own + time.Duration(calls)*q.callTime(q.spec.Size)/time.Duration(usable)
+}
+
+func (q *Queue) callTime(pieces int) time.Duration {
+	return q.spec.CallTime + time.Duration(pieces)*q.spec.PieceTime
+}
+
+// rank is when the order counts as due against other orders.
+func (o *Order) rank() time.Time {
+	return o.Due.Add(time.Duration(o.Priority) * priorityStep)
+}
+
+func (o *Order) unsent() int { return o.Pieces - o.next + len(o.again) }
+
+func (o *Order) finish(out Outcome) {
+	if o.done {
+		return
+	}
+	o.done = true
+	o.Reply(out)
+}
+
+// Cancel gives an order up. Its pieces that were made are returned.
+func (q *Queue) Cancel(o *Order) (made []string) {
+	if !o.done {
+		q.remove(o)
+		for _, h := range o.handles {
+			if h != "" {
+				made = append(made, h)
+			}
+		}
+		o.finish(Outcome{Reason: ReasonCancelled})
+	}
+	return made
+}
+
+func (q *Queue) remove(o *Order) {
+	if i := slices.Index(q.orders, o); i >= 0 {
+		q.orders = slices.Delete(q.orders, i, i+1)
+		q.waiting -= o.unsent()
+	}
+}
+
+// Next chooses the next call; nil if there is none now.
+func (q *Queue) Next(now time.Time) *Call {
+	q.expire(now)
+	if q.waiting == 0 {
+		return nil
+	}
+	w := q.freeWorker(now)
+	if w == nil {
+		return nil
+	}
+	items := q.fill(now, w)
+	if len(items) == 0 {
+		return nil
+	}
+	w.calls++
+	expected := time.Duration(float64(q.callTime(len(items))) * w.slowness)
+	return &Call{Worker: w, Items: items, Began: now, Expected: now.Add(expected)}
+}
+
+// expire ends the orders that are of no use any more and frees the results whose time is over.
+func (q *Queue) expire(now time.Time) {
+	for _, o := range slices.Clone(q.orders) {
+		if now.Add(q.spec.CallTime).After(o.Deadline) {
+			q.remove(o)
+			o.finish(Outcome{Reason: ReasonLate})
+		}
+	}
+	for _, w := range q.workers {
+		for handle, h := range w.held {
+			if now.After(h.until) {
+				w.release(handle)
+			}
+		}
+	}
+}
+
+// freeWorker returns the upstream for the next call: of those with a free slot the one of the zone that the most
+// urgent order needs its results in, then the quickest.
+func (q *Queue) freeWorker(now time.Time) *Worker {
+	first := slices.MinFunc(q.orders, func(a, b *Order) int { return cmpUnsent(a, b) })
+	var best *Worker
+	for _, w := range q.workers {
+		if w.Leaving || w.calls >= max(q.spec.Slots, 1) || now.Before(w.notBefore) {
+			continue
+		}
+		if w.slowness >= slowLimit && !q.pressed() {
+			continue
+		}
+		if q.spec.RoomBytes > 0 && w.used+first.Bytes > q.spec.RoomBytes {
+			continue
+		}
+		if best == nil || w.before(best, first.Zone) {
+			best = w
+		}
+	}
+	return best
+}
+
+// cmpUnsent orders by rank; orders without pieces to send go last.
+func cmpUnsent(a, b *Order) int {
+	if (a.unsent() == 0) != (b.unsent() == 0) {
+		return cmp.Compare(boolInt(a.unsent() == 0), boolInt(b.unsent() == 0))
+	}
+	return a.rank().Compare(b.rank())
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// pressed tells whether more waits than the quick upstreams take in one call each.
+func (q *Queue) pressed() bool {
+	quick := 0
+	for _, w := range q.workers {
+		if !w.Leaving && w.slowness < slowLimit {
+			quick++
+		}
+	}
+	return q.waiting > quick*q.spec.Size
+}
+
+func (w *Worker) before(other *Worker, zone string) bool {
+	if (w.Zone == zone) != (other.Zone == zone) {
+		return w.Zone == zone
+	}
+	if w.slowness != other.slowness {
+		return w.slowness < other.slowness
+	}
+	return w.ID < other.ID
+}
+
+// fill chooses the pieces of a call, the most urgent first. Pieces whose results are needed in the upstream's
+// zone count as a little more urgent.
+func (q *Queue) fill(now time.Time, w *Worker) []Item {
+	order := slices.Clone(q.orders)
+	rank := func(o *Order) time.Time {
+		if o.Zone == w.Zone {
+			return o.rank().Add(-nearBonus)
+		}
+		return o.rank()
+	}
+	slices.SortStableFunc(order, func(a, b *Order) int { return rank(a).Compare(rank(b)) })
+	var items []Item
+	room := q.spec.RoomBytes - w.used
+	for _, o := range order {
+		for len(items) < q.spec.Size && o.unsent() > 0 {
+			if q.spec.RoomBytes > 0 && room < o.Bytes {
+				break
+			}
+			room -= o.Bytes
+			items = append(items, Item{Order: o, Piece: o.take()})
+			q.waiting--
+		}
+	}
+	return items
+}
+
+// take returns the next piece to send.
+func (o *Order) take() int {
+	if n := len(o.again); n > 0 {
+		p := o.again[n-1]
+		o.again = o.again[:n-1]
+		return p
+	}
+	o.next++
+	return o.next - 1
+}
+
+// Done takes the results of a call, in the order of its items. A nil list means that the call failed; ran tells
+// whether it may have been worked on. It returns results that nobody waits for.
+func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
+	w := c.Worker
+	w.calls--
+	if results == nil {
+		w.fail(now, busy)
+	} else {
+		w.succeed(now.Sub(c.Began), q.callTime(len(c.Items)))
+	}
+	for i, item := range c.Items {
+		r := Result{Reason: ReasonFailed}
+		if results != nil {
+			r = results[i]
+		}
+		if r.Handle != "" {
+			w.hold(r.Handle, item.Order.Bytes, now.Add(q.spec.KeepFor))
+		}
+		if item.Order.done {
+			if r.Handle != "" {
+				unused = append(unused, r.Handle)
+			}
+			continue
+		}
+		q.take(item, r, busy)
+	}
+	return unused
+}
+
+func (q *Queue) take(item Item, r Result, busy bool) {
+	o := item.Order
+	switch {
+	case r.Handle != "":
+		o.handles[item.Piece] = r.Handle
+		o.made++
+		if o.made == o.Pieces {
+			q.remove(o)
+			o.finish(Outcome{Handles: o.handles})
+		}
+		return
+	case r.Reason == ReasonGone, r.Reason == ReasonLate:
+		q.remove(o)
+		o.finish(Outcome{Reason: r.Reason})
+		return
+	}
+	if !busy && r.Reason != ReasonRoom {
+		o.tries++
+	}
+	if o.tries > maxTries {
+		q.remove(o)
+		o.finish(Outcome{Reason: ReasonFailed})
+		return
+	}
+	o.again = append(o.again, item.Piece)
+	q.waiting++
+}
+
+func (w *Worker) fail(now time.Time, busy bool) {
+	pause := firstPause
+	if !busy {
+		w.failures++
+		pause = min(firstPause<<min(w.failures-1, 6), maxPause)
+	}
+	w.notBefore = now.Add(pause)
+}
+
+func (w *Worker) succeed(took, usual time.Duration) {
+	w.failures = 0
+	if usual > 0 {
+		ratio := max(float64(took)/float64(usual), 1)
+		w.slowness += slowShare * (ratio - w.slowness)
+	}
+}
+
+func (w *Worker) hold(handle string, bytes int, until time.Time) {
+	w.held[handle] = heldResult{bytes: bytes, until: until}
+	w.used += bytes
+}
+
+// release forgets a result. It returns false if the upstream doesn't hold it.
+func (w *Worker) release(handle string) bool {
+	h, ok := w.held[handle]
+	if ok {
+		w.used -= h.bytes
+		delete(w.held, handle)
+	}
+	return ok
+}
+
+// Release gives up results. The room they take counts until they are freed, see Freeable.
+func (q *Queue) Release(handles []string) {
+	for _, handle := range handles {
+		for _, w := range q.workers {
+			if _, ok := w.held[handle]; ok {
+				w.unneeded = append(w.unneeded, handle)
+				break
+			}
+		}
+	}
+}
+
+// Freeable returns results to be freed at their upstreams: given-up ones of each upstream whose room is more
+// than half in use. Others end by themselves.
+func (q *Queue) Freeable() []string {
+	var out []string
+	for _, w := range q.workers {
+		if len(w.unneeded) == 0 || w.used*2 < q.spec.RoomBytes {
+			continue
+		}
+		for _, handle := range w.unneeded {
+			if w.release(handle) {
+				out = append(out, handle)
+			}
+		}
+		w.unneeded = nil
+	}
+	return out
+}
--- a/plantainlane/caller/entries.go
+++ b/plantainlane/caller/entries.go
@@ -33,11 +33,11 @@
 		if id == v.Self.ID || (!held && !v.Connected[id]) {
 			continue
 		}
-		if i.CallerAddress != "" && !i.Draining && !i.Silent {
+		if i.CallerAddress != "" && !i.ControlOnly && !i.Draining && !i.Silent {
 			a.Entries = append(a.Entries, entry(i, zone))
 		}
 	}
-	if held && !v.Draining {
+	if held && !v.Draining && !v.Self.ControlOnly {
 		a.Entries = append(a.Entries, entry(v.Self, zone))
 	}
 	return a
--- a/plantainlane/consensus/node.go
+++ b/plantainlane/consensus/node.go
@@ -110,6 +110,19 @@
 	}, nil
 }
 
+// Found returns the start of a new log with several voters. Each of them starts with the same voters and log ID.
+func Found(voters []string, logID string) (Start, error) {
+	voters = slices.Sorted(slices.Values(voters))
+	data, err := wire.Encode(wire.ReplicaSet{Voters: voters, Learners: []string{}})
+	if err != nil {
+		return Start{}, err
+	}
+	return Start{
+		Hard:    Hard{Term: 1, Log: logID},
+		Entries: []wire.LogEntry{{Index: 1, Term: 1, Kind: KindMembership, Data: data}},
+	}, nil
+}
+
 // Tick lets time pass. It should be called a few times in a HeartbeatInterval.
 func (n *Node) Tick(now time.Time) {
 	if n.role == Leader {
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -39,6 +39,8 @@
 	applied int
 	// compacted is the index of the newest snapshot asked for.
 	compacted int
+	// uncompacted is the size of the commands applied since then, in bytes.
+	uncompacted int
 	// voters is how many replicas vote once enough instances have a disk.
 	voters int
 	// deltas holds recent change sets by the revision they made.
@@ -141,6 +143,7 @@
 	c.runGrants()
 	c.runProposals()
 	c.runQueries()
+	c.runSiteReads()
 	c.runRoster()
 	c.runRetention()
 	c.runOrders()
@@ -250,6 +253,8 @@
 		c.answerCost(origin{f.From, f.Call}, *f.CostQuery)
 	case f.ResultQuery != nil:
 		c.answerResult(origin{f.From, f.Call}, *f.ResultQuery)
+	case f.SiteQuery != nil:
+		c.takeSiteQuery(origin{f.From, f.Call})
 	case f.StatusQuery != nil:
 		c.answerStatus(origin{f.From, f.Call})
 	default:
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -48,6 +48,8 @@
 	unanswered map[string]time.Time
 	// transferAt is when leadership was last offered to another voter.
 	transferAt time.Time
+	// reads of the site that wait until a quorum confirms that this instance leads.
+	reads []siteRead
 	// grants records what instances may be using of the contracts; nil until the first request.
 	grants *limit.Ledger
 	// grantsRevision is the revision whose contracts grants has.
--- a/plantainlane/control/proposal.go
+++ b/plantainlane/control/proposal.go
@@ -39,12 +39,12 @@
 // callBits is the share of a call ID that counts the calls of one incarnation.
 const callBits = 20
 
-// firstCall returns where an incarnation's call IDs start, so that an answer to an earlier incarnation's
+// FirstCall returns where an incarnation's call IDs start, so that an answer to an earlier incarnation's
 // call is never taken for the answer to another.
-func firstCall(incarnation int) int { return incarnation << callBits }
+func FirstCall(incarnation int) int { return incarnation << callBits }
 
 func newProposals(incarnation int) proposals {
-	return proposals{rows: make(map[int]*proposal), call: firstCall(incarnation)}
+	return proposals{rows: make(map[int]*proposal), call: FirstCall(incarnation)}
 }
 
 // propose takes a command from this instance's own traffic or operators. Every command can be sent again:
@@ -161,6 +161,10 @@
 // finishChange answers a change, once it is in force everywhere if it is to be.
 func (c *Core) finishChange(from origin, out wire.ChangeOutcome) {
 	out.CurrentRevision = c.state.Config.Revision
+	if out.State == state.ChangePending && c.timing.AcceptCommitted {
+		out.State = state.ChangeAccepted
+		c.runConfig()
+	}
 	if out.State != state.ChangePending {
 		c.answerProposal(from, wire.ProposeAnswer{Committed: true, Change: &out})
 		return
--- a/plantainlane/control/query.go
+++ b/plantainlane/control/query.go
@@ -23,7 +23,7 @@
 }
 
 func newQueries(incarnation int) queries {
-	return queries{rows: make(map[int]pendingQuery), call: firstCall(incarnation)}
+	return queries{rows: make(map[int]pendingQuery), call: FirstCall(incarnation)}
 }
 
 func (c *Core) query(to string, f wire.Frame, until time.Time, reply chan<- wire.Frame) {
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -41,9 +41,10 @@
 
 // compact hands a snapshot of the state to the log now and then.
 func (c *Core) compact() {
-	if c.applied-c.compacted < c.timing.SnapshotEvery {
+	if c.applied-c.compacted < c.timing.SnapshotEvery && c.uncompacted < c.timing.SnapshotBytes {
 		return
 	}
+	c.uncompacted = 0
 	c.compacted = c.applied
 	c.log.Compact(c.applied, c.state.Freeze().Encode)
 }
@@ -61,6 +62,7 @@
 
 func (c *Core) applyEntry(e wire.LogEntry) {
 	c.applied = e.Index
+	c.uncompacted += len(e.Data)
 	if e.Kind != consensus.KindCommand {
 		return
 	}
--- a/plantainlane/control/timing.go
+++ b/plantainlane/control/timing.go
@@ -22,12 +22,17 @@
 	ProposalRetry time.Duration
 	// AcceptWait is how long an operator waits for a change to be in force before it is told pending.
 	AcceptWait time.Duration
+	// AcceptCommitted tells an operator that a change is accepted once it is committed, and not only once it is in
+	// force everywhere.
+	AcceptCommitted bool
 	// GrantInterval is the period of requests for shares of the contracts.
 	GrantInterval time.Duration
 	// ReplaceAfter is how long a voter may be unheard before a spare replaces it.
 	ReplaceAfter time.Duration
 	// SnapshotEvery is the number of log entries between two snapshots.
 	SnapshotEvery int
+	// SnapshotBytes is the size of the commands between two snapshots.
+	SnapshotBytes int
 	// DigestInterval is the period of anti-entropy between instances.
 	DigestInterval time.Duration
 }
@@ -47,5 +52,6 @@
 		DigestInterval: time.Second,
 		ReplaceAfter:   15 * time.Second,
 		SnapshotEvery:  4096,
+		SnapshotBytes:  4 << 20,
 	}
 }
--- /dev/null
+++ b/plantainlane/forward/stages.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"plantainlane/plantainlane/batch"
+	"plantainlane/plantainlane/site"
+)
+
+// Desk has pieces made.
+type Desk interface {
+	Make(ctx context.Context, service string, o batch.Order) batch.Outcome
+	Release(service string, handles []string)
+}
+
+// stageError tells why a stage was not made.
+type stageError struct {
+	stage   int
+	outcome batch.Outcome
+}
+
+func (e *stageError) Error() string { return "stage not made: " + string(e.outcome.Reason) }
+
+// restartLimit is the number of times that stages are made anew because a result was gone.
+const restartLimit = 2
+
+// stageRun makes the stages of one request.
+type stageRun struct {
+	desk  Desk
+	site  *site.Site
+	route *site.Route
+	call  *Call
+	// zone in which the request will run.
+	zone     string
+	received time.Time
+	deadline time.Time
+	priority int
+
+	// handles of the results by stage.
+	handles [][]string
+	ready   []chan struct{}
+}
+
+// makeStages has the stages of a request made and returns the handles that the request needs, in the order of the
+// stages.
+func (x *stageRun) makeStages(ctx context.Context) ([]string, error) {
+	for restart := 0; ; restart++ {
+		err := x.makeOnce(ctx)
+		var failed *stageError
+		if errors.As(err, &failed) && failed.outcome.Reason == batch.ReasonGone && restart < restartLimit {
+			x.release()
+			continue
+		}
+		if err != nil {
+			x.release()
+			return nil, err
+		}
+		var inputs []string
+		for _, i := range x.route.Finals() {
+			inputs = append(inputs, x.handles[i]...)
+		}
+		return inputs, nil
+	}
+}
+
+func (x *stageRun) makeOnce(ctx context.Context) error {
+	n := len(x.route.Stages)
+	x.handles = make([][]string, n)
+	x.ready = make([]chan struct{}, n)
+	for i := range x.ready {
+		x.ready[i] = make(chan struct{})
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range x.route.Stages {
+		g.Go(func() error { return x.makeStage(ctx, i) })
+	}
+	return g.Wait()
+}
+
+func (x *stageRun) pieces(stage int) int {
+	if stage < len(x.call.Pieces) {
+		return x.call.Pieces[stage]
+	}
+	return 0
+}
+
+func (x *stageRun) makeStage(ctx context.Context, i int) error {
+	stage := &x.route.Stages[i]
+	if x.pieces(i) == 0 {
+		close(x.ready[i])
+		return nil
+	}
+	o := batch.Order{
+		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Zone: x.zone, Bytes: stage.Bytes, Priority: x.priority,
+	}
+	for _, before := range stage.After {
+		select {
+		case <-x.ready[before]:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		o.Inputs = append(o.Inputs, x.handles[before]...)
+	}
+	if len(stage.After) == 0 {
+		o.Key = x.call.PieceKey
+	}
+	rest := x.timeAfter(i)
+	o.Due = x.received.Add(x.route.Aim - rest)
+	o.Deadline = x.deadline.Add(-rest)
+	out := x.desk.Make(ctx, stage.Service, o)
+	if out.Reason != "" {
+		return &stageError{stage: i, outcome: out}
+	}
+	x.handles[i] = out.Handles
+	close(x.ready[i])
+	return nil
+}
+
+// runTime is the time that a request needs after its stages until its first event.
+const runTime = 100 * time.Millisecond
+
+// timeAfter is the least time that a request needs once a stage is made: the calls of the stages that follow, and
+// its own run.
+func (x *stageRun) timeAfter(stage int) time.Duration {
+	longest := runTime
+	for j := stage + 1; j < len(x.route.Stages); j++ {
+		if x.pieces(j) == 0 || !follows(x.route.Stages[j], stage) {
+			continue
+		}
+		own := time.Duration(0)
+		if v := x.site.Services[x.route.Stages[j].Service]; v != nil && v.Batch != nil {
+			own = v.Batch.CallTime + time.Duration(x.pieces(j))*v.Batch.PieceTime
+		}
+		longest = max(longest, own+x.timeAfter(j))
+	}
+	return longest
+}
+
+func follows(s site.Stage, stage int) bool {
+	for _, before := range s.After {
+		if before == stage {
+			return true
+		}
+	}
+	return false
+}
+
+// release gives up all results.
+func (x *stageRun) release() {
+	for i, handles := range x.handles {
+		if len(handles) > 0 {
+			x.desk.Release(x.route.Stages[i].Service, handles)
+		}
+	}
+	x.handles = nil
+}
--- a/plantainlane/instance/drain.go
+++ b/plantainlane/instance/drain.go
@@ -14,6 +14,8 @@
 	drainPoll = 50 * time.Millisecond
 	// spread is how long it takes until no instance names a draining one in its entry answer.
 	spread = 3 * time.Second
+	// handOver is how long a draining instance that takes no callers waits until another one leads.
+	handOver = time.Second
 	// closeTimeout bounds the closing of listeners that carry no caller's work.
 	closeTimeout = time.Second
 )
@@ -39,19 +41,26 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-time.After(time.Duration(x.settings.Entry.KeepFor) + spread):
+	case <-time.After(x.leaveTime()):
 	}
 	limit, cancel := context.WithTimeout(ctx, time.Duration(x.settings.Entry.DrainLimit))
 	defer cancel()
-	x.callers().shutdown(limit)
+	for _, s := range x.traffic {
+		s.shutdown(limit)
+	}
 	x.runner.Settle(limit)
 	x.loop.Deliver(limit, control.TrafficEnded{})
 	x.flushCosts(limit)
 	klog.InfoS("drained")
 }
 
-func (x *Instance) callers() *server {
-	return x.servers[len(x.servers)-1]
+// leaveTime is how long a draining instance serves as before: until no caller can hold an answer that names it. One
+// that takes no callers only hands its leadership over.
+func (x *Instance) leaveTime() time.Duration {
+	if x.self.ControlOnly {
+		return handOver
+	}
+	return time.Duration(x.settings.Entry.KeepFor) + spread
 }
 
 func (x *Instance) closeServers() {
--- a/plantainlane/instance/frames.go
+++ b/plantainlane/instance/frames.go
@@ -18,6 +18,9 @@
 // Frame takes a frame from another instance.
 func (f *frames) Frame(in wire.Frame) {
 	x := f.instance
+	if x.desk != nil && x.desk.Frame(in) {
+		return
+	}
 	switch {
 	case in.TimelineQuery != nil:
 		a := x.ring.Select(*in.TimelineQuery)
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -6,6 +6,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"plantainlane/plantainlane/announce"
+	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/caller"
 	"plantainlane/plantainlane/consensus"
 	"plantainlane/plantainlane/control"
@@ -61,12 +63,19 @@
 	metrics  *metric.Metrics
 	runner   *pipeline.Runner
 	servers  []*server
+	// traffic holds the servers of callers, which a drain waits for.
+	traffic []*server
+	// front, sites and desk are nil unless the instance takes opaque requests.
+	front *Front
+	sites *sites
+	desk  *batch.Desk
+	extra []extraListener
 	// replica is nil on an instance without a data folder.
 	replica *replica.Opened
 }
 
 // New assembles an instance that isn't running yet. Its goroutines end with ctx.
-func New(ctx context.Context, s *settings.Settings) (*Instance, error) {
+func New(ctx context.Context, s *settings.Settings, opts ...Option) (*Instance, error) {
 	now := time.Now()
 	x := &Instance{
 		settings: s,
@@ -84,8 +93,12 @@
 			OperatorAddress: s.Advertise.Operators,
 			PeerAddress:     s.Advertise.Peers,
 			HasData:         s.Data != nil,
+			ControlOnly:     s.Instance.ControlOnly,
 		},
 	}
+	for _, o := range opts {
+		o(x)
+	}
 	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.serving)
 	x.limiter = limit.New(now)
@@ -117,15 +130,31 @@
 	}
 	timeout := time.Duration(x.settings.Control.ElectionTimeout)
 	cfg := consensus.Config{ElectionTimeout: timeout, HeartbeatInterval: timeout / heartbeatsPerTimeout}
+	if err := x.found(); err != nil {
+		return err
+	}
 	x.replica, err = replica.Open(x.settings.Data.Folder, x.self.ID, cfg, now)
 	return err
 }
 
+// found begins a new log if this instance is one of its founders.
+func (x *Instance) found() error {
+	var ids []string
+	for _, f := range x.settings.Data.Founders {
+		ids = append(ids, f.Instance)
+	}
+	if !slices.Contains(ids, x.self.ID) {
+		return nil
+	}
+	return replica.Found(x.settings.Data.Folder, x.self.ID, ids)
+}
+
 func (x *Instance) newCore() *control.Core {
 	t := control.DefaultTiming()
 	t.Tick = time.Duration(x.settings.Control.Tick)
 	t.Lease = time.Duration(x.settings.Control.Lease)
 	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout) / 2
+	t.AcceptCommitted = x.settings.Control.Acceptance == settings.AcceptCommitted
 	w := x.settings.WeightStore
 	opts := []control.Option{control.WithOrders(func() *order.Planner {
 		return order.NewPlanner(order.WithWeightRate(wire.Rate{PerSecond: w.PerSecond, Burst: w.Burst}),
@@ -177,22 +206,32 @@
 	}
 	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
 	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Credentials: x.settings.Credentials.Operators}
-	for _, r := range []struct {
+	listeners := []struct {
 		address string
-		routes  registrar
+		routes  Registrar
 	}{
 		{l.Peers, peerRoutes{x.net}},
 		{l.Upstreams, upstreams},
 		{l.Operators, operators},
 		{l.Callers, callers},
-	} {
+	}
+	for _, e := range x.extra {
+		listeners = append(listeners, struct {
+			address string
+			routes  Registrar
+		}{e.address, e.routes(x)})
+	}
+	for _, r := range listeners {
 		s, err := newServer(r.address, x, r.routes, entry.MaxHeaderBytes)
 		if err != nil {
 			return err
 		}
 		x.servers = append(x.servers, s)
+		if r.routes == Registrar(callers) {
+			x.traffic = append(x.traffic, s)
+		}
 	}
-	return nil
+	return x.openFront(ctx)
 }
 
 func (x *Instance) newRunner(ctx context.Context) *pipeline.Runner {
@@ -228,6 +267,9 @@
 		x.net.Join(address)
 	}
 	if x.replica != nil {
+		for _, f := range x.settings.Data.Founders {
+			x.net.Know(wire.InstanceInfo{ID: f.Instance, PeerAddress: f.Address})
+		}
 		for _, i := range x.replica.Known {
 			x.net.Know(i)
 		}
--- a/plantainlane/instance/server.go
+++ b/plantainlane/instance/server.go
@@ -20,8 +20,8 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// registrar adds endpoints to an echo instance.
-type registrar interface {
+// Registrar adds endpoints to an echo instance.
+type Registrar interface {
 	Register(e *echo.Echo)
 }
 
@@ -40,18 +40,22 @@
 	http     *http.Server
 }
 
-func newServer(address string, x *Instance, routes registrar, maxHeaderBytes int) (*server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
+func newServer(address string, x *Instance, routes Registrar, maxHeaderBytes int) (*server, error) {
 	e := echo.New()
 	e.HTTPErrorHandler = problem.Handler
 	e.GET("/healthz", func(c *echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET("/readyz", x.ready)
 	routes.Register(e)
+	return listenHTTP(address, e, maxHeaderBytes)
+}
+
+func listenHTTP(address string, handler http.Handler, maxHeaderBytes int) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
 	return &server{listener: listener, http: &http.Server{
-		Handler:           e,
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/plantainlane/journal/journal.go
+++ b/plantainlane/journal/journal.go
@@ -43,7 +43,9 @@
 
 // Journal writes one data folder. It is safe for concurrent use.
 type Journal struct {
-	fs           FS
+	fs FS
+	// replica is the ID of the replica of an empty folder; empty for a random one.
+	replica      string
 	segmentBytes int
 	notify       func(Synced)
 
@@ -73,6 +75,11 @@
 	return func(j *Journal) { j.segmentBytes = n }
 }
 
+// WithReplica gives the replica of an empty folder an ID instead of a random one.
+func WithReplica(id string) Option {
+	return func(j *Journal) { j.replica = id }
+}
+
 // Open reads a data folder and starts the writer. An empty folder gets a new replica ID that starts with
 // owner. The writer calls notify, which must not block, after every sync and once after a failure. Open
 // returns ErrDamaged if the folder holds something else than what was synced.
--- a/plantainlane/journal/open.go
+++ b/plantainlane/journal/open.go
@@ -63,6 +63,9 @@
 	if hasLog {
 		return "", errors.Wrapf(ErrDamaged, "%s is missing beside a log", identityName)
 	}
+	if j.replica != "" {
+		return j.replica, j.writeFile(identityName, identity{Format: format, Replica: j.replica})
+	}
 	random := make([]byte, replicaIDBytes)
 	if _, err := rand.Read(random); err != nil {
 		return "", err
--- a/plantainlane/metric/metric.go
+++ b/plantainlane/metric/metric.go
@@ -70,6 +70,11 @@
 	_ = l.attempts.RecordValue(min(took.Microseconds(), maxLatencyUs))
 }
 
+// Forwarded counts the end of an opaque request on a route.
+func (m *Metrics) Forwarded(route, outcome string, took time.Duration) {
+	m.Observe(Stage{Pipeline: route, Stage: outcome}, took, outcome != "answered")
+}
+
 // latency returns the histogram of a stage; nil if there are too many.
 func (m *Metrics) latency(s Stage) *latency {
 	m.mu.RLock()
--- a/plantainlane/route/outcome.go
+++ b/plantainlane/route/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"plantainlane/wire"
 )
 
 // Result is how a call to an upstream ended.
@@ -92,3 +94,8 @@
 		u.state.CompareAndSwap(probation, open)
 	}
 }
+
+// Reported takes the load that the upstream told with an answer.
+func (t Target) Reported(load wire.UpstreamLoad) {
+	t.upstream.report(load)
+}
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -186,6 +186,9 @@
 	c.duration("control.electionTimeout", t.ElectionTimeout, 10*time.Millisecond, time.Minute)
 	c.duration("control.lease", t.Lease, 10*time.Millisecond, maxLease)
 	c.duration("control.silentAfter", t.SilentAfter, time.Millisecond, maxLease)
+	if t.Acceptance != AcceptEverywhere && t.Acceptance != AcceptCommitted {
+		c.fail("control.acceptance", `"everywhere" or "committed"`, strconv.Quote(t.Acceptance))
+	}
 	if t.ElectionTimeout < 2*t.Tick {
 		c.fail("control.electionTimeout", "at least twice control.tick", t.ElectionTimeout.String())
 	}
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -47,6 +47,8 @@
 	Zone string `json:"zone"`
 	// Region is the region that the zone belongs to.
 	Region string `json:"region"`
+	// ControlOnly tells that the instance serves control and takes no callers. Default false.
+	ControlOnly bool `json:"controlOnly"`
 }
 
 // Addresses holds one address for each group of endpoints, as IP:PORT.
@@ -67,6 +69,18 @@
 	Folder string `json:"folder"`
 	// Voters is how many replicas vote once enough instances have a disk: 1, 3, 5 or 7. Default 3.
 	Voters int `json:"voters"`
+	// Founders are the instances whose replicas are the first voters of a new log. They are the same on all
+	// founders, and empty once the system has run: a folder that was lost must not vote again as before. An
+	// instance that is no founder joins as a spare replica.
+	Founders []Founder `json:"founders"`
+}
+
+// Founder is an instance that a new log begins with.
+type Founder struct {
+	// Instance ID.
+	Instance string `json:"instance"`
+	// Address for other instances, as IP:PORT.
+	Address string `json:"address"`
 }
 
 // Credentials holds what others prove themselves by.
@@ -111,8 +125,17 @@
 	SilentAfter Duration `json:"silentAfter"`
 	// ElectionTimeout is how long a replica waits for the leader. At least twice Tick. Default 1s.
 	ElectionTimeout Duration `json:"electionTimeout"`
+	// Acceptance is when an operator is told that a change is accepted: "everywhere" once it is in force on every
+	// instance or the instance's lease lapsed, "committed" once a quorum has stored it. Default everywhere.
+	Acceptance string `json:"acceptance"`
 }
 
+// Values of Control.Acceptance.
+const (
+	AcceptEverywhere = "everywhere"
+	AcceptCommitted  = "committed"
+)
+
 // Entry bounds the traffic of callers.
 type Entry struct {
 	// KeepFor is how long callers may keep the entry answer. Default 10s.
@@ -162,6 +185,7 @@
 			Heartbeat:       Duration(500 * time.Millisecond),
 			SilentAfter:     Duration(2 * time.Second),
 			ElectionTimeout: Duration(time.Second),
+			Acceptance:      AcceptEverywhere,
 		},
 		Entry: Entry{
 			KeepFor:        Duration(10 * time.Second),
--- a/plantainlane/state/change.go
+++ b/plantainlane/state/change.go
@@ -12,6 +12,13 @@
 	}
 	out := wire.ChangeOutcome{ChangeID: c.ChangeID}
 	switch {
+	case isSiteOnly(c) && s.hasSite(c.Set.Site.Version):
+		// An overtaken site changes nothing, and its operator need not send it again.
+		out.State = ChangeAccepted
+	case isSiteOnly(c):
+		out.State = ChangePending
+		out.Revision = s.Config.Revision + 1
+		s.Config = s.Config.With(c.Set, nil, out.Revision)
 	case c.BaseRevision != s.Config.Revision:
 		out.State = ChangeConflict
 	case len(problems) > 0:
@@ -35,3 +42,16 @@
 		s.changeOrder = s.changeOrder[1:]
 	}
 }
+
+// isSiteOnly tells whether a change sets a site and nothing else. The highest version of a site wins, whatever
+// revision it was made against.
+func isSiteOnly(c wire.ChangeSet) bool {
+	d := c.Set
+	others := len(d.Contracts) + len(d.Pipelines) + len(d.UpstreamPolicies) + len(d.Models) + len(c.Remove)
+	return d.Site != nil && others == 0
+}
+
+// hasSite tells whether a site of this version or a higher one was accepted.
+func (s *State) hasSite(version int) bool {
+	return s.Config.Site != nil && s.Config.Site.Version >= version
+}
--- a/plantainlane/state/config.go
+++ b/plantainlane/state/config.go
@@ -18,6 +18,8 @@
 	Policies table.Table[*wire.UpstreamPolicy]
 	// Models by name.
 	Models table.Table[*wire.Model]
+	// Site is the site in force; nil while there is none. Its version never falls.
+	Site *wire.Site
 }
 
 // With returns the configuration after a change set, at the given revision.
@@ -38,6 +40,9 @@
 	for i := range set.Models {
 		c.Models = c.Models.With(set.Models[i].Name, &set.Models[i])
 	}
+	if set.Site != nil && (c.Site == nil || set.Site.Version > c.Site.Version) {
+		c.Site = set.Site
+	}
 	return c
 }
 
@@ -59,6 +64,7 @@
 func (c Config) Declarations() wire.Declarations {
 	out := c.Shared()
 	out.Contracts = values(c.Contracts)
+	out.Site = c.Site
 	return out
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -449,6 +449,9 @@
 	// Pipelines.
 	Pipelines []Pipeline `json:"pipelines" cbor:"pipelines"`
 
+	// Site; absent where there is none or it doesn't change.
+	Site *Site `json:"site,omitempty,omitzero" cbor:"site,omitempty"`
+
 	// Upstream policies, one a service.
 	UpstreamPolicies []UpstreamPolicy `json:"upstreamPolicies" cbor:"upstreamPolicies"`
 }
@@ -719,6 +722,18 @@
 	// Lease request.
 	LeaseRequest *LeaseRequest `json:"leaseRequest,omitempty,omitzero" cbor:"leaseRequest,omitempty"`
 
+	// Answer to an order for pieces.
+	PieceAnswer *PieceAnswer `json:"pieceAnswer,omitempty,omitzero" cbor:"pieceAnswer,omitempty"`
+
+	// Cancels the order for pieces with the same call ID.
+	PieceCancel *bool `json:"pieceCancel,omitempty,omitzero" cbor:"pieceCancel,omitempty"`
+
+	// Order for pieces of a stage.
+	PieceOrder *PieceOrder `json:"pieceOrder,omitempty,omitzero" cbor:"pieceOrder,omitempty"`
+
+	// Gives up results.
+	PieceRelease *PieceRelease `json:"pieceRelease,omitempty,omitzero" cbor:"pieceRelease,omitempty"`
+
 	// Command for the leader.
 	Propose *Propose `json:"propose,omitempty,omitzero" cbor:"propose,omitempty"`
 
@@ -734,6 +749,12 @@
 	// Result query.
 	ResultQuery *ResultQuery `json:"resultQuery,omitempty,omitzero" cbor:"resultQuery,omitempty"`
 
+	// Answer to a site query.
+	SiteAnswer *SiteAnswer `json:"siteAnswer,omitempty,omitzero" cbor:"siteAnswer,omitempty"`
+
+	// Query for the newest site, answered by the leader.
+	SiteQuery *bool `json:"siteQuery,omitempty,omitzero" cbor:"siteQuery,omitempty"`
+
 	// Status answer.
 	Status *StatusAnswer `json:"status,omitempty,omitzero" cbor:"status,omitempty"`
 
@@ -888,6 +909,9 @@
 	// Address for callers.
 	CallerAddress string `json:"callerAddress" cbor:"callerAddress"`
 
+	// Whether the instance serves control only and takes no callers.
+	ControlOnly bool `json:"controlOnly" cbor:"controlOnly"`
+
 	// Whether it takes no new callers.
 	Draining bool `json:"draining" cbor:"draining"`
 
@@ -1194,6 +1218,64 @@
 	Sequence int `json:"sequence" cbor:"sequence"`
 }
 
+// PieceAnswer ends a PieceOrder.
+type PieceAnswer struct {
+	// Handles of the results, by piece; empty unless all were made.
+	Handles []string `json:"handles" cbor:"handles"`
+
+	// Why the pieces were not made; empty if they were.
+	Reason string `json:"reason" cbor:"reason"`
+
+	// Milliseconds after which there may be room, if pieces were turned away.
+	RetryAfterMs int `json:"retryAfterMs" cbor:"retryAfterMs"`
+}
+
+// PieceOrder asks the owner of a stage's queue for pieces of one stage of one
+// request.
+type PieceOrder struct {
+	// Approximate size of a result.
+	Bytes int `json:"bytes" cbor:"bytes"`
+
+	// Milliseconds left until the results should be there.
+	DueMs int `json:"dueMs" cbor:"dueMs"`
+
+	// Handles of the results that each piece needs.
+	Inputs []string `json:"inputs" cbor:"inputs"`
+
+	// Key of the pieces of a stage that needs no results of others; empty otherwise.
+	Key string `json:"key" cbor:"key"`
+
+	// Milliseconds left until the results are of no use.
+	LeftMs int `json:"leftMs" cbor:"leftMs"`
+
+	// Number of pieces.
+	Pieces int `json:"pieces" cbor:"pieces"`
+
+	// Rank of the request; 0 is the highest.
+	Priority int `json:"priority" cbor:"priority"`
+
+	// Request ID.
+	Request string `json:"request" cbor:"request"`
+
+	// Service that makes the pieces.
+	Service string `json:"service" cbor:"service"`
+
+	// Number of the stage in its route.
+	Stage int `json:"stage" cbor:"stage"`
+
+	// Availability zone in which the results are needed.
+	Zone string `json:"zone" cbor:"zone"`
+}
+
+// PieceRelease gives up results of a service.
+type PieceRelease struct {
+	// Handles of the results.
+	Handles []string `json:"handles" cbor:"handles"`
+
+	// Service that made the results.
+	Service string `json:"service" cbor:"service"`
+}
+
 // Pipeline is an ordered list of stages under one deadline.
 type Pipeline struct {
 	// Name of the pipeline.
@@ -1362,6 +1444,25 @@
 	Workspace string `json:"workspace" cbor:"workspace"`
 }
 
+// Site is an operator's whole document of routes, services, workspaces and limits.
+// The highest version is in force.
+type Site struct {
+	// The document as the operator wrote it.
+	Document []byte `json:"document" cbor:"document"`
+
+	// Chosen by the operator; rises with each document.
+	Version int `json:"version" cbor:"version"`
+}
+
+// SiteAnswer is the newest site that was accepted.
+type SiteAnswer struct {
+	// Whether a quorum confirmed after the question arrived that the instance leads.
+	Confirmed bool `json:"confirmed" cbor:"confirmed"`
+
+	// The site; absent while there is none.
+	Site *Site `json:"site,omitempty,omitzero" cbor:"site,omitempty"`
+}
+
 // Snapshot is the state at an index.
 type Snapshot struct {
 	// Encoded state.
