--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -21,6 +21,8 @@
 const (
 	// ownerTick is the period at which an owner looks for orders whose time is over.
 	ownerTick = 50 * time.Millisecond
+	// reportEvery is the period at which the state of a queue in use is logged.
+	reportEvery = 2 * time.Second
 	// ownerInbox is the number of messages that may wait for an owner.
 	ownerInbox = 1024
 	// callPatience is how many times its expected time a call may take.
@@ -44,7 +46,14 @@
 	busy    bool
 }
 
+// freed tells that an upstream was asked to free results, and did or can't be reached.
+type freed struct {
+	worker  string
+	handles []string
+}
+
 func (added) isMessage()     {}
+func (freed) isMessage()     {}
 func (cancelled) isMessage() {}
 func (released) isMessage()  {}
 func (ended) isMessage()     {}
@@ -59,6 +68,8 @@
 	maker   Maker
 	supply  Supply
 	inbox   chan message
+	// reportAt is when the state of the queue is logged next.
+	reportAt time.Time
 }
 
 func newOwner(service string, maker Maker, supply Supply) *owner {
@@ -88,7 +99,22 @@
 		}
 		o.refresh()
 		o.start(ctx)
+		o.report(time.Now())
+	}
+}
+
+// report logs the state of the queue now and then while it is in use.
+func (o *owner) report(now time.Time) {
+	if now.Before(o.reportAt) {
+		return
 	}
+	o.reportAt = now.Add(reportEvery)
+	c := o.queue.TakeCounts()
+	used, room := o.queue.Room()
+	all, busy, paused := o.queue.Workers(now)
+	klog.InfoS("queue", "service", o.service, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
+		"noRoom", c.NoRoom, "failed", c.Failed, "gone", c.Gone, "late", c.Late, "roomUsed", used, "room", room,
+		"upstreams", all, "busy", busy, "paused", paused)
 }
 
 func (o *owner) refresh() {
@@ -109,11 +135,21 @@
 		o.queue.Release(o.queue.Cancel(m.order))
 	case released:
 		o.queue.Release(m.handles)
+	case freed:
+		o.queue.Freed(m.worker, m.handles)
 	case ended:
 		o.queue.Release(o.queue.Done(now, m.call, m.results, m.busy))
 	}
-	if handles := o.queue.Freeable(); len(handles) > 0 {
-		go o.maker.Free(ctx, handles)
+	for worker, handles := range o.queue.Freeable() {
+		go o.free(ctx, worker, handles)
+	}
+}
+
+func (o *owner) free(ctx context.Context, worker string, handles []string) {
+	o.maker.Free(ctx, handles)
+	select {
+	case o.inbox <- freed{worker, handles}:
+	case <-ctx.Done():
 	}
 }
 
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -144,6 +144,8 @@
 	maxPause   = 3 * time.Second
 	// slowLimit is the slowness from which an upstream only gets calls while orders would wait too long.
 	slowLimit = 2.0
+	// keepSlack is added to the time that a result is thought to take room.
+	keepSlack = 300 * time.Millisecond
 	// maxRetryAfter bounds the time that callers are told to wait.
 	maxRetryAfter = 2 * time.Second
 )
@@ -155,6 +157,47 @@
 	workers map[string]*Worker
 	// waiting is the number of pieces not sent yet.
 	waiting int
+	counts  Counts
+}
+
+// Counts sums up what a queue did since they were last taken.
+type Counts struct {
+	// Calls sent, and the pieces in them.
+	Calls, Pieces int
+	// NoRoom, Failed and Gone count pieces by why they were not made.
+	NoRoom, Failed, Gone int
+	// Late counts orders that were turned away or gave up.
+	Late int
+}
+
+// TakeCounts returns the counts and begins them anew.
+func (q *Queue) TakeCounts() Counts {
+	out := q.counts
+	q.counts = Counts{}
+	return out
+}
+
+// Room is the room that results take at all upstreams, and all there is, in bytes.
+func (q *Queue) Room() (used, all int) {
+	for _, w := range q.workers {
+		used += w.used
+		all += q.spec.RoomBytes
+	}
+	return used, all
+}
+
+// Workers returns the number of upstreams, and of those that are busy and those that are left alone for a while.
+func (q *Queue) Workers(now time.Time) (all, busy, paused int) {
+	for _, w := range q.workers {
+		all++
+		if w.calls > 0 {
+			busy++
+		}
+		if w.Leaving || now.Before(w.notBefore) || w.slowness >= slowLimit {
+			paused++
+		}
+	}
+	return all, busy, paused
 }
 
 // NewQueue returns an empty queue.
@@ -190,6 +233,7 @@
 // Add takes an order. One that can't be made in time is turned away at once.
 func (q *Queue) Add(now time.Time, o *Order) {
 	if wait := q.estimate(now, o); now.Add(wait).After(o.Deadline) {
+		q.counts.Late++
 		over := now.Add(wait).Sub(o.Deadline)
 		o.finish(Outcome{Reason: ReasonLate, RetryAfter: min(over, maxRetryAfter)})
 		return
@@ -277,6 +321,8 @@
 		return nil
 	}
 	w.calls++
+	q.counts.Calls++
+	q.counts.Pieces += len(items)
 	expected := time.Duration(float64(q.callTime(len(items))) * w.slowness)
 	return &Call{Worker: w, Items: items, Began: now, Expected: now.Add(expected)}
 }
@@ -285,6 +331,7 @@
 func (q *Queue) expire(now time.Time) {
 	for _, o := range slices.Clone(q.orders) {
 		if now.Add(q.spec.CallTime).After(o.Deadline) {
+			q.counts.Late++
 			q.remove(o)
 			o.finish(Outcome{Reason: ReasonLate})
 		}
@@ -409,7 +456,7 @@
 			r = results[i]
 		}
 		if r.Handle != "" {
-			w.hold(r.Handle, item.Order.Bytes, now.Add(q.spec.KeepFor))
+			w.hold(r.Handle, item.Order.Bytes, now.Add(q.spec.KeepFor+keepSlack))
 		}
 		if item.Order.done {
 			if r.Handle != "" {
@@ -434,11 +481,15 @@
 		}
 		return
 	case r.Reason == ReasonGone, r.Reason == ReasonLate:
+		q.counts.Gone++
 		q.remove(o)
 		o.finish(Outcome{Reason: r.Reason})
 		return
 	}
-	if !busy && r.Reason != ReasonRoom {
+	if r.Reason == ReasonRoom {
+		q.counts.NoRoom++
+	} else if !busy {
+		q.counts.Failed++
 		o.tries++
 	}
 	if o.tries > maxTries {
@@ -472,14 +523,10 @@
 	w.used += bytes
 }
 
-// release forgets a result. It returns false if the upstream doesn't hold it.
-func (w *Worker) release(handle string) bool {
-	h, ok := w.held[handle]
-	if ok {
-		w.used -= h.bytes
-		delete(w.held, handle)
-	}
-	return ok
+// release forgets a result.
+func (w *Worker) release(handle string) {
+	w.used -= w.held[handle].bytes
+	delete(w.held, handle)
 }
 
 // Release gives up results. The room they take counts until they are freed, see Freeable.
@@ -494,20 +541,29 @@
 	}
 }
 
-// Freeable returns results to be freed at their upstreams: given-up ones of each upstream whose room is more
-// than half in use. Others end by themselves.
-func (q *Queue) Freeable() []string {
-	var out []string
-	for _, w := range q.workers {
+// Freeable returns results to be freed, by the ID of the upstream that holds them: given-up ones of each upstream
+// whose room is more than half in use. Others end by themselves. Their room counts until Freed.
+func (q *Queue) Freeable() map[string][]string {
+	var out map[string][]string
+	for id, w := range q.workers {
 		if len(w.unneeded) == 0 || w.used*2 < q.spec.RoomBytes {
 			continue
 		}
-		for _, handle := range w.unneeded {
-			if w.release(handle) {
-				out = append(out, handle)
-			}
+		if out == nil {
+			out = make(map[string][]string)
 		}
-		w.unneeded = nil
+		out[id], w.unneeded = w.unneeded, nil
 	}
 	return out
 }
+
+// Freed notes that an upstream has freed results.
+func (q *Queue) Freed(worker string, handles []string) {
+	w := q.workers[worker]
+	if w == nil {
+		return
+	}
+	for _, handle := range handles {
+		w.release(handle)
+	}
+}
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,9 +41,12 @@
 	deadline time.Time
 	priority int
 
-	// handles of the results by stage.
+	mu sync.Mutex
+	// handles of the results by stage; nil once given up.
 	handles [][]string
-	ready   []chan struct{}
+	// followers counts the stages still to be made that need the results of each stage.
+	followers []int
+	ready     []chan struct{}
 }
 
 // makeStages has the stages of a request made and returns the handles that the request needs, in the order of the
@@ -71,6 +75,7 @@
 	n := len(x.route.Stages)
 	x.handles = make([][]string, n)
 	x.ready = make([]chan struct{}, n)
+	x.countFollowers()
 	for i := range x.ready {
 		x.ready[i] = make(chan struct{})
 	}
@@ -117,9 +122,37 @@
 	}
 	x.handles[i] = out.Handles
 	close(x.ready[i])
+	x.followed(stage.After)
 	return nil
 }
 
+// followed notes that a stage which needs the results of others was made. Results that no further stage needs are
+// given up.
+func (x *stageRun) followed(before []int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, i := range before {
+		x.followers[i]--
+		if x.followers[i] == 0 && len(x.handles[i]) > 0 {
+			x.desk.Release(x.route.Stages[i].Service, x.handles[i])
+			x.handles[i] = nil
+		}
+	}
+}
+
+// countFollowers counts the stages to be made that need the results of each stage.
+func (x *stageRun) countFollowers() {
+	x.followers = make([]int, len(x.route.Stages))
+	for j, s := range x.route.Stages {
+		if x.pieces(j) == 0 {
+			continue
+		}
+		for _, i := range s.After {
+			x.followers[i]++
+		}
+	}
+}
+
 // runTime is the time that a request needs after its stages until its first event.
 const runTime = 100 * time.Millisecond
 
