route, batch, forward: keep sessions at their home, calls worth their time

Cause: a hint lost to any difference of one call, so shared parts were read again; calls with a few pieces went out where room was short. Change: a home upstream is taken within a slack of calls; an upstream with room for less than half a call waits.

--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -157,6 +157,8 @@
 	workers map[string]*Worker
 	// waiting is the number of pieces not sent yet.
 	waiting int
+	// largest is the size of the largest result ordered so far, in bytes.
+	largest int
 	counts  Counts
 }
 
@@ -239,6 +241,7 @@
 		return
 	}
 	o.handles = make([]string, o.Pieces)
+	q.largest = max(q.largest, o.Bytes)
 	q.orders = append(q.orders, o)
 	q.waiting += o.Pieces
 }
@@ -357,7 +360,7 @@
 		if w.slowness >= slowLimit && !q.pressed() {
 			continue
 		}
-		if q.spec.RoomBytes > 0 && w.used+first.Bytes > q.spec.RoomBytes {
+		if !q.hasRoom(w, first.Bytes) {
 			continue
 		}
 		if best == nil || w.before(best, first.Zone) {
@@ -367,6 +370,15 @@
 	return best
 }
 
+// hasRoom tells whether an upstream has room for a call that is worth its time: for all that waits, or half of a
+// full call.
+func (q *Queue) hasRoom(w *Worker, bytes int) bool {
+	if q.spec.RoomBytes <= 0 || bytes <= 0 {
+		return true
+	}
+	return (q.spec.RoomBytes-w.used)/bytes >= min(q.waiting, max(q.spec.Size/2, 1))
+}
+
 // cmpUnsent orders by rank; orders without pieces to send go last.
 func cmpUnsent(a, b *Order) int {
 	if (a.unsent() == 0) != (b.unsent() == 0) {
@@ -542,11 +554,11 @@
 }
 
 // Freeable returns results to be freed, by the ID of the upstream that holds them: given-up ones of each upstream
-// whose room is more than half in use. Others end by themselves. Their room counts until Freed.
+// that has no room for a full call. Others end by themselves. Their room counts until Freed.
 func (q *Queue) Freeable() map[string][]string {
 	var out map[string][]string
 	for id, w := range q.workers {
-		if len(w.unneeded) == 0 || w.used*2 < q.spec.RoomBytes {
+		if len(w.unneeded) == 0 || w.used+q.spec.Size*q.largest < q.spec.RoomBytes {
 			continue
 		}
 		if out == nil {
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -103,8 +103,8 @@
 
 func (q *request) pick() (route.Target, bool) {
 	s := q.server
-	engine, share := home(s.Views.Upstreams(), q.service, q.call.Parts)
-	return s.Picker.Pick(time.Now(), route.Query{Service: q.service, Avoid: q.tried, Hints: hints(engine, share)})
+	engine, slack := home(s.Views.Upstreams(), q.service, q.call.Parts)
+	return s.Picker.Pick(time.Now(), route.Query{Service: q.service, Avoid: q.tried, Home: engine.ID, HomeSlack: slack})
 }
 
 // end gives the final answer of a request that was not delivered.
--- a/plantainlane/forward/place.go
+++ b/plantainlane/forward/place.go
@@ -4,26 +4,25 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plantainlane/plantainlane/roster"
-	"plantainlane/plantainlane/route"
 	"plantainlane/wire"
 )
 
 // minAffinityTokens is the size of a shared part from which requests are kept together.
 const minAffinityTokens = 64
 
-// home returns the upstream that keeps the shared parts of a prompt: the same on every instance, by rendezvous
-// hashing, so that a part is read once and not at every upstream.
+// home returns the upstream that keeps the shared parts of a prompt, and how many calls more than elsewhere it may
+// have. It is the same on every instance, by rendezvous hashing, so that a part is read once and not everywhere.
 //
 // Load pattern: sessions share long prefixes, and reading one again delays all requests that run beside it.
-func home(v roster.View, service string, parts []Part) (wire.Announcement, float64) {
-	shared, all := 0, 0
-	for i, p := range parts {
-		all += p.Tokens
-		if i < len(parts)-1 {
-			shared += p.Tokens
-		}
+func home(v roster.View, service string, parts []Part) (a wire.Announcement, slack float64) {
+	if len(parts) < 2 {
+		return wire.Announcement{}, 0
+	}
+	shared := 0
+	for _, p := range parts[:len(parts)-1] {
+		shared += p.Tokens
 	}
-	if len(parts) < 2 || shared < minAffinityTokens {
+	if shared < minAffinityTokens {
 		return wire.Announcement{}, 0
 	}
 	key := parts[len(parts)-2].ID
@@ -37,13 +36,12 @@
 			best, most = row.Announcement, weight
 		}
 	}
-	return best, float64(shared) / float64(max(all, 1))
+	return best, homeSlack + float64(shared)/slackTokens
 }
 
-// hints returns what the choice of an upstream should know of the request's prompt.
-func hints(a wire.Announcement, share float64) []route.Hint {
-	if a.ID == "" {
-		return nil
-	}
-	return []route.Hint{{Upstream: a.ID, Share: share}}
-}
+const (
+	// homeSlack is the number of calls more than elsewhere that a prompt's home may have.
+	homeSlack = 2
+	// slackTokens is the number of shared tokens for each further call.
+	slackTokens = 1500
+)
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -40,6 +40,10 @@
 	Avoid []string
 	// Hints favour upstreams by their prefix caches while they have room.
 	Hints []Hint
+	// Home is the upstream to take as long as it is usable, not slow, and has at most HomeSlack calls more than
+	// the one that would be chosen otherwise; empty for none.
+	Home      string
+	HomeSlack float64
 }
 
 // candidate is an upstream under consideration. A lower score is better.
@@ -65,12 +69,30 @@
 		return b.target(at, s.next(p, q.Avoid))
 	}
 	best := b.choose(at, p, &q)
+	if home := b.home(at, &q, best); home != nil {
+		return b.target(at, home)
+	}
 	if best.upstream == nil {
 		return b.target(at, lastResort(p, &q))
 	}
 	return b.target(at, best.upstream)
 }
 
+// home returns the query's home if it is to be taken instead of the best candidate.
+func (b *Balancer) home(now int64, q *Query, best candidate) *upstream {
+	if q.Home == "" {
+		return nil
+	}
+	u := b.hinted(Hint{Upstream: q.Home}, q)
+	if u == nil || u.slowness(now) > tolerableSlowness {
+		return nil
+	}
+	if best.upstream != nil && u.load() > best.upstream.load()+q.HomeSlack {
+		return nil
+	}
+	return u
+}
+
 func (b *Balancer) target(now int64, u *upstream) (Target, bool) {
 	if u == nil {
 		return Target{}, false
