--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -144,6 +144,9 @@
 	maxPause   = 3 * time.Second
 	// slowLimit is the slowness from which an upstream only gets calls while orders would wait too long.
 	slowLimit = 2.0
+	// roomPause is how long an upstream is left alone after it had no room: it holds results that this queue
+	// doesn't know, such as those of an owner before.
+	roomPause = 150 * time.Millisecond
 	// keepSlack is added to the time that a result is thought to take room.
 	keepSlack = 300 * time.Millisecond
 	// maxRetryAfter bounds the time that callers are told to wait.
@@ -462,6 +465,9 @@
 	} else {
 		w.succeed(now.Sub(c.Began), q.callTime(len(c.Items)))
 	}
+	if slices.ContainsFunc(results, func(r Result) bool { return r.Reason == ReasonRoom }) {
+		w.notBefore = now.Add(roomPause)
+	}
 	for i, item := range c.Items {
 		r := Result{Reason: ReasonFailed}
 		if results != nil {
