batch, forward: serve what can be on time first, plan with the queues' waits

Cause: by due time alone every request of a burst was served just too late; queues held results whose requests waited for the next queue, so that rooms filled and results expired. Change: late requests that hold nothing yet wait behind, and while a later queue is long; owners tell how long their queues are; calls take whole orders; an upstream with room for less than 0.6 of a call waits.

--- a/plantainlane/batch/desk.go
+++ b/plantainlane/batch/desk.go
@@ -28,6 +28,10 @@
 const (
 	// memberCheck is the period at which a waiting order looks whether its owner can still be reached.
 	memberCheck = 150 * time.Millisecond
+	// waitHolds is how long the word of a queue's owner on its length counts.
+	waitHolds = 600 * time.Millisecond
+	// longWait is the wait from which a queue gets no more of what is late already.
+	longWait = 300 * time.Millisecond
 	// maxOwners is the number of owners that an order is given to, one after the other.
 	maxOwners = 4
 )
@@ -45,10 +49,18 @@
 	// calls holds this instance's orders at other instances.
 	calls map[int]chan Outcome
 	call  int
+	// waits holds how long the queues are, by service.
+	waits map[string]queueWait
 	// remote holds the orders of other instances here.
 	remote map[remoteCall]remoteOrder
 }
 
+// queueWait is what the owner of a queue told of it.
+type queueWait struct {
+	wait time.Duration
+	at   time.Time
+}
+
 type remoteCall struct {
 	from string
 	call int
@@ -67,6 +79,7 @@
 		owners: make(map[string]*owner),
 		calls:  make(map[int]chan Outcome),
 		remote: make(map[remoteCall]remoteOrder),
+		waits:  make(map[string]queueWait),
 	}
 }
 
@@ -148,12 +161,9 @@
 	d.calls[call] = reply
 	d.mu.Unlock()
 	now := time.Now()
-	inputs := o.Inputs
-	if inputs == nil {
-		inputs = []string{}
-	}
 	d.peers.Send(to, wire.Frame{Call: call, PieceOrder: &wire.PieceOrder{
-		Service: service, Request: o.Request, Stage: o.Stage, Pieces: o.Pieces, Key: o.Key, Inputs: inputs,
+		Service: service, Request: o.Request, Stage: o.Stage, Pieces: o.Pieces, Key: o.Key,
+		Inputs: append([]string{}, o.Inputs...), Next: append([]string{}, o.Next...),
 		Zone: o.Zone, Bytes: o.Bytes, Priority: o.Priority,
 		DueMs:  int(o.Due.Sub(now) / time.Millisecond),
 		LeftMs: int(o.Deadline.Sub(now) / time.Millisecond),
@@ -179,6 +189,35 @@
 	}
 }
 
+// Wait is how long a piece of a service ordered now waits for its call, as far as it is known.
+func (d *Desk) Wait(service string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.waits[service]
+	if time.Since(w.at) > waitHolds {
+		return 0
+	}
+	return w.wait
+}
+
+func (d *Desk) isCongested(service string) bool { return d.Wait(service) > longWait }
+
+func (d *Desk) noteWait(service string, wait time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waits[service] = queueWait{wait, time.Now()}
+}
+
+// tellWait tells every member how long a queue of this instance is.
+func (d *Desk) tellWait(service string, wait time.Duration) {
+	d.noteWait(service, wait)
+	for _, m := range d.peers.Members() {
+		if m.ID != d.self {
+			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{Service: service, WaitMs: int(wait / time.Millisecond)}})
+		}
+	}
+}
+
 // Frame takes a frame of another instance. It returns false for one that is none of a desk's.
 func (d *Desk) Frame(f wire.Frame) bool {
 	switch {
@@ -188,6 +227,8 @@
 		d.takeAnswer(f.Call, f.PieceAnswer)
 	case f.PieceCancel != nil:
 		d.takeCancel(remoteCall{f.From, f.Call})
+	case f.PieceQueue != nil:
+		d.noteWait(f.PieceQueue.Service, time.Duration(f.PieceQueue.WaitMs)*time.Millisecond)
 	case f.PieceRelease != nil:
 		d.deliver(d.owner(f.PieceRelease.Service), released{f.PieceRelease.Handles})
 	default:
@@ -204,7 +245,7 @@
 	now := time.Now()
 	key := remoteCall{from, call}
 	o := &Order{
-		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Zone: p.Zone,
+		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone,
 		Bytes: p.Bytes, Priority: p.Priority,
 		Due:      now.Add(time.Duration(p.DueMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(p.LeftMs) * time.Millisecond),
@@ -261,7 +302,8 @@
 	defer d.mu.Unlock()
 	w := d.owners[service]
 	if w == nil {
-		w = newOwner(service, d.maker, d.supply(service))
+		tell := func(wait time.Duration) { d.tellWait(service, wait) }
+		w = newOwner(service, d.maker, d.supply(service), tell, d.isCongested)
 		d.owners[service] = w
 		go w.run(d.ctx)
 	}
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -23,6 +23,10 @@
 	ownerTick = 50 * time.Millisecond
 	// reportEvery is the period at which the state of a queue in use is logged.
 	reportEvery = 2 * time.Second
+	// tellEvery is the period at which the length of a long queue is passed on.
+	tellEvery = 200 * time.Millisecond
+	// shortWait is a wait that need not be passed on.
+	shortWait = 50 * time.Millisecond
 	// ownerInbox is the number of messages that may wait for an owner.
 	ownerInbox = 1024
 	// callPatience is how many times its expected time a call may take.
@@ -68,18 +72,26 @@
 	maker   Maker
 	supply  Supply
 	inbox   chan message
+	// tell passes on how long the queue is.
+	tell func(wait time.Duration)
+	// told is the wait that was passed on last, and tellAt when it is passed on next.
+	told   time.Duration
+	tellAt time.Time
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
 }
 
-func newOwner(service string, maker Maker, supply Supply) *owner {
-	return &owner{
+func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration), congested func(service string) bool) *owner {
+	o := &owner{
+		tell:    tell,
 		service: service,
 		queue:   NewQueue(site.Batch{}),
 		maker:   maker,
 		supply:  supply,
 		inbox:   make(chan message, ownerInbox),
 	}
+	o.queue.Congested = congested
+	return o
 }
 
 // run serves the queue until ctx ends.
@@ -93,16 +105,30 @@
 		case m := <-o.inbox:
 			o.take(ctx, m)
 		case <-ticker.C:
-			if o.queue.Waiting() == 0 {
+			if o.queue.Waiting() == 0 && o.told < shortWait {
 				continue
 			}
 		}
 		o.refresh()
 		o.start(ctx)
+		o.tellWait(time.Now())
 		o.report(time.Now())
 	}
 }
 
+// tellWait passes on how long the queue is, often enough while it is long.
+func (o *owner) tellWait(now time.Time) {
+	if now.Before(o.tellAt) {
+		return
+	}
+	wait := o.queue.Wait(now)
+	if wait < shortWait && o.told < shortWait {
+		return
+	}
+	o.told, o.tellAt = wait, now.Add(tellEvery)
+	o.tell(wait)
+}
+
 // report logs the state of the queue now and then while it is in use.
 func (o *owner) report(now time.Time) {
 	if now.Before(o.reportAt) {
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -7,7 +7,6 @@
 package batch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -36,6 +35,8 @@
 	Deadline time.Time
 	// Priority ranks the request; 0 is the highest.
 	Priority int
+	// Next lists the services whose queues the request goes through afterwards.
+	Next []string
 	// Reply is called once, with the outcome.
 	Reply func(Outcome)
 
@@ -136,7 +137,7 @@
 	// nearBonus is how much earlier an order is served by an upstream of the zone that needs its results.
 	nearBonus = 150 * time.Millisecond
 	// priorityStep is how much later an order counts as due for each rank of its priority.
-	priorityStep = 100 * time.Millisecond
+	priorityStep = 300 * time.Millisecond
 	// slowShare is the weight of the newest call in an upstream's slowness.
 	slowShare = 0.4
 	// firstPause and maxPause bound the time an upstream is left alone after failures.
@@ -149,6 +150,14 @@
 	roomPause = 150 * time.Millisecond
 	// keepSlack is added to the time that a result is thought to take room.
 	keepSlack = 300 * time.Millisecond
+	// similarSlowness is a difference between upstreams that doesn't matter.
+	similarSlowness = 0.3
+	// worthwhileFill is the part of a full call for which an upstream short of room is not left waiting.
+	worthwhileFill = 0.6
+	// rateShare is the weight of the newest measurement of how quickly pieces are made.
+	rateShare = 0.3
+	// rateEvery is the period of measuring it.
+	rateEvery = 500 * time.Millisecond
 	// maxRetryAfter bounds the time that callers are told to wait.
 	maxRetryAfter = 2 * time.Second
 )
@@ -160,6 +169,15 @@
 	workers map[string]*Worker
 	// waiting is the number of pieces not sent yet.
 	waiting int
+	// Congested tells whether the queue of another service is so long that it should get no more of what is
+	// late already. Nil stands for never.
+	Congested func(service string) bool
+	// rate is the pieces made a second of late while more than a full call waited; 0 while that is unknown.
+	rate float64
+	// madeSince counts the pieces made since measuredAt, and backlog tells whether enough waited all the while.
+	madeSince  int
+	measuredAt time.Time
+	backlog    bool
 	// largest is the size of the largest result ordered so far, in bytes.
 	largest int
 	counts  Counts
@@ -249,27 +267,86 @@
 	q.waiting += o.Pieces
 }
 
-// estimate is the time until an order added now would be made: the pieces that are due before it, in full calls
-// over all upstreams, and its own call.
+// estimate is the time until an order added now would be made: the pieces that go before it, in full calls over
+// all upstreams, and its own call.
 func (q *Queue) estimate(now time.Time, o *Order) time.Duration {
+	ahead := 0
+	for _, other := range q.orders {
+		if q.before(now, other, o) {
+			ahead += other.unsent()
+		}
+	}
+	return q.callTime(min(o.Pieces, q.spec.Size)) + q.timeFor(ahead)
+}
+
+// timeFor is the time that so many pieces take: at the pace at which pieces were made of late while some waited, or
+// in full calls over all upstreams.
+func (q *Queue) timeFor(pieces int) time.Duration {
+	if q.rate > 0 {
+		return time.Duration(float64(pieces) / q.rate * float64(time.Second))
+	}
 	usable := 0
 	for _, w := range q.workers {
 		if !w.Leaving && w.slowness < slowLimit {
 			usable++
 		}
 	}
-	own := q.callTime(min(o.Pieces, q.spec.Size))
 	if usable == 0 || q.spec.Size == 0 {
-		return own
+		return 0
+	}
+	perPiece := float64(q.callTime(q.spec.Size)) / float64(q.spec.Size*usable)
+	return time.Duration(float64(pieces) * perPiece)
+}
+
+// measure notes how quickly pieces are made while more than a full call waits.
+func (q *Queue) measure(now time.Time) {
+	span := now.Sub(q.measuredAt)
+	if span < rateEvery {
+		q.backlog = q.backlog && q.waiting >= q.spec.Size
+		return
 	}
+	if q.backlog && span < 2*rateEvery {
+		rate := float64(q.madeSince) / span.Seconds()
+		if q.rate == 0 {
+			q.rate = rate
+		}
+		q.rate += rateShare * (rate - q.rate)
+	}
+	q.measuredAt, q.madeSince, q.backlog = now, 0, q.waiting >= q.spec.Size
+}
+
+// Wait is the time until a piece ordered now is begun, not counting what waits behind it.
+func (q *Queue) Wait(now time.Time) time.Duration {
 	ahead := 0
-	for _, other := range q.orders {
-		if other.rank().Before(o.rank()) && now.Before(other.Deadline) {
-			ahead += other.unsent()
+	for _, o := range q.orders {
+		if !o.isLate(now, q.spec.CallTime) {
+			ahead += o.unsent()
 		}
 	}
-	calls := ahead / q.spec.Size
-	return own + time.Duration(calls)*q.callTime(q.spec.Size)/time.Duration(usable)
+	return q.timeFor(ahead)
+}
+
+// isLate tells whether a request can't be on time any more. Only a request that holds no results counts: one that
+// has begun is finished, since its results take room until then.
+func (o *Order) isLate(now time.Time, callTime time.Duration) bool {
+	return len(o.Inputs) == 0 && now.Add(callTime).After(o.Due)
+}
+
+// before tells whether an order goes before another one: those that can be on time before those that can't.
+//
+// Load pattern: in a burst, serving by due time alone makes every request late, since the oldest are always served
+// just after their time. Late requests are served with what capacity is left.
+func (q *Queue) before(now time.Time, a, b *Order) bool {
+	lateA, lateB := a.isLate(now, q.spec.CallTime), b.isLate(now, q.spec.CallTime)
+	if lateA != lateB {
+		return lateB
+	}
+	return a.rank().Before(b.rank())
+}
+
+// isHeld tells whether an order has to wait for the queues that its request goes through afterwards.
+func (q *Queue) isHeld(now time.Time, o *Order) bool {
+	return q.Congested != nil && o.isLate(now, q.spec.CallTime) && slices.ContainsFunc(o.Next, q.Congested)
 }
 
 func (q *Queue) callTime(pieces int) time.Duration {
@@ -315,14 +392,19 @@
 // Next chooses the next call; nil if there is none now.
 func (q *Queue) Next(now time.Time) *Call {
 	q.expire(now)
+	q.measure(now)
 	if q.waiting == 0 {
 		return nil
 	}
-	w := q.freeWorker(now)
+	order := q.sendable(now)
+	if len(order) == 0 {
+		return nil
+	}
+	w := q.freeWorker(now, order)
 	if w == nil {
 		return nil
 	}
-	items := q.fill(now, w)
+	items := q.fill(now, w, order)
 	if len(items) == 0 {
 		return nil
 	}
@@ -353,8 +435,7 @@
 
 // freeWorker returns the upstream for the next call: of those with a free slot the one of the zone that the most
 // urgent order needs its results in, then the quickest.
-func (q *Queue) freeWorker(now time.Time) *Worker {
-	first := slices.MinFunc(q.orders, func(a, b *Order) int { return cmpUnsent(a, b) })
+func (q *Queue) freeWorker(now time.Time, order []*Order) *Worker {
 	var best *Worker
 	for _, w := range q.workers {
 		if w.Leaving || w.calls >= max(q.spec.Slots, 1) || now.Before(w.notBefore) {
@@ -363,38 +444,60 @@
 		if w.slowness >= slowLimit && !q.pressed() {
 			continue
 		}
-		if !q.hasRoom(w, first.Bytes) {
+		if !q.hasRoom(w, order) {
 			continue
 		}
-		if best == nil || w.before(best, first.Zone) {
+		if best == nil || w.before(best, order[0].Zone) {
 			best = w
 		}
 	}
 	return best
 }
 
-// hasRoom tells whether an upstream has room for a call that is worth its time: for all that waits, or half of a
-// full call.
-func (q *Queue) hasRoom(w *Worker, bytes int) bool {
-	if q.spec.RoomBytes <= 0 || bytes <= 0 {
-		return true
+// sendable returns the orders with pieces to send now, the first one first.
+func (q *Queue) sendable(now time.Time) []*Order {
+	out := make([]*Order, 0, len(q.orders))
+	for _, o := range q.orders {
+		if o.unsent() > 0 && !q.isHeld(now, o) {
+			out = append(out, o)
+		}
 	}
-	return (q.spec.RoomBytes-w.used)/bytes >= min(q.waiting, max(q.spec.Size/2, 1))
+	slices.SortStableFunc(out, func(a, b *Order) int { return q.compare(now, a, b) })
+	return out
 }
 
-// cmpUnsent orders by rank; orders without pieces to send go last.
-func cmpUnsent(a, b *Order) int {
-	if (a.unsent() == 0) != (b.unsent() == 0) {
-		return cmp.Compare(boolInt(a.unsent() == 0), boolInt(b.unsent() == 0))
+func (q *Queue) compare(now time.Time, a, b *Order) int {
+	switch {
+	case q.before(now, a, b):
+		return -1
+	case q.before(now, b, a):
+		return 1
 	}
-	return a.rank().Compare(b.rank())
+	return 0
 }
 
-func boolInt(b bool) int {
-	if b {
-		return 1
+// hasRoom tells whether an upstream has room for a call that is worth its time: for what waits, or for the most part
+// of a full call.
+func (q *Queue) hasRoom(w *Worker, order []*Order) bool {
+	if q.spec.RoomBytes <= 0 || w.used == 0 {
+		return true
 	}
-	return 0
+	room, fits, wanted := q.spec.RoomBytes-w.used, 0, 0
+	for _, o := range order {
+		n := o.unsent()
+		if wanted+n > q.spec.Size {
+			n = q.spec.Size - wanted
+		}
+		wanted += n
+		if n*o.Bytes <= room {
+			room -= n * o.Bytes
+			fits += n
+		}
+		if wanted == q.spec.Size {
+			break
+		}
+	}
+	return fits == wanted || float64(fits) >= worthwhileFill*float64(q.spec.Size)
 }
 
 // pressed tells whether more waits than the quick upstreams take in one call each.
@@ -412,30 +515,39 @@
 	if (w.Zone == zone) != (other.Zone == zone) {
 		return w.Zone == zone
 	}
-	if w.slowness != other.slowness {
-		return w.slowness < other.slowness
+	if d := w.slowness - other.slowness; max(d, -d) > similarSlowness {
+		return d < 0
 	}
-	return w.ID < other.ID
+	return w.used < other.used || w.used == other.used && w.ID < other.ID
 }
 
-// fill chooses the pieces of a call, the most urgent first. Pieces whose results are needed in the upstream's
-// zone count as a little more urgent.
-func (q *Queue) fill(now time.Time, w *Worker) []Item {
-	order := slices.Clone(q.orders)
+// fill chooses the pieces of a call, the most urgent first. Of the orders that are on time, those whose results are
+// needed in the upstream's zone count as a little more urgent.
+func (q *Queue) fill(now time.Time, w *Worker, order []*Order) []Item {
 	rank := func(o *Order) time.Time {
 		if o.Zone == w.Zone {
 			return o.rank().Add(-nearBonus)
 		}
 		return o.rank()
 	}
-	slices.SortStableFunc(order, func(a, b *Order) int { return rank(a).Compare(rank(b)) })
+	slices.SortStableFunc(order, func(a, b *Order) int {
+		if a.isLate(now, q.spec.CallTime) != b.isLate(now, q.spec.CallTime) {
+			return q.compare(now, a, b)
+		}
+		return rank(a).Compare(rank(b))
+	})
 	var items []Item
 	room := q.spec.RoomBytes - w.used
 	for _, o := range order {
-		for len(items) < q.spec.Size && o.unsent() > 0 {
-			if q.spec.RoomBytes > 0 && room < o.Bytes {
-				break
-			}
+		fits := q.spec.Size - len(items)
+		if q.spec.RoomBytes > 0 && o.Bytes > 0 {
+			fits = min(fits, room/o.Bytes)
+		}
+		// An order that is split holds the results of its first part until the last one is made.
+		if o.unsent() > fits && len(items) > 0 {
+			continue
+		}
+		for range min(fits, o.unsent()) {
 			room -= o.Bytes
 			items = append(items, Item{Order: o, Piece: o.take()})
 			q.waiting--
@@ -474,6 +586,7 @@
 			r = results[i]
 		}
 		if r.Handle != "" {
+			q.madeSince++
 			w.hold(r.Handle, item.Order.Bytes, now.Add(q.spec.KeepFor+keepSlack))
 		}
 		if item.Order.done {
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -75,6 +75,8 @@
 	stages    *stageRun
 	inputs    []string
 
+	// madeMs holds when each stage was made, in milliseconds since the request was received.
+	madeMs []int64
 	// tried holds the upstreams that are not to be chosen again.
 	tried []string
 	// sends counts the sends, runs those that may have run.
@@ -189,6 +191,7 @@
 	}
 	var err error
 	q.inputs, err = q.stages.makeStages(ctx)
+	q.madeMs = q.stages.madeMs
 	return err
 }
 
@@ -244,5 +247,5 @@
 	}
 	klog.InfoS("request ended", "request", q.call.ID, "outcome", outcome, "status", status, "reason", reason,
 		"route", name, "workspace", q.workspace, "upstream", q.upstream, "sends", q.sends, "runs", q.runs,
-		"events", q.events, "ms", took.Milliseconds(), "version", version)
+		"events", q.events, "stagesMs", q.madeMs, "ms", took.Milliseconds(), "version", version)
 }
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -16,6 +16,8 @@
 type Desk interface {
 	Make(ctx context.Context, service string, o batch.Order) batch.Outcome
 	Release(service string, handles []string)
+	// Wait is how long a piece ordered now waits for its call, as far as it is known.
+	Wait(service string) time.Duration
 }
 
 // stageError tells why a stage was not made.
@@ -44,6 +46,8 @@
 	mu sync.Mutex
 	// handles of the results by stage; nil once given up.
 	handles [][]string
+	// madeMs holds when each stage was made, in milliseconds since the request was received; 0 if it was not.
+	madeMs []int64
 	// followers counts the stages still to be made that need the results of each stage.
 	followers []int
 	ready     []chan struct{}
@@ -75,6 +79,7 @@
 	n := len(x.route.Stages)
 	x.handles = make([][]string, n)
 	x.ready = make([]chan struct{}, n)
+	x.madeMs = make([]int64, n)
 	x.countFollowers()
 	for i := range x.ready {
 		x.ready[i] = make(chan struct{})
@@ -113,14 +118,16 @@
 	if len(stage.After) == 0 {
 		o.Key = x.call.PieceKey
 	}
-	rest := x.timeAfter(i)
-	o.Due = x.received.Add(x.route.Aim - rest)
+	rest, waits := x.timeAfter(i)
+	o.Due = x.received.Add(time.Duration(aimPart*float64(x.route.Aim)) - rest - waits)
 	o.Deadline = x.deadline.Add(-rest)
+	o.Next = x.servicesAfter(i)
 	out := x.desk.Make(ctx, stage.Service, o)
 	if out.Reason != "" {
 		return &stageError{stage: i, outcome: out}
 	}
 	x.handles[i] = out.Handles
+	x.madeMs[i] = time.Since(x.received).Milliseconds()
 	close(x.ready[i])
 	x.followed(stage.After)
 	return nil
@@ -153,24 +160,41 @@
 	}
 }
 
+// aimPart is the part of a route's aim that its stages are planned for.
+const aimPart = 0.9
+
 // runTime is the time that a request needs after its stages until its first event.
 const runTime = 100 * time.Millisecond
 
 // timeAfter is the least time that a request needs once a stage is made: the calls of the stages that follow, and
-// its own run.
-func (x *stageRun) timeAfter(stage int) time.Duration {
-	longest := runTime
+// its own run. Waits is the time that these calls wait at present.
+func (x *stageRun) timeAfter(stage int) (least, waits time.Duration) {
+	least = runTime
 	for j := stage + 1; j < len(x.route.Stages); j++ {
 		if x.pieces(j) == 0 || !follows(x.route.Stages[j], stage) {
 			continue
 		}
+		service := x.route.Stages[j].Service
 		own := time.Duration(0)
-		if v := x.site.Services[x.route.Stages[j].Service]; v != nil && v.Batch != nil {
+		if v := x.site.Services[service]; v != nil && v.Batch != nil {
 			own = v.Batch.CallTime + time.Duration(x.pieces(j))*v.Batch.PieceTime
 		}
-		longest = max(longest, own+x.timeAfter(j))
+		after, wait := x.timeAfter(j)
+		least = max(least, own+after)
+		waits = max(waits, x.desk.Wait(service)+wait)
+	}
+	return least, waits
+}
+
+// servicesAfter lists the services whose queues the request goes through after a stage.
+func (x *stageRun) servicesAfter(stage int) []string {
+	var out []string
+	for j := stage + 1; j < len(x.route.Stages); j++ {
+		if x.pieces(j) > 0 && follows(x.route.Stages[j], stage) {
+			out = append(append(out, x.route.Stages[j].Service), x.servicesAfter(j)...)
+		}
 	}
-	return longest
+	return out
 }
 
 func follows(s site.Stage, stage int) bool {
--- a/plantainlane/instance/front.go
+++ b/plantainlane/instance/front.go
@@ -104,12 +104,12 @@
 	v := x.View()
 	var out []batch.Member
 	for id, i := range v.Instances.All() {
-		if i.ControlOnly || i.Silent || i.Draining || id == x.self.ID || !v.Connected[id] {
+		if i.ControlOnly || i.Silent || i.Draining || id == x.self.ID || !x.net.Reached(id) {
 			continue
 		}
 		out = append(out, batch.Member{ID: id, Zone: i.Zone})
 	}
-	if !x.self.ControlOnly && (!v.Draining || len(out) == 0) {
+	if v.Instances.Has(x.self.ID) && !x.self.ControlOnly && (!v.Draining || len(out) == 0) {
 		out = append(out, batch.Member{ID: x.self.ID, Zone: x.self.Zone})
 	}
 	return out
--- a/plantainlane/peer/net.go
+++ b/plantainlane/peer/net.go
@@ -18,6 +18,9 @@
 // Path is the HTTP path of the peer endpoint.
 const Path = "/v1/peer"
 
+// tryAgain is how long after its loss an instance is thought to be reachable again.
+const tryAgain = 3 * time.Second
+
 // maxPending is the number of frames that may wait for a connection to one instance.
 const maxPending = 64
 
@@ -66,6 +69,8 @@
 	pending map[string][]wire.Frame
 	// kept holds the instances that connections are kept to.
 	kept map[string]bool
+	// lost holds when the last connection to an instance was lost, or could not be opened.
+	lost map[string]time.Time
 	// dialing holds the addresses that a goroutine keeps trying.
 	dialing map[string]bool
 	ctx     context.Context
@@ -86,6 +91,7 @@
 		pending:    make(map[string][]wire.Frame),
 		kept:       make(map[string]bool),
 		dialing:    make(map[string]bool),
+		lost:       make(map[string]time.Time),
 		ctx:        ctx,
 	}
 }
@@ -147,6 +153,17 @@
 	n.dial(i.PeerAddress, to)
 }
 
+// Reached tells whether there is a connection to an instance, or no reason to think that none can be opened.
+func (n *Net) Reached(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.conns[id]) > 0 {
+		return true
+	}
+	lost, known := n.lost[id]
+	return !known || time.Since(lost) > tryAgain
+}
+
 // Wait returns when all goroutines have ended, after the context did.
 func (n *Net) Wait() {
 	n.wait.Wait()
@@ -164,6 +181,7 @@
 		delete(n.dialing, address)
 		if len(n.conns[id]) == 0 {
 			delete(n.pending, id)
+			n.lost[id] = time.Now()
 		}
 		n.mu.Unlock()
 	})
@@ -190,6 +208,7 @@
 	n.mu.Lock()
 	n.conns[c.info.ID] = append(n.conns[c.info.ID], c)
 	n.known[c.info.ID] = c.info
+	delete(n.lost, c.info.ID)
 	for _, f := range n.pending[c.info.ID] {
 		c.queue(f)
 	}
@@ -208,6 +227,9 @@
 		}
 	}
 	n.conns[c.info.ID] = list
+	if len(list) == 0 {
+		n.lost[c.info.ID] = time.Now()
+	}
 	n.mu.Unlock()
 	if len(list) == 0 {
 		n.handler.Lost(c.info.ID)
--- a/wire/types.go
+++ b/wire/types.go
@@ -731,6 +731,9 @@
 	// Order for pieces of a stage.
 	PieceOrder *PieceOrder `json:"pieceOrder,omitempty,omitzero" cbor:"pieceOrder,omitempty"`
 
+	// State of a queue of pieces.
+	PieceQueue *PieceQueue `json:"pieceQueue,omitempty,omitzero" cbor:"pieceQueue,omitempty"`
+
 	// Gives up results.
 	PieceRelease *PieceRelease `json:"pieceRelease,omitempty,omitzero" cbor:"pieceRelease,omitempty"`
 
@@ -1248,6 +1251,9 @@
 	// Milliseconds left until the results are of no use.
 	LeftMs int `json:"leftMs" cbor:"leftMs"`
 
+	// Services whose queues the request goes through afterwards.
+	Next []string `json:"next" cbor:"next"`
+
 	// Number of pieces.
 	Pieces int `json:"pieces" cbor:"pieces"`
 
@@ -1267,6 +1273,15 @@
 	Zone string `json:"zone" cbor:"zone"`
 }
 
+// PieceQueue is what the owner of a queue tells the other instances of it.
+type PieceQueue struct {
+	// Service that makes the pieces.
+	Service string `json:"service" cbor:"service"`
+
+	// Milliseconds until a piece ordered now is begun.
+	WaitMs int `json:"waitMs" cbor:"waitMs"`
+}
+
 // PieceRelease gives up results of a service.
 type PieceRelease struct {
 	// Handles of the results.
