batch, forward: turn requests away while they can come back, plan with the callers' patience

Change: the wait for a first event bounds the stages; an order that holds no results waits half of its time.

--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -40,6 +40,8 @@
 	// Reply is called once, with the outcome.
 	Reply func(Outcome)
 
+	// added is when the order came to the queue.
+	added time.Time
 	// next is the first piece not sent yet.
 	next int
 	// again holds pieces to be sent once more.
@@ -158,8 +160,11 @@
 	rateShare = 0.3
 	// rateEvery is the period of measuring it.
 	rateEvery = 500 * time.Millisecond
-	// maxRetryAfter bounds the time that callers are told to wait.
-	maxRetryAfter = 2 * time.Second
+	// patientPart is the part of its time that an order without results waits.
+	patientPart = 0.5
+	// minRetryAfter and maxRetryAfter bound the time that callers are told to wait.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
 )
 
 // Queue holds the orders of one service and chooses the calls. It is used by one goroutine and does no I/O.
@@ -255,18 +260,35 @@
 
 // Add takes an order. One that can't be made in time is turned away at once.
 func (q *Queue) Add(now time.Time, o *Order) {
-	if wait := q.estimate(now, o); now.Add(wait).After(o.Deadline) {
-		q.counts.Late++
-		over := now.Add(wait).Sub(o.Deadline)
-		o.finish(Outcome{Reason: ReasonLate, RetryAfter: min(over, maxRetryAfter)})
+	if now.Add(q.estimate(now, o)).After(o.giveUp(now)) {
+		q.turnAway(o)
 		return
 	}
+	o.added = now
 	o.handles = make([]string, o.Pieces)
 	q.largest = max(q.largest, o.Bytes)
 	q.orders = append(q.orders, o)
 	q.waiting += o.Pieces
 }
 
+// turnAway ends an order that can't be made in time.
+func (q *Queue) turnAway(o *Order) {
+	q.counts.Late++
+	o.finish(Outcome{Reason: ReasonLate, RetryAfter: min(max(q.timeFor(q.waiting), minRetryAfter), maxRetryAfter)})
+}
+
+// giveUp is until when an order waits at most. One that holds no results yet gives up early enough for its caller
+// to come back in time.
+func (o *Order) giveUp(now time.Time) time.Time {
+	if len(o.Inputs) > 0 {
+		return o.Deadline
+	}
+	if o.added.IsZero() {
+		return now.Add(time.Duration(patientPart * float64(o.Deadline.Sub(now))))
+	}
+	return o.added.Add(time.Duration(patientPart * float64(o.Deadline.Sub(o.added))))
+}
+
 // estimate is the time until an order added now would be made: the pieces that go before it, in full calls over
 // all upstreams, and its own call.
 func (q *Queue) estimate(now time.Time, o *Order) time.Duration {
@@ -418,10 +440,9 @@
 // expire ends the orders that are of no use any more and frees the results whose time is over.
 func (q *Queue) expire(now time.Time) {
 	for _, o := range slices.Clone(q.orders) {
-		if now.Add(q.spec.CallTime).After(o.Deadline) {
-			q.counts.Late++
+		if now.Add(q.spec.CallTime).After(o.giveUp(now)) && o.unsent() > 0 {
 			q.remove(o)
-			o.finish(Outcome{Reason: ReasonLate})
+			q.turnAway(o)
 		}
 	}
 	for _, w := range q.workers {
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -46,6 +46,8 @@
 const (
 	// answerMargin is how long before a caller's time is over its final answer is given.
 	answerMargin = 20 * time.Millisecond
+	// firstMargin is how long before a caller gives up on a stream its first event should be there.
+	firstMargin = 200 * time.Millisecond
 	// maxBodyBytes bounds an answer that is read whole before it is passed on.
 	maxBodyBytes = 16 << 20
 	// shortPause and longPause bound the time after which callers of a busy service are told to come back.
@@ -187,7 +189,7 @@
 	}
 	q.stages = &stageRun{
 		desk: s.Desk, site: q.site, route: q.route, call: &q.call, zone: zone,
-		received: q.received, deadline: q.deadline, priority: q.priority,
+		received: q.received, deadline: q.firstBy(), priority: q.priority,
 	}
 	var err error
 	q.inputs, err = q.stages.makeStages(ctx)
@@ -195,6 +197,18 @@
 	return err
 }
 
+// firstBy is until when the caller waits for the beginning of its answer.
+func (q *request) firstBy() time.Time {
+	if q.route.FirstWait == 0 {
+		return q.deadline
+	}
+	first := q.received.Add(q.route.FirstWait - firstMargin)
+	if first.After(q.deadline) {
+		return q.deadline
+	}
+	return first
+}
+
 func (q *request) releaseStages() {
 	if q.stages != nil {
 		q.stages.release()
--- a/plantainlane/site/site.go
+++ b/plantainlane/site/site.go
@@ -54,6 +54,8 @@
 	Timeout time.Duration
 	// Aim is the time within which an answer, or its first event, is on time.
 	Aim time.Duration
+	// FirstWait is how long callers wait for the first event of a stream at most; 0 if for the whole Timeout.
+	FirstWait time.Duration
 	// GapAim is the longest pause between events of a stream that is on time.
 	GapAim time.Duration
 	// Priority ranks the route; 0 is the highest.
