--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -160,7 +160,9 @@
 	case cancelled:
 		o.queue.Release(o.queue.Cancel(m.order))
 	case released:
-		o.queue.Release(m.handles)
+		if unknown := o.queue.Release(m.handles); len(unknown) > 0 {
+			go o.maker.Free(ctx, unknown)
+		}
 	case freed:
 		o.queue.Freed(m.worker, m.handles)
 	case ended:
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -681,16 +681,27 @@
 	delete(w.held, handle)
 }
 
-// Release gives up results. The room they take counts until they are freed, see Freeable.
-func (q *Queue) Release(handles []string) {
+// Release gives up results. The room they take counts until they are freed, see Freeable. It returns the results
+// that the queue doesn't know, such as those of an owner before.
+func (q *Queue) Release(handles []string) (unknown []string) {
 	for _, handle := range handles {
-		for _, w := range q.workers {
-			if _, ok := w.held[handle]; ok {
-				w.unneeded = append(w.unneeded, handle)
-				break
-			}
+		if w := q.holder(handle); w != nil {
+			w.unneeded = append(w.unneeded, handle)
+			continue
+		}
+		unknown = append(unknown, handle)
+	}
+	return unknown
+}
+
+// holder returns the upstream that holds a result; nil if it is not known.
+func (q *Queue) holder(handle string) *Worker {
+	for _, w := range q.workers {
+		if _, ok := w.held[handle]; ok {
+			return w
 		}
 	}
+	return nil
 }
 
 // Freeable returns results to be freed, by the ID of the upstream that holds them: given-up ones of each upstream
