--- a/plantainlane/batch/desk.go
+++ b/plantainlane/batch/desk.go
@@ -303,7 +303,8 @@
 	w := d.owners[service]
 	if w == nil {
 		tell := func(wait time.Duration) { d.tellWait(service, wait) }
-		w = newOwner(service, d.maker, d.supply(service), tell, d.isCongested)
+		owns := func() bool { return Owner(service, d.peers.Members()) == d.self }
+		w = newOwner(service, d.maker, d.supply(service), tell, d.isCongested, owns)
 		d.owners[service] = w
 		go w.run(d.ctx)
 	}
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -77,12 +77,16 @@
 	// told is the wait that was passed on last, and tellAt when it is passed on next.
 	told   time.Duration
 	tellAt time.Time
+	// owns tells whether this instance is to own the queue now, and owned whether it was.
+	owns  func() bool
+	owned bool
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
 }
 
-func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration), congested func(service string) bool) *owner {
+func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration), congested func(service string) bool, owns func() bool) *owner {
 	o := &owner{
+		owns:    owns,
 		tell:    tell,
 		service: service,
 		queue:   NewQueue(site.Batch{}),
@@ -110,6 +114,7 @@
 			}
 		}
 		o.refresh()
+		o.handBack()
 		o.start(ctx)
 		o.tellWait(time.Now())
 		o.report(time.Now())
@@ -129,6 +134,16 @@
 	o.tell(wait)
 }
 
+// handBack gives what has not begun to the next owner, when this instance no longer owns the queue.
+func (o *owner) handBack() {
+	owns := o.owns()
+	if o.owned && !owns {
+		n := o.queue.HandBack()
+		klog.InfoS("queue handed on", "service", o.service, "orders", n)
+	}
+	o.owned = owns
+}
+
 // report logs the state of the queue now and then while it is in use.
 func (o *owner) report(now time.Time) {
 	if now.Before(o.reportAt) {
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -404,6 +404,20 @@
 	return made
 }
 
+// HandBack ends the orders of which nothing was sent, so that they are given to the queue's next owner. It returns
+// their number.
+func (q *Queue) HandBack() int {
+	n := 0
+	for _, o := range slices.Clone(q.orders) {
+		if o.next == 0 {
+			q.remove(o)
+			o.finish(Outcome{Reason: ReasonNoOwner})
+			n++
+		}
+	}
+	return n
+}
+
 func (q *Queue) remove(o *Order) {
 	if i := slices.Index(q.orders, o); i >= 0 {
 		q.orders = slices.Delete(q.orders, i, i+1)
