--- /dev/null
+++ b/plantainlane/batch/choose.go
@@ -0,0 +1,136 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// before tells whether an order goes before another one: those that can be on time before those that can't.
+//
+// Load pattern: in a burst, serving by due time alone makes every request late, since the oldest are always served
+// just after their time. Late requests are served with what capacity is left.
+func (q *Queue) before(now time.Time, a, b *Order) bool {
+	lateA, lateB := a.isLate(now, q.spec.CallTime), b.isLate(now, q.spec.CallTime)
+	if lateA != lateB {
+		return lateB
+	}
+	return a.rank().Before(b.rank())
+}
+
+// isHeld tells whether an order has to wait for the queues that its request goes through afterwards.
+func (q *Queue) isHeld(now time.Time, o *Order) bool {
+	return q.Congested != nil && o.isLate(now, q.spec.CallTime) && slices.ContainsFunc(o.Next, q.Congested)
+}
+
+// freeWorker returns the upstream for the next call: of those with a free slot the one of the zone that the most
+// urgent order needs its results in, then the quickest.
+func (q *Queue) freeWorker(now time.Time, order []*Order) *Worker {
+	var best *Worker
+	for _, w := range q.workers {
+		if w.Leaving || w.calls >= max(q.spec.Slots, 1) || now.Before(w.notBefore) {
+			continue
+		}
+		if w.slowness >= slowLimit && !q.pressed() {
+			continue
+		}
+		if !q.hasRoom(w, order) {
+			continue
+		}
+		if best == nil || w.before(best, order[0].Zone) {
+			best = w
+		}
+	}
+	return best
+}
+
+// sendable returns the orders with pieces to send now, the first one first.
+func (q *Queue) sendable(now time.Time) []*Order {
+	out := make([]*Order, 0, len(q.orders))
+	for _, o := range q.orders {
+		if o.unsent() > 0 && !q.isHeld(now, o) {
+			out = append(out, o)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *Order) int { return q.compare(now, a, b) })
+	return out
+}
+
+func (q *Queue) compare(now time.Time, a, b *Order) int {
+	switch {
+	case q.before(now, a, b):
+		return -1
+	case q.before(now, b, a):
+		return 1
+	}
+	return 0
+}
+
+// hasRoom tells whether an upstream has room for a call that is worth its time: for what waits, or for the most part
+// of a full call.
+func (q *Queue) hasRoom(w *Worker, order []*Order) bool {
+	if q.spec.RoomBytes <= 0 || w.used == 0 {
+		return true
+	}
+	room, fits, wanted := q.spec.RoomBytes-w.used, 0, 0
+	for _, o := range order {
+		n := o.unsent()
+		if wanted+n > q.spec.Size {
+			n = q.spec.Size - wanted
+		}
+		wanted += n
+		if n*o.Bytes <= room {
+			room -= n * o.Bytes
+			fits += n
+		}
+		if wanted == q.spec.Size {
+			break
+		}
+	}
+	return fits == wanted || float64(fits) >= worthwhileFill*float64(q.spec.Size)
+}
+
+// pressed tells whether more waits than the quick upstreams take in one call each.
+func (q *Queue) pressed() bool {
+	quick := 0
+	for _, w := range q.workers {
+		if !w.Leaving && w.slowness < slowLimit {
+			quick++
+		}
+	}
+	return q.waiting > quick*q.spec.Size
+}
+
+// fill chooses the pieces of a call, the most urgent first. Of the orders that are on time, those whose results are
+// needed in the upstream's zone count as a little more urgent.
+func (q *Queue) fill(now time.Time, w *Worker, order []*Order) []Item {
+	rank := func(o *Order) time.Time {
+		if o.Zone == w.Zone {
+			return o.rank().Add(-nearBonus)
+		}
+		return o.rank()
+	}
+	slices.SortStableFunc(order, func(a, b *Order) int {
+		if a.isLate(now, q.spec.CallTime) != b.isLate(now, q.spec.CallTime) {
+			return q.compare(now, a, b)
+		}
+		return rank(a).Compare(rank(b))
+	})
+	var items []Item
+	room := q.spec.RoomBytes - w.used
+	for _, o := range order {
+		fits := q.spec.Size - len(items)
+		if q.spec.RoomBytes > 0 && o.Bytes > 0 {
+			fits = min(fits, room/o.Bytes)
+		}
+		// An order that is split holds the results of its first part until the last one is made.
+		if o.unsent() > fits && len(items) > 0 {
+			continue
+		}
+		for range min(fits, o.unsent()) {
+			room -= o.Bytes
+			items = append(items, Item{Order: o, Piece: o.take()})
+			q.waiting--
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/plantainlane/batch/order.go
@@ -0,0 +1,118 @@
+package batch
+
+import (
+	"time"
+)
+
+// Order is pieces of one stage of one request.
+type Order struct {
+	// Request ID.
+	Request string
+	// Stage number in the request's route.
+	Stage int
+	// Pieces is the number of pieces. Positive.
+	Pieces int
+	// Key of the pieces, for a stage that needs no results.
+	Key string
+	// Inputs of each piece, for a stage that needs results.
+	Inputs []string
+	// Zone in which the results are needed.
+	Zone string
+	// Bytes is the approximate size of a result.
+	Bytes int
+	// Due is when the results should be there for the request to be on time.
+	Due time.Time
+	// Deadline is when the results are of no use any more.
+	Deadline time.Time
+	// Priority ranks the request; 0 is the highest.
+	Priority int
+	// Next lists the services whose queues the request goes through afterwards.
+	Next []string
+	// Reply is called once, with the outcome.
+	Reply func(Outcome)
+
+	// added is when the order came to the queue.
+	added time.Time
+	// next is the first piece not sent yet.
+	next int
+	// again holds pieces to be sent once more.
+	again []int
+	// handles of the pieces made, by piece.
+	handles []string
+	made    int
+	// tries is the number of pieces that failed.
+	tries int
+	done  bool
+}
+
+// Outcome ends an order.
+type Outcome struct {
+	// Handles of the results, by piece; nil unless all were made.
+	Handles []string
+	// Reason why pieces were not made; empty if they were.
+	Reason Reason
+	// RetryAfter is when there may be room, if the order was turned away.
+	RetryAfter time.Duration
+}
+
+// Reason tells why pieces were not made.
+type Reason string
+
+const (
+	// ReasonLate orders can't be made before their deadline.
+	ReasonLate Reason = "late"
+	// ReasonGone orders need a result that is gone.
+	ReasonGone Reason = "gone"
+	// ReasonFailed orders failed too often.
+	ReasonFailed Reason = "failed"
+	// ReasonRoom pieces found no room at the upstream.
+	ReasonRoom Reason = "room"
+	// ReasonNoOwner orders reached no owner of the queue.
+	ReasonNoOwner Reason = "noOwner"
+	// ReasonCancelled orders were given up by the caller.
+	ReasonCancelled Reason = "cancelled"
+)
+
+// rank is when the order counts as due against other orders.
+func (o *Order) rank() time.Time {
+	return o.Due.Add(time.Duration(o.Priority) * priorityStep)
+}
+
+func (o *Order) unsent() int { return o.Pieces - o.next + len(o.again) }
+
+func (o *Order) finish(out Outcome) {
+	if o.done {
+		return
+	}
+	o.done = true
+	o.Reply(out)
+}
+
+// isLate tells whether a request can't be on time any more. Only a request that holds no results counts: one that
+// has begun is finished, since its results take room until then.
+func (o *Order) isLate(now time.Time, callTime time.Duration) bool {
+	return len(o.Inputs) == 0 && now.Add(callTime).After(o.Due)
+}
+
+// giveUp is until when an order waits at most. One that holds no results yet gives up early enough for its caller
+// to come back in time.
+func (o *Order) giveUp(now time.Time) time.Time {
+	if len(o.Inputs) > 0 {
+		return o.Deadline
+	}
+	if o.added.IsZero() {
+		return now.Add(time.Duration(patientPart * float64(o.Deadline.Sub(now))))
+	}
+	return o.added.Add(time.Duration(patientPart * float64(o.Deadline.Sub(o.added))))
+}
+
+// take returns the next piece to send.
+func (o *Order) take() int {
+	if n := len(o.again); n > 0 {
+		p := o.again[n-1]
+		o.again = o.again[:n-1]
+		return p
+	}
+	o.next++
+	return o.next - 1
+}
--- /dev/null
+++ b/plantainlane/batch/pace.go
@@ -0,0 +1,104 @@
+package batch
+
+import (
+	"time"
+)
+
+// estimate is the time until an order added now would be made: the pieces that go before it, in full calls over
+// all upstreams, and its own call.
+func (q *Queue) estimate(now time.Time, o *Order) time.Duration {
+	ahead := 0
+	for _, other := range q.orders {
+		if q.before(now, other, o) {
+			ahead += other.unsent()
+		}
+	}
+	return q.callTime(min(o.Pieces, q.spec.Size)) + q.timeFor(ahead)
+}
+
+// timeFor is the time that so many pieces take: at the pace at which pieces were made of late while some waited, or
+// in full calls over all upstreams.
+func (q *Queue) timeFor(pieces int) time.Duration {
+	if q.rate > 0 {
+		return time.Duration(float64(pieces) / q.rate * float64(time.Second))
+	}
+	usable := 0
+	for _, w := range q.workers {
+		if !w.Leaving && w.slowness < slowLimit {
+			usable++
+		}
+	}
+	if usable == 0 || q.spec.Size == 0 {
+		return 0
+	}
+	perPiece := float64(q.callTime(q.spec.Size)) / float64(q.spec.Size*usable)
+	return time.Duration(float64(pieces) * perPiece)
+}
+
+// measure notes how quickly pieces are made while more than a full call waits.
+func (q *Queue) measure(now time.Time) {
+	span := now.Sub(q.measuredAt)
+	if span < rateEvery {
+		q.backlog = q.backlog && q.waiting >= q.spec.Size
+		return
+	}
+	if q.backlog && span < 2*rateEvery {
+		rate := float64(q.madeSince) / span.Seconds()
+		if q.rate == 0 {
+			q.rate = rate
+		}
+		q.rate += rateShare * (rate - q.rate)
+	}
+	q.measuredAt, q.madeSince, q.backlog = now, 0, q.waiting >= q.spec.Size
+}
+
+// Wait is the time until a piece ordered now is begun, not counting what waits behind it.
+func (q *Queue) Wait(now time.Time) time.Duration {
+	ahead := 0
+	for _, o := range q.orders {
+		if !o.isLate(now, q.spec.CallTime) {
+			ahead += o.unsent()
+		}
+	}
+	return q.timeFor(ahead)
+}
+
+// Counts sums up what a queue did since they were last taken.
+type Counts struct {
+	// Calls sent, and the pieces in them.
+	Calls, Pieces int
+	// NoRoom, Failed and Gone count pieces by why they were not made.
+	NoRoom, Failed, Gone int
+	// Late counts orders that were turned away or gave up.
+	Late int
+}
+
+// TakeCounts returns the counts and begins them anew.
+func (q *Queue) TakeCounts() Counts {
+	out := q.counts
+	q.counts = Counts{}
+	return out
+}
+
+// Room is the room that results take at all upstreams, and all there is, in bytes.
+func (q *Queue) Room() (used, all int) {
+	for _, w := range q.workers {
+		used += w.used
+		all += q.spec.RoomBytes
+	}
+	return used, all
+}
+
+// Workers returns the number of upstreams, and of those that are busy and those that are left alone for a while.
+func (q *Queue) Workers(now time.Time) (all, busy, paused int) {
+	for _, w := range q.workers {
+		all++
+		if w.calls > 0 {
+			busy++
+		}
+		if w.Leaving || now.Before(w.notBefore) || w.slowness >= slowLimit {
+			paused++
+		}
+	}
+	return all, busy, paused
+}
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -249,6 +249,14 @@
 		c.takeDigest(f.From, *f.Digest)
 	case f.Drain != nil:
 		c.startDrain()
+	default:
+		c.takeQuery(f)
+	}
+}
+
+// takeQuery takes a query, or the answer to one.
+func (c *Core) takeQuery(f wire.Frame) {
+	switch {
 	case f.CostQuery != nil:
 		c.answerCost(origin{f.From, f.Call}, *f.CostQuery)
 	case f.ResultQuery != nil:
--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -32,6 +32,8 @@
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// maxKeep is how long a connection may be idle if the upstream doesn't tell.
+	maxKeep = time.Minute
 	// maxInformational is the number of 1xx answers that are skipped before a final one.
 	maxInformational = 5
 )
@@ -161,11 +163,13 @@
 // SetDeadline bounds the reading and writing.
 func (c *Conn) SetDeadline(t time.Time) { _ = c.raw.SetDeadline(t) }
 
-// keepFor returns how long an idle connection may be kept after an answer, 0 if it may not.
-func keepFor(res *http.Response, most time.Duration) time.Duration {
+// KeepFor returns how long a connection may be idle after an answer whose whole body was read; 0 if it can't carry
+// another request.
+func KeepFor(res *http.Response) time.Duration {
 	if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 		return 0
 	}
+	most := maxKeep
 	for part := range strings.SplitSeq(res.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if name != "timeout" {
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -66,10 +66,10 @@
 	return c
 }
 
-// Put takes a connection back after the whole body of its answer was read. It is closed if it can't carry another
-// request.
-func (p *Pool) Put(c *Conn, res *http.Response) {
-	keep := keepFor(res, p.IdleLimit)
+// Put takes a connection back after the whole body of its answer was read, to be kept for a while. It is closed if
+// that is 0 or something is left to be read.
+func (p *Pool) Put(c *Conn, keep time.Duration) {
+	keep = min(keep, p.IdleLimit)
 	if keep <= 0 || c.reader.Buffered() > 0 {
 		c.Close()
 		return
@@ -124,32 +124,42 @@
 	}
 }
 
+// Reply is an answer that was read whole.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Round sends a request and reads the whole answer, for calls that may be made again.
-func (p *Pool) Round(ctx context.Context, address string, r *Request, maxBody int64) (*http.Response, []byte, error) {
+func (p *Pool) Round(ctx context.Context, address string, r *Request, maxBody int64) (*Reply, error) {
 	c, err := p.Get(ctx, address, p.IdleLimit)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, c.Close)
-	defer stop()
-	if err := c.Write(r); err != nil {
+	reply, keep, err := round(c, r, maxBody)
+	if !stop() || err != nil {
 		c.Close()
-		return nil, nil, err
+		return reply, err
+	}
+	p.Put(c, keep)
+	return reply, nil
+}
+
+func round(c *Conn, r *Request, maxBody int64) (*Reply, time.Duration, error) {
+	if err := c.Write(r); err != nil {
+		return nil, 0, err
 	}
 	res, err := c.Read(r.Method)
 	if err != nil {
-		c.Close()
-		return nil, nil, err
+		return nil, 0, err
 	}
 	body, err := ReadBody(res, maxBody)
 	if err != nil {
-		c.Close()
-		return nil, nil, err
-	}
-	if stop() {
-		p.Put(c, res)
+		return nil, 0, err
 	}
-	return res, body, nil
+	return &Reply{Status: res.StatusCode, Header: res.Header, Body: body}, KeepFor(res), nil
 }
 
 // ErrTooLarge reports a body over its bound.
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -142,7 +142,7 @@
 		result = route.Success
 	case out.result == notRun && errors.Is(out.err, errBusy), out.result == inputsGone:
 		result = route.Refused
-	case ctx.Err() != nil && context.Cause(ctx) == context.Canceled:
+	case errors.Is(ctx.Err(), context.Canceled):
 		result = route.Cancelled
 	}
 	t.Done(time.Now(), route.Outcome{Result: result, Latency: time.Since(began)})
@@ -165,21 +165,20 @@
 		return sendOutcome{result: notRun, err: err}
 	}
 	stop := context.AfterFunc(ctx, c.Close)
-	out, res := q.exchangeOn(c, t)
-	free := stop()
-	if res == nil || !free {
-		c.Close()
-		return out
+	out, keep := q.exchangeOn(c, t)
+	if !stop() {
+		keep = 0
 	}
-	q.server.Pool.Put(c, res)
+	q.server.Pool.Put(c, keep)
 	return out
 }
 
-// exchangeOn sends the request on a connection. The answer is nil if the connection can't be used again.
-func (q *request) exchangeOn(c *exchange.Conn, t route.Target) (sendOutcome, *http.Response) {
+// exchangeOn sends the request on a connection. It returns how long the connection may be kept; 0 if it can't be used
+// again.
+func (q *request) exchangeOn(c *exchange.Conn, t route.Target) (out sendOutcome, keep time.Duration) {
 	left := time.Until(q.deadline)
 	if left < minLeft {
-		return sendOutcome{result: notRun, err: errors.New("no time left")}, nil
+		return sendOutcome{result: notRun, err: errors.New("no time left")}, 0
 	}
 	c.SetDeadline(q.patience(time.Now()))
 	header := maps.Clone(q.header)
@@ -189,23 +188,23 @@
 	err := c.Write(&exchange.Request{Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body})
 	if err != nil {
 		if errors.Is(err, exchange.ErrNotSent) {
-			return sendOutcome{result: notRun, err: err}, nil
+			return sendOutcome{result: notRun, err: err}, 0
 		}
 		// The upstream may have answered before it read the whole body.
 		c.SetDeadline(time.Now().Add(time.Second))
 	}
 	res, answer, readErr := q.readHead(c)
 	if readErr != nil {
-		return sendOutcome{result: mayHaveRun, err: readErr}, nil
+		return sendOutcome{result: mayHaveRun, err: readErr}, 0
 	}
 	if answer.Load != nil {
 		t.Reported(*answer.Load)
 	}
 	out, whole := q.take(c, t, res, answer)
 	if err != nil || !whole {
-		return out, nil
+		return out, 0
 	}
-	return out, res
+	return out, exchange.KeepFor(res)
 }
 
 // patience is how long the upstream may bring nothing.
