--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -36,6 +36,9 @@
 		if !q.hasRoom(w, order) {
 			continue
 		}
+		if q.isTooFar(now, w, order) {
+			continue
+		}
 		if best == nil || w.before(best, order[0].Zone) {
 			best = w
 		}
@@ -43,6 +46,20 @@
 	return best
 }
 
+// staysNear tells whether an order still waits for an upstream of the zone in which its results are needed.
+func (q *Queue) staysNear(now time.Time, o *Order, w *Worker) bool {
+	if o.Zone == w.Zone || q.near[o.Zone] == 0 {
+		return false
+	}
+	ample := now.Add(q.spec.CallTime + nearSlack).Before(o.Due)
+	return ample && now.Sub(o.added) < nearWait
+}
+
+// isTooFar tells whether all orders still wait for upstreams of other zones.
+func (q *Queue) isTooFar(now time.Time, w *Worker, order []*Order) bool {
+	return !slices.ContainsFunc(order, func(o *Order) bool { return !q.staysNear(now, o, w) })
+}
+
 // sendable returns the orders with pieces to send now, the first one first.
 func (q *Queue) sendable(now time.Time) []*Order {
 	out := make([]*Order, 0, len(q.orders))
@@ -115,6 +132,7 @@
 		}
 		return rank(a).Compare(rank(b))
 	})
+	order = slices.DeleteFunc(order, func(o *Order) bool { return q.staysNear(now, o, w) })
 	var items []Item
 	room := q.spec.RoomBytes - w.used
 	for _, o := range order {
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -43,6 +43,10 @@
 	maxTries = 6
 	// nearBonus is how much earlier an order is served by an upstream of the zone that needs its results.
 	nearBonus = 150 * time.Millisecond
+	// nearWait is how long an order waits for an upstream of the zone in which its results are needed.
+	nearWait = 80 * time.Millisecond
+	// nearSlack is the time to spare that an order needs to wait for one.
+	nearSlack = 250 * time.Millisecond
 	// priorityStep is how much later an order counts as due for each rank of its priority.
 	priorityStep = 300 * time.Millisecond
 	// slowShare is the weight of the newest call in an upstream's slowness.
@@ -77,6 +81,8 @@
 	spec    site.Batch
 	orders  []*Order
 	workers map[string]*Worker
+	// near counts the quick upstreams of each zone.
+	near map[string]int
 	// waiting is the number of pieces not sent yet.
 	waiting int
 	// Congested tells whether the queue of another service is so long that it should get no more of what is
@@ -118,6 +124,12 @@
 			delete(q.workers, id)
 		}
 	}
+	q.near = make(map[string]int)
+	for _, w := range q.workers {
+		if !w.Leaving && w.slowness < slowLimit {
+			q.near[w.Zone]++
+		}
+	}
 }
 
 // Waiting is the number of pieces that wait for a call.
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -103,8 +103,7 @@
 
 func (q *request) pick() (route.Target, bool) {
 	s := q.server
-	engine, slack := home(s.Views.Upstreams(), q.service, q.call.Parts)
-	return s.Picker.Pick(time.Now(), route.Query{Service: q.service, Avoid: q.tried, Home: engine.ID, HomeSlack: slack})
+	return s.Picker.Pick(time.Now(), route.Query{Service: q.service, Avoid: q.tried, Homes: q.homes.ids, HomeSlack: q.homes.slack})
 }
 
 // end gives the final answer of a request that was not delivered.
@@ -193,15 +192,25 @@
 		// The upstream may have answered before it read the whole body.
 		c.SetDeadline(time.Now().Add(time.Second))
 	}
-	res, answer, readErr := q.readHead(c)
-	if readErr != nil {
-		return sendOutcome{result: mayHaveRun, err: readErr}, 0
+	out, keep = q.readAnswer(c, t)
+	if err != nil {
+		keep = 0
+	}
+	return out, keep
+}
+
+// readAnswer reads the answer and passes it on.
+func (q *request) readAnswer(c *exchange.Conn, t route.Target) (out sendOutcome, keep time.Duration) {
+	res, answer, err := q.readHead(c)
+	if err != nil {
+		return sendOutcome{result: mayHaveRun, err: err}, 0
 	}
+	defer res.Body.Close()
 	if answer.Load != nil {
 		t.Reported(*answer.Load)
 	}
 	out, whole := q.take(c, t, res, answer)
-	if err != nil || !whole {
+	if !whole {
 		return out, 0
 	}
 	return out, exchange.KeepFor(res)
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -77,6 +77,7 @@
 	stages    *stageRun
 	inputs    []string
 
+	homes homes
 	// madeMs holds when each stage was made, in milliseconds since the request was received.
 	madeMs []int64
 	// tried holds the upstreams that are not to be chosen again.
@@ -141,6 +142,7 @@
 	q.lastEvent = q.call.ResumeAfter
 	q.service = q.route.Service(rand.Float64())
 	s.Budget.Request(q.service, q.received)
+	q.homes = homesOf(s.Views.Upstreams(), q.service, q.route.Stages, q.call.Parts)
 	return nil
 }
 
@@ -182,8 +184,7 @@
 		return nil
 	}
 	s := q.server
-	engine, _ := home(s.Views.Upstreams(), q.service, q.call.Parts)
-	zone := engine.Zone
+	zone := q.homes.zone
 	if zone == "" {
 		zone = s.Zone
 	}
@@ -260,6 +261,6 @@
 		version = q.site.Version
 	}
 	klog.InfoS("request ended", "request", q.call.ID, "outcome", outcome, "status", status, "reason", reason,
-		"route", name, "workspace", q.workspace, "upstream", q.upstream, "sends", q.sends, "runs", q.runs,
+		"route", name, "workspace", q.workspace, "upstream", q.upstream, "home", q.homes.first(), "sends", q.sends, "runs", q.runs,
 		"events", q.events, "stagesMs", q.madeMs, "ms", took.Milliseconds(), "version", version)
 }
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -40,9 +40,9 @@
 	Avoid []string
 	// Hints favour upstreams by their prefix caches while they have room.
 	Hints []Hint
-	// Home is the upstream to take as long as it is usable, not slow, and has at most HomeSlack calls more than
-	// the one that would be chosen otherwise; empty for none.
-	Home      string
+	// Homes are upstreams to take before others: the first one that is usable, not slow, and has at most HomeSlack
+	// calls more than the one that would be chosen otherwise.
+	Homes     []string
 	HomeSlack float64
 }
 
@@ -78,19 +78,18 @@
 	return b.target(at, best.upstream)
 }
 
-// home returns the query's home if it is to be taken instead of the best candidate.
+// home returns the home to be taken instead of the best candidate; nil if there is none.
 func (b *Balancer) home(now int64, q *Query, best candidate) *upstream {
-	if q.Home == "" {
-		return nil
-	}
-	u := b.hinted(Hint{Upstream: q.Home}, q)
-	if u == nil || u.slowness(now) > tolerableSlowness {
-		return nil
-	}
-	if best.upstream != nil && u.load() > best.upstream.load()+q.HomeSlack {
-		return nil
+	for _, id := range q.Homes {
+		u := b.hinted(Hint{Upstream: id}, q)
+		if u == nil || u.slowness(now) > tolerableSlowness {
+			continue
+		}
+		if best.upstream == nil || u.load() <= best.upstream.load()+q.HomeSlack {
+			return u
+		}
 	}
-	return u
+	return nil
 }
 
 func (b *Balancer) target(now int64, u *upstream) (Target, bool) {
