batch, forward: give results up once they were read, while rooms are short

Cause: results of fleet-telemetry waited for the end of the calls that read them; with 46 places an upstream its calls held 16 of 26 pieces in bursts. Change: owners tell when a call has read its inputs; instances then give them up if their queue is long.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -149,6 +149,7 @@
 			items = append(items, Item{Order: o, Piece: o.take()})
 			q.waiting--
 		}
+		o.sentAt = now
 	}
 	return items
 }
--- a/plantainlane/batch/desk.go
+++ b/plantainlane/batch/desk.go
@@ -47,7 +47,7 @@
 	mu     sync.Mutex
 	owners map[string]*owner
 	// calls holds this instance's orders at other instances.
-	calls map[int]chan Outcome
+	calls map[int]waiting
 	call  int
 	// waits holds how long the queues are, by service.
 	waits map[string]queueWait
@@ -61,6 +61,12 @@
 	at   time.Time
 }
 
+// waiting is an order at another instance.
+type waiting struct {
+	reply chan Outcome
+	begun func()
+}
+
 type remoteCall struct {
 	from string
 	call int
@@ -77,7 +83,7 @@
 	return &Desk{
 		self: self, peers: peers, maker: maker, supply: supply, ctx: ctx, call: firstCall,
 		owners: make(map[string]*owner),
-		calls:  make(map[int]chan Outcome),
+		calls:  make(map[int]waiting),
 		remote: make(map[remoteCall]remoteOrder),
 		waits:  make(map[string]queueWait),
 	}
@@ -158,7 +164,7 @@
 	d.mu.Lock()
 	d.call++
 	call := d.call
-	d.calls[call] = reply
+	d.calls[call] = waiting{reply, o.Begun}
 	d.mu.Unlock()
 	now := time.Now()
 	d.peers.Send(to, wire.Frame{Call: call, PieceOrder: &wire.PieceOrder{
@@ -225,6 +231,8 @@
 		d.takeOrder(f.From, f.Call, f.PieceOrder)
 	case f.PieceAnswer != nil:
 		d.takeAnswer(f.Call, f.PieceAnswer)
+	case f.PieceBegun != nil:
+		d.takeBegun(f.Call)
 	case f.PieceCancel != nil:
 		d.takeCancel(remoteCall{f.From, f.Call})
 	case f.PieceQueue != nil:
@@ -256,6 +264,10 @@
 		d.mu.Unlock()
 		d.answer(from, call, out)
 	}
+	if len(p.Inputs) > 0 {
+		yes := true
+		o.Begun = func() { d.peers.Send(from, wire.Frame{Call: call, PieceBegun: &yes}) }
+	}
 	w := d.owner(p.Service)
 	d.mu.Lock()
 	d.remote[key] = remoteOrder{o, w}
@@ -275,17 +287,26 @@
 
 func (d *Desk) takeAnswer(call int, a *wire.PieceAnswer) {
 	d.mu.Lock()
-	reply := d.calls[call]
+	w := d.calls[call]
 	delete(d.calls, call)
 	d.mu.Unlock()
-	if reply != nil {
-		reply <- Outcome{
+	if w.reply != nil {
+		w.reply <- Outcome{
 			Handles: a.Handles, Reason: Reason(a.Reason),
 			RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond,
 		}
 	}
 }
 
+func (d *Desk) takeBegun(call int) {
+	d.mu.Lock()
+	w := d.calls[call]
+	d.mu.Unlock()
+	if w.begun != nil {
+		w.begun()
+	}
+}
+
 func (d *Desk) takeCancel(key remoteCall) {
 	d.mu.Lock()
 	r, ok := d.remote[key]
--- a/plantainlane/batch/order.go
+++ b/plantainlane/batch/order.go
@@ -28,6 +28,8 @@
 	Priority int
 	// Next lists the services whose queues the request goes through afterwards.
 	Next []string
+	// Begun is called at most once, when the upstreams have read the inputs of all pieces. It may be nil.
+	Begun func()
 	// Reply is called once, with the outcome.
 	Reply func(Outcome)
 
@@ -35,6 +37,9 @@
 	added time.Time
 	// next is the first piece not sent yet.
 	next int
+	// sentAt is when the last piece was sent; begun tells that Begun was called.
+	sentAt time.Time
+	begun  bool
 	// again holds pieces to be sent once more.
 	again []int
 	// handles of the pieces made, by piece.
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -109,7 +109,7 @@
 		case m := <-o.inbox:
 			o.take(ctx, m)
 		case <-ticker.C:
-			if o.queue.Waiting() == 0 && o.told < shortWait {
+			if o.queue.Idle() && o.told < shortWait {
 				continue
 			}
 		}
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -59,6 +59,8 @@
 	// roomPause is how long an upstream is left alone after it had no room: it holds results that this queue
 	// doesn't know, such as those of an owner before.
 	roomPause = 150 * time.Millisecond
+	// readTime is the time after which an upstream has read the inputs of a call.
+	readTime = 150 * time.Millisecond
 	// keepSlack is added to the time that a result is thought to take room.
 	keepSlack = 300 * time.Millisecond
 	// similarSlowness is a difference between upstreams that doesn't matter.
@@ -227,6 +229,7 @@
 			q.turnAway(o)
 		}
 	}
+	q.noteBegun(now)
 	for _, w := range q.workers {
 		for handle, h := range w.held {
 			if now.After(h.until) {
@@ -236,6 +239,23 @@
 	}
 }
 
+// noteBegun tells the orders whose calls have begun so long ago that the upstreams have read the inputs.
+//
+// Load pattern: results that wait for the end of the calls that read them fill the room of their upstreams, which
+// then get calls that are half empty.
+func (q *Queue) noteBegun(now time.Time) {
+	for _, o := range q.orders {
+		if o.begun || o.Begun == nil || o.unsent() > 0 || now.Sub(o.sentAt) < readTime {
+			continue
+		}
+		o.begun = true
+		o.Begun()
+	}
+}
+
+// Idle tells that there are no orders.
+func (q *Queue) Idle() bool { return len(q.orders) == 0 }
+
 // Done takes the results of a call, in the order of its items. A nil list means that the call failed; ran tells
 // whether it may have been worked on. It returns results that nobody waits for.
 func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,6 +123,14 @@
 	o.Due = x.received.Add(time.Duration(aimPart*float64(x.route.Aim)) - rest - waits)
 	o.Deadline = x.deadline.Add(-rest)
 	o.Next = x.servicesAfter(i)
+	once := sync.OnceFunc(func() { x.followed(stage.After) })
+	if len(stage.After) > 0 {
+		o.Begun = func() {
+			if x.isPressed(stage.After) {
+				once()
+			}
+		}
+	}
 	out := x.desk.Make(ctx, stage.Service, o)
 	if out.Reason != "" {
 		return &stageError{stage: i, outcome: out}
@@ -129,10 +138,16 @@
 	x.handles[i] = out.Handles
 	x.madeMs[i] = time.Since(x.received).Milliseconds()
 	close(x.ready[i])
-	x.followed(stage.After)
+	once()
 	return nil
 }
 
+// isPressed tells whether pieces wait for room at the services of some stages. Results are then given up as soon as
+// they were read, though a piece that needs them might have to be made again.
+func (x *stageRun) isPressed(stages []int) bool {
+	return slices.ContainsFunc(stages, func(i int) bool { return x.desk.Wait(x.route.Stages[i].Service) > 0 })
+}
+
 // followed notes that a stage which needs the results of others was made. Results that no further stage needs are
 // given up.
 func (x *stageRun) followed(before []int) {
--- a/wire/types.go
+++ b/wire/types.go
@@ -725,6 +725,10 @@
 	// Answer to an order for pieces.
 	PieceAnswer *PieceAnswer `json:"pieceAnswer,omitempty,omitzero" cbor:"pieceAnswer,omitempty"`
 
+	// Tells that the upstreams have the inputs of the order for pieces with the same
+	// call ID.
+	PieceBegun *bool `json:"pieceBegun,omitempty,omitzero" cbor:"pieceBegun,omitempty"`
+
 	// Cancels the order for pieces with the same call ID.
 	PieceCancel *bool `json:"pieceCancel,omitempty,omitzero" cbor:"pieceCancel,omitempty"`
 
