--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -20,7 +20,7 @@
 
 const (
 	// ownerTick is the period at which an owner looks for orders whose time is over.
-	ownerTick = 50 * time.Millisecond
+	ownerTick = 25 * time.Millisecond
 	// reportEvery is the period at which the state of a queue in use is logged.
 	reportEvery = 2 * time.Second
 	// tellEvery is the period at which the length of a long queue is passed on.
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -61,6 +61,10 @@
 	roomPause = 150 * time.Millisecond
 	// readTime is the time after which an upstream has read the inputs of a call.
 	readTime = 150 * time.Millisecond
+	// steadySlowness is the slowness up to which an upstream works at its usual pace.
+	steadySlowness = 2
+	// steadyAfter is how long all upstreams must have worked at their usual pace.
+	steadyAfter = 1500 * time.Millisecond
 	// keepSlack is added to the time that a result is thought to take room.
 	keepSlack = 300 * time.Millisecond
 	// similarSlowness is a difference between upstreams that doesn't matter.
@@ -83,6 +87,8 @@
 	spec    site.Batch
 	orders  []*Order
 	workers map[string]*Worker
+	// unsteadyAt is when an upstream was slow or failed last, or else when the queue began.
+	unsteadyAt time.Time
 	// near counts the quick upstreams of each zone.
 	near map[string]int
 	// waiting is the number of pieces not sent yet.
@@ -244,6 +250,9 @@
 // Load pattern: results that wait for the end of the calls that read them fill the room of their upstreams, which
 // then get calls that are half empty.
 func (q *Queue) noteBegun(now time.Time) {
+	if !q.isSteady(now) {
+		return
+	}
 	for _, o := range q.orders {
 		if o.begun || o.Begun == nil || o.unsent() > 0 || now.Sub(o.sentAt) < readTime {
 			continue
@@ -253,6 +262,20 @@
 	}
 }
 
+// isSteady tells whether all upstreams work at their usual pace and have answered for a while, so that a call that
+// was sent has begun.
+func (q *Queue) isSteady(now time.Time) bool {
+	if q.unsteadyAt.IsZero() {
+		q.unsteadyAt = now
+	}
+	for _, w := range q.workers {
+		if w.slowness > steadySlowness || w.failures > 0 {
+			q.unsteadyAt = now
+		}
+	}
+	return now.Sub(q.unsteadyAt) > steadyAfter
+}
+
 // Idle tells that there are no orders.
 func (q *Queue) Idle() bool { return len(q.orders) == 0 }
 
