batch, forward: make pieces where their inputs lie

Cause: results crossed zones by the input, not by the request: each of 6 pieces of hotel-billing reads 8 results of fleet-telemetry, 2.9 MB a request, and all stages were sent to the zone of the engine. Change: a stage goes to the zone of its largest inputs or of its request, and waits for it by the bytes saved.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -52,7 +52,8 @@
 		return false
 	}
 	ample := now.Add(q.spec.CallTime + nearSlack).Before(o.Due)
-	return ample && now.Sub(o.added) < nearWait
+	wait := time.Duration(float64(o.Haul) / 1e6 * float64(nearWaitPerMB))
+	return ample && now.Sub(o.added) < min(wait, maxNearWait)
 }
 
 // isTooFar tells whether all orders still wait for upstreams of other zones.
--- a/plantainlane/batch/desk.go
+++ b/plantainlane/batch/desk.go
@@ -170,7 +170,7 @@
 	d.peers.Send(to, wire.Frame{Call: call, PieceOrder: &wire.PieceOrder{
 		Service: service, Request: o.Request, Stage: o.Stage, Pieces: o.Pieces, Key: o.Key,
 		Inputs: append([]string{}, o.Inputs...), Next: append([]string{}, o.Next...),
-		Zone: o.Zone, Bytes: o.Bytes, Priority: o.Priority,
+		Zone: o.Zone, HaulBytes: o.Haul, Bytes: o.Bytes, Priority: o.Priority,
 		DueMs:  int(o.Due.Sub(now) / time.Millisecond),
 		LeftMs: int(o.Deadline.Sub(now) / time.Millisecond),
 	}})
@@ -253,7 +253,7 @@
 	now := time.Now()
 	key := remoteCall{from, call}
 	o := &Order{
-		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone,
+		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone, Haul: p.HaulBytes,
 		Bytes: p.Bytes, Priority: p.Priority,
 		Due:      now.Add(time.Duration(p.DueMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(p.LeftMs) * time.Millisecond),
@@ -281,7 +281,7 @@
 		handles = []string{}
 	}
 	d.peers.Send(to, wire.Frame{Call: call, PieceAnswer: &wire.PieceAnswer{
-		Handles: handles, Reason: string(out.Reason), RetryAfterMs: int(out.RetryAfter / time.Millisecond),
+		Handles: handles, Zone: out.Zone, Reason: string(out.Reason), RetryAfterMs: int(out.RetryAfter / time.Millisecond),
 	}})
 }
 
@@ -292,7 +292,7 @@
 	d.mu.Unlock()
 	if w.reply != nil {
 		w.reply <- Outcome{
-			Handles: a.Handles, Reason: Reason(a.Reason),
+			Handles: a.Handles, Zone: a.Zone, Reason: Reason(a.Reason),
 			RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond,
 		}
 	}
--- a/plantainlane/batch/order.go
+++ b/plantainlane/batch/order.go
@@ -16,8 +16,10 @@
 	Key string
 	// Inputs of each piece, for a stage that needs results.
 	Inputs []string
-	// Zone in which the results are needed.
+	// Zone in which the pieces are best made; empty for any.
 	Zone string
+	// Haul is the bytes that cross zones if they are made in another one.
+	Haul int
 	// Bytes is the approximate size of a result.
 	Bytes int
 	// Due is when the results should be there for the request to be on time.
@@ -42,6 +44,8 @@
 	begun  bool
 	// again holds pieces to be sent once more.
 	again []int
+	// zones counts the pieces made in each zone.
+	zones map[string]int
 	// handles of the pieces made, by piece.
 	handles []string
 	made    int
@@ -54,6 +58,8 @@
 type Outcome struct {
 	// Handles of the results, by piece; nil unless all were made.
 	Handles []string
+	// Zone of most of the results.
+	Zone string
 	// Reason why pieces were not made; empty if they were.
 	Reason Reason
 	// RetryAfter is when there may be room, if the order was turned away.
@@ -83,6 +89,17 @@
 	return o.Due.Add(time.Duration(o.Priority) * priorityStep)
 }
 
+// mainZone returns the zone of most of the results.
+func (o *Order) mainZone() string {
+	best := ""
+	for zone, n := range o.zones {
+		if best == "" || n > o.zones[best] || n == o.zones[best] && zone < best {
+			best = zone
+		}
+	}
+	return best
+}
+
 func (o *Order) unsent() int { return o.Pieces - o.next + len(o.again) }
 
 func (o *Order) finish(out Outcome) {
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -43,10 +43,12 @@
 	maxTries = 6
 	// nearBonus is how much earlier an order is served by an upstream of the zone that needs its results.
 	nearBonus = 150 * time.Millisecond
-	// nearWait is how long an order waits for an upstream of the zone in which its results are needed.
-	nearWait = 80 * time.Millisecond
+	// nearWaitPerMB is how long an order waits for an upstream of its zone, for each 1,000,000 bytes that would
+	// cross zones otherwise, and maxNearWait the longest wait.
+	nearWaitPerMB = 120 * time.Millisecond
+	maxNearWait   = 350 * time.Millisecond
 	// nearSlack is the time to spare that an order needs to wait for one.
-	nearSlack = 250 * time.Millisecond
+	nearSlack = 200 * time.Millisecond
 	// priorityStep is how much later an order counts as due for each rank of its priority.
 	priorityStep = 300 * time.Millisecond
 	// slowShare is the weight of the newest call in an upstream's slowness.
@@ -150,7 +152,7 @@
 		return
 	}
 	o.added = now
-	o.handles = make([]string, o.Pieces)
+	o.handles, o.zones = make([]string, o.Pieces), make(map[string]int)
 	q.largest = max(q.largest, o.Bytes)
 	q.orders = append(q.orders, o)
 	q.waiting += o.Pieces
@@ -307,20 +309,21 @@
 			}
 			continue
 		}
-		q.take(item, r, busy)
+		q.take(item, r, w.Zone, busy)
 	}
 	return unused
 }
 
-func (q *Queue) take(item Item, r Result, busy bool) {
+func (q *Queue) take(item Item, r Result, zone string, busy bool) {
 	o := item.Order
 	switch {
 	case r.Handle != "":
 		o.handles[item.Piece] = r.Handle
 		o.made++
+		o.zones[zone]++
 		if o.made == o.Pieces {
 			q.remove(o)
-			o.finish(Outcome{Handles: o.handles})
+			o.finish(Outcome{Handles: o.handles, Zone: o.mainZone()})
 		}
 		return
 	case r.Reason == ReasonGone, r.Reason == ReasonLate:
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -49,6 +49,8 @@
 	handles [][]string
 	// madeMs holds when each stage was made, in milliseconds since the request was received; 0 if it was not.
 	madeMs []int64
+	// zones of the results by stage.
+	zones []string
 	// followers counts the stages still to be made that need the results of each stage.
 	followers []int
 	ready     []chan struct{}
@@ -80,7 +82,7 @@
 	n := len(x.route.Stages)
 	x.handles = make([][]string, n)
 	x.ready = make([]chan struct{}, n)
-	x.madeMs = make([]int64, n)
+	x.madeMs, x.zones = make([]int64, n), make([]string, n)
 	x.countFollowers()
 	for i := range x.ready {
 		x.ready[i] = make(chan struct{})
@@ -106,7 +108,7 @@
 		return nil
 	}
 	o := batch.Order{
-		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Zone: x.zone, Bytes: stage.Bytes, Priority: x.priority,
+		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Bytes: stage.Bytes, Priority: x.priority,
 	}
 	for _, before := range stage.After {
 		select {
@@ -119,6 +121,7 @@
 	if len(stage.After) == 0 {
 		o.Key = x.call.PieceKey
 	}
+	o.Zone, o.Haul = x.place(i)
 	rest, waits := x.timeAfter(i)
 	o.Due = x.received.Add(time.Duration(aimPart*float64(x.route.Aim)) - rest - waits)
 	o.Deadline = x.deadline.Add(-rest)
@@ -135,13 +138,29 @@
 	if out.Reason != "" {
 		return &stageError{stage: i, outcome: out}
 	}
-	x.handles[i] = out.Handles
+	x.handles[i], x.zones[i] = out.Handles, out.Zone
 	x.madeMs[i] = time.Since(x.received).Milliseconds()
 	close(x.ready[i])
 	once()
 	return nil
 }
 
+// place returns the zone in which the pieces of a stage are best made, and the bytes that cross zones otherwise: near
+// the results that they need, or near the request if their own results are larger.
+func (x *stageRun) place(stage int) (zone string, haul int) {
+	s := &x.route.Stages[stage]
+	if slices.Contains(x.route.Finals(), stage) {
+		zone, haul = x.zone, x.pieces(stage)*s.Bytes
+	}
+	for _, before := range s.After {
+		in := x.pieces(stage) * x.pieces(before) * x.route.Stages[before].Bytes
+		if in > haul {
+			zone, haul = x.zones[before], in
+		}
+	}
+	return zone, haul
+}
+
 // isPressed tells whether pieces wait for room at the services of some stages. Results are then given up as soon as
 // they were read, though a piece that needs them might have to be made again.
 func (x *stageRun) isPressed(stages []int) bool {
--- a/wire/types.go
+++ b/wire/types.go
@@ -1235,6 +1235,9 @@
 
 	// Milliseconds after which there may be room, if pieces were turned away.
 	RetryAfterMs int `json:"retryAfterMs" cbor:"retryAfterMs"`
+
+	// Availability zone of most of the results.
+	Zone string `json:"zone" cbor:"zone"`
 }
 
 // PieceOrder asks the owner of a stage's queue for pieces of one stage of one
@@ -1246,6 +1249,9 @@
 	// Milliseconds left until the results should be there.
 	DueMs int `json:"dueMs" cbor:"dueMs"`
 
+	// Bytes that cross availability zones if the pieces are made in another one.
+	HaulBytes int `json:"haulBytes" cbor:"haulBytes"`
+
 	// Handles of the results that each piece needs.
 	Inputs []string `json:"inputs" cbor:"inputs"`
 
@@ -1273,7 +1279,7 @@
 	// Number of the stage in its route.
 	Stage int `json:"stage" cbor:"stage"`
 
-	// Availability zone in which the results are needed.
+	// Availability zone in which the pieces are best made; empty for any.
 	Zone string `json:"zone" cbor:"zone"`
 }
 
