--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -45,8 +45,8 @@
 	nearBonus = 150 * time.Millisecond
 	// nearWaitPerMB is how long an order waits for an upstream of its zone, for each 1,000,000 bytes that would
 	// cross zones otherwise, and maxNearWait the longest wait.
-	nearWaitPerMB = 120 * time.Millisecond
-	maxNearWait   = 350 * time.Millisecond
+	nearWaitPerMB = 160 * time.Millisecond
+	maxNearWait   = 420 * time.Millisecond
 	// nearSlack is the time to spare that an order needs to wait for one.
 	nearSlack = 200 * time.Millisecond
 	// priorityStep is how much later an order counts as due for each rank of its priority.
