--- a/plantainlane/batch/order.go
+++ b/plantainlane/batch/order.go
@@ -84,9 +84,14 @@
 	ReasonCancelled Reason = "cancelled"
 )
 
-// rank is when the order counts as due against other orders.
+// rank is when the order counts as due against other orders. One that holds results is never put off for long, but
+// being late doesn't put it before those that can be on time.
 func (o *Order) rank() time.Time {
-	return o.Due.Add(time.Duration(o.Priority) * priorityStep)
+	due := o.Due
+	if soon := o.added.Add(lateShift); len(o.Inputs) > 0 && due.Before(soon) {
+		due = soon
+	}
+	return due.Add(time.Duration(o.Priority) * priorityStep)
 }
 
 // mainZone returns the zone of most of the results.
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -51,6 +51,8 @@
 	nearSlack = 200 * time.Millisecond
 	// priorityStep is how much later an order counts as due for each rank of its priority.
 	priorityStep = 300 * time.Millisecond
+	// lateShift is the time after its arrival at which a late order with results counts as due.
+	lateShift = 400 * time.Millisecond
 	// slowShare is the weight of the newest call in an upstream's slowness.
 	slowShare = 0.4
 	// firstPause and maxPause bound the time an upstream is left alone after failures.
