--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := ./plantainctl/... ./plantainlane/... ./standin/... ./wire/...
+MODULES := ./platform/... ./plantainctl/... ./plantainlane/... ./standin/... ./wire/...
 
 # Tests that KNOWN-RED.txt lists, as a pattern for -skip.
 RED := $(shell sed -n 's/^\(Test[^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
@@ -24,7 +24,7 @@
 	./demo.sh
 
 lint:
-	gofumpt -l plantainctl plantainlane standin wire
+	gofumpt -l platform plantainctl plantainlane standin wire
 	golangci-lint run $(MODULES)
 
 experiments: build
--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -10,7 +10,7 @@
 // Load pattern: in a burst, serving by due time alone makes every request late, since the oldest are always served
 // just after their time. Late requests are served with what capacity is left.
 func (q *Queue) before(now time.Time, a, b *Order) bool {
-	lateA, lateB := a.isLate(now, q.spec.CallTime), b.isLate(now, q.spec.CallTime)
+	lateA, lateB := a.isLate(now, q.usualCall()), b.isLate(now, q.usualCall())
 	if lateA != lateB {
 		return lateB
 	}
@@ -19,7 +19,7 @@
 
 // isHeld tells whether an order has to wait for the queues that its request goes through afterwards.
 func (q *Queue) isHeld(now time.Time, o *Order) bool {
-	return q.Congested != nil && o.isLate(now, q.spec.CallTime) && slices.ContainsFunc(o.Next, q.Congested)
+	return q.Congested != nil && o.isLate(now, q.usualCall()) && slices.ContainsFunc(o.Next, q.Congested)
 }
 
 // freeWorker returns the upstream for the next call: of those with a free slot the one of the zone that the most
@@ -128,7 +128,7 @@
 		return o.rank()
 	}
 	slices.SortStableFunc(order, func(a, b *Order) int {
-		if a.isLate(now, q.spec.CallTime) != b.isLate(now, q.spec.CallTime) {
+		if a.isLate(now, q.usualCall()) != b.isLate(now, q.usualCall()) {
 			return q.compare(now, a, b)
 		}
 		return rank(a).Compare(rank(b))
--- /dev/null
+++ b/plantainlane/batch/desk_test.go
@@ -0,0 +1,160 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
+)
+
+// net joins desks in memory.
+type net struct {
+	mu    sync.Mutex
+	desks map[string]*Desk
+	lost  map[string]bool
+}
+
+type port struct {
+	net  *net
+	self string
+}
+
+func (p port) Send(to string, f wire.Frame) {
+	f.From = p.self
+	p.net.mu.Lock()
+	d, lost := p.net.desks[to], p.net.lost[to] || p.net.lost[p.self]
+	p.net.mu.Unlock()
+	if d != nil && !lost {
+		go d.Frame(f)
+	}
+}
+
+func (p port) Members() []Member {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	var out []Member
+	for id := range p.net.desks {
+		if !p.net.lost[id] {
+			out = append(out, Member{ID: id})
+		}
+	}
+	return out
+}
+
+// fakeMaker makes every piece at once, or never while it is stuck.
+type fakeMaker struct {
+	mu    sync.Mutex
+	calls []int
+	freed []string
+	stuck bool
+}
+
+func (m *fakeMaker) Make(ctx context.Context, c *Call) ([]Result, bool, error) {
+	m.mu.Lock()
+	m.calls = append(m.calls, len(c.Items))
+	stuck := m.stuck
+	m.mu.Unlock()
+	if stuck {
+		<-ctx.Done()
+		return nil, false, ctx.Err()
+	}
+	return made(c, c.Items[0].Order.Request), false, nil
+}
+
+func (m *fakeMaker) Free(_ context.Context, handles []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.freed = append(m.freed, handles...)
+}
+
+func newDesks(t *testing.T, m Maker, ids ...string) *net {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	n := &net{desks: make(map[string]*Desk), lost: make(map[string]bool)}
+	supply := func(string) Supply {
+		return func() (site.Batch, []Worker, bool) { return spec, workers("z", "z"), true }
+	}
+	for i, id := range ids {
+		n.desks[id] = NewDesk(ctx, id, i<<20, port{n, id}, m, supply)
+	}
+	return n
+}
+
+func anOrder(request string) Order {
+	return Order{Request: request, Pieces: 2, Bytes: 1, Due: time.Now().Add(time.Second), Deadline: time.Now().Add(5 * time.Second)}
+}
+
+func TestEveryInstanceOrdersAtOneOwner(t *testing.T) {
+	is := is.New(t)
+	m := &fakeMaker{}
+	n := newDesks(t, m, "a", "b", "c")
+	for id, d := range n.desks {
+		out := d.Make(context.Background(), "encode", anOrder(id))
+		is.Equal(out.Reason, Reason(""))
+		is.Equal(len(out.Handles), 2)
+	}
+	owners := 0
+	for _, d := range n.desks {
+		owners += len(d.owners)
+	}
+	is.Equal(owners, 1)
+}
+
+func TestLostOwnerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	m := &fakeMaker{stuck: true}
+	n := newDesks(t, m, "a", "b", "c")
+	owner := Owner("encode", port{n, "a"}.Members())
+	asker := "a"
+	if owner == "a" {
+		asker = "b"
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		m.mu.Lock()
+		m.stuck = false
+		m.mu.Unlock()
+		n.mu.Lock()
+		n.lost[owner] = true
+		n.mu.Unlock()
+	}()
+	out := n.desks[asker].Make(context.Background(), "encode", anOrder("r"))
+	is.Equal(out.Reason, Reason(""))
+	is.Equal(len(out.Handles), 2)
+}
+
+func TestCallerThatLeavesCancelsItsOrder(t *testing.T) {
+	is := is.New(t)
+	n := newDesks(t, &fakeMaker{stuck: true}, "a", "b")
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	for _, d := range n.desks {
+		is.Equal(d.Make(ctx, "encode", anOrder("r")).Reason, ReasonCancelled)
+	}
+}
+
+func TestOwnerChangesLittleWithMembers(t *testing.T) {
+	is := is.New(t)
+	all := []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	for _, service := range []string{"encode", "retrieve", "rerank"} {
+		owner := Owner(service, all)
+		for _, m := range all {
+			if m.ID == owner {
+				continue
+			}
+			var rest []Member
+			for _, o := range all {
+				if o != m {
+					rest = append(rest, o)
+				}
+			}
+			is.Equal(Owner(service, rest), owner) // the loss of another member moves nothing
+		}
+	}
+	is.Equal(Owner("encode", nil), "")
+}
--- a/plantainlane/batch/pace.go
+++ b/plantainlane/batch/pace.go
@@ -56,7 +56,7 @@
 func (q *Queue) Wait(now time.Time) time.Duration {
 	ahead := 0
 	for _, o := range q.orders {
-		if !o.isLate(now, q.spec.CallTime) {
+		if !o.isLate(now, q.usualCall()) {
 			ahead += o.unsent()
 		}
 	}
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -7,6 +7,7 @@
 package batch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -63,6 +64,8 @@
 	// roomPause is how long an upstream is left alone after it had no room: it holds results that this queue
 	// doesn't know, such as those of an owner before.
 	roomPause = 150 * time.Millisecond
+	// answerTime is the time beside the work until the answer to a call is here.
+	answerTime = 20 * time.Millisecond
 	// readTime is the time after which an upstream has read the inputs of a call.
 	readTime = 150 * time.Millisecond
 	// steadySlowness is the slowness up to which an upstream works at its usual pace.
@@ -75,6 +78,8 @@
 	similarSlowness = 0.3
 	// worthwhileFill is the part of a full call for which an upstream short of room is not left waiting.
 	worthwhileFill = 0.6
+	// sizeShare is the weight of the newest call in the usual number of pieces.
+	sizeShare = 0.2
 	// rateShare is the weight of the newest measurement of how quickly pieces are made.
 	rateShare = 0.3
 	// rateEvery is the period of measuring it.
@@ -100,6 +105,8 @@
 	// Congested tells whether the queue of another service is so long that it should get no more of what is
 	// late already. Nil stands for never.
 	Congested func(service string) bool
+	// usualSize is the number of pieces in a call, smoothed.
+	usualSize float64
 	// rate is the pieces made a second of late while more than a full call waited; 0 while that is unknown.
 	rate float64
 	// madeSince counts the pieces made since measuredAt, and backlog tells whether enough waited all the while.
@@ -170,6 +177,10 @@
 	return q.spec.CallTime + time.Duration(pieces)*q.spec.PieceTime
 }
 
+// usualCall is the time from the choice of a call until its answer is here, with as many pieces as calls have had of
+// late.
+func (q *Queue) usualCall() time.Duration { return q.callTime(int(math.Ceil(q.usualSize))) + answerTime }
+
 // Cancel gives an order up. Its pieces that were made are returned.
 func (q *Queue) Cancel(o *Order) (made []string) {
 	if !o.done {
@@ -225,6 +236,7 @@
 		return nil
 	}
 	w.calls++
+	q.usualSize += sizeShare * (float64(len(items)) - q.usualSize)
 	q.counts.Calls++
 	q.counts.Pieces += len(items)
 	expected := time.Duration(float64(q.callTime(len(items))) * w.slowness)
--- /dev/null
+++ b/plantainlane/site/site_test.go
@@ -0,0 +1,58 @@
+package site
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRouteIsTheLongestPrefix(t *testing.T) {
+	s := &Site{Routes: []*Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}}
+	s.Compile(nil)
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/x/y/1", "other"},
+		{"c.example", "/x/", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.host+tt.path, func(t *testing.T) {
+			got := ""
+			if r := s.Route(tt.host, tt.path); r != nil {
+				got = r.Name
+			}
+			is.New(t).Equal(got, tt.want)
+		})
+	}
+}
+
+func TestWeightsSplitARoute(t *testing.T) {
+	is := is.New(t)
+	r := &Route{Shares: []Share{{"none", 0}, {"most", 90}, {"few", 10}}}
+	is.Equal(r.Service(0), "most")
+	is.Equal(r.Service(0.89), "most")
+	is.Equal(r.Service(0.91), "few")
+	is.Equal(r.Service(0.999999), "few")
+}
+
+func TestKeysSelectTheWorkspace(t *testing.T) {
+	is := is.New(t)
+	s := &Site{}
+	s.Compile([]*Workspace{{Name: "hostel", Keys: []string{"k1", "k2"}}, {Name: "school", Keys: []string{"k3"}}})
+	is.Equal(s.Workspace("k2").Name, "hostel")
+	is.Equal(s.Workspace("k3").Name, "school")
+	is.True(s.Workspace("") == nil)
+	is.True(s.HasWorkspaces)
+}
+
+func TestFinalsAreFollowedByNone(t *testing.T) {
+	r := &Route{Stages: []Stage{{}, {}, {After: []int{1}}, {After: []int{2}}}}
+	is.New(t).Equal(r.Finals(), []int{0, 3})
+}
