forward: pass events on although the next one has begun to arrive

Cause: an event waited in the buffer while part of the next one was there, and was lost if the stream broke off then; found by the test of a stream that may not go on. Change: events are flushed unless a whole further one is there; what was passed on is flushed before a break.

--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -240,9 +240,12 @@
 	q.server.Dialect.Refuse(q.writer, q.call.ID, r)
 }
 
-// abort breaks an answer off that has begun, so that it doesn't look whole.
+// abort breaks an answer off that has begun, so that it doesn't look whole. What was passed on until then arrives.
 func (q *request) abort(reason string) {
 	q.note("brokenOff", 0, reason)
+	if err := q.control.Flush(); err != nil {
+		klog.V(1).InfoS("rest not flushed", "request", q.call.ID, "err", err)
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/plantainlane/forward/stream.go
+++ b/plantainlane/forward/stream.go
@@ -66,5 +66,8 @@
 	return err
 }
 
-// more tells whether bytes of a further event have arrived already.
-func (r *eventReader) more() bool { return r.in.Buffered() > 0 }
+// more tells whether a further whole event has arrived already.
+func (r *eventReader) more() bool {
+	ahead, err := r.in.Peek(r.in.Buffered())
+	return err == nil && (bytes.Contains(ahead, []byte("\n\n")) || bytes.Contains(ahead, []byte("\n\r\n")))
+}
