--- /dev/null
+++ b/plantainlane/replica/found_test.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/consensus"
+)
+
+func TestFoundersBeginTheSameLog(t *testing.T) {
+	is := is.New(t)
+	founders := []string{"c", "a", "b"}
+	var logs []string
+	for _, id := range founders {
+		folder := t.TempDir()
+		is.NoErr(Found(folder, id, founders))
+		is.NoErr(Found(folder, id, founders)) // a restart founds nothing anew
+		o, err := Open(folder, id, consensus.Config{}, time.Now())
+		is.NoErr(err)
+		replica, log := o.Identity()
+		is.Equal(replica, id+"/first")
+		is.Equal(o.Replicas().Voters, []string{"a/first", "b/first", "c/first"})
+		logs = append(logs, log)
+		is.NoErr(o.Close())
+	}
+	is.Equal(logs[0], logs[1])
+	is.Equal(logs[0], logs[2])
+}
+
+// TestLostFolderIsAnotherReplica opens the folder of a founder after its disk was lost.
+func TestLostFolderIsAnotherReplica(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "data")
+	is.NoErr(Found(folder, "a", []string{"a", "b", "c"}))
+	is.NoErr(os.RemoveAll(folder))
+	o, err := Open(folder, "a", consensus.Config{}, time.Now())
+	is.NoErr(err)
+	replica, log := o.Identity()
+	is.True(replica != "a/first")
+	is.Equal(log, "")
+	is.NoErr(o.Close())
+}
+
+// TestUsedFolderIsNotFounded keeps a replica that joined as a spare.
+func TestUsedFolderIsNotFounded(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	o, err := Open(folder, "a", consensus.Config{}, time.Now())
+	is.NoErr(err)
+	before, _ := o.Identity()
+	is.NoErr(o.Close())
+	is.NoErr(Found(folder, "a", []string{"a", "b", "c"}))
+	o, err = Open(folder, "a", consensus.Config{}, time.Now())
+	is.NoErr(err)
+	after, log := o.Identity()
+	is.Equal(after, before)
+	is.Equal(log, "")
+	is.NoErr(o.Close())
+}
