--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -179,7 +179,9 @@
 
 // usualCall is the time from the choice of a call until its answer is here, with as many pieces as calls have had of
 // late.
-func (q *Queue) usualCall() time.Duration { return q.callTime(int(math.Ceil(q.usualSize))) + answerTime }
+func (q *Queue) usualCall() time.Duration {
+	return q.callTime(int(math.Ceil(q.usualSize))) + answerTime
+}
 
 // Cancel gives an order up. Its pieces that were made are returned.
 func (q *Queue) Cancel(o *Order) (made []string) {
--- a/plantainlane/route/pick_test.go
+++ b/plantainlane/route/pick_test.go
@@ -275,3 +275,27 @@
 		})
 	}
 }
+
+// TestHomeIsKeptWithinItsSlack replays sessions whose home has some calls more than others: it is left only when it
+// is clearly more loaded, and then for the next home.
+func TestHomeIsKeptWithinItsSlack(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(rows(4, "a", 64)...)
+	q := Query{Service: "encode", Homes: []string{"a-002", "a-001"}, HomeSlack: 3}
+	counts := map[string]int{}
+	for range 8 {
+		target, ok := b.Pick(warm, q)
+		is.True(ok)
+		counts[target.ID]++
+	}
+	is.Equal(counts["a-002"], 4) // three more than the idle ones have, and the one before
+	is.Equal(counts["a-001"], 4)
+}
+
+func TestAvoidedHomeIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(rows(4, "a", 64)...)
+	target, ok := b.Pick(warm, Query{Service: "encode", Homes: []string{"a-002"}, HomeSlack: 9, Avoid: []string{"a-002"}})
+	is.True(ok)
+	is.True(target.ID != "a-002")
+}
