--- a/plantainlane/forward/dialect_test.go
+++ b/plantainlane/forward/dialect_test.go
@@ -163,8 +163,14 @@
 	return n
 }
 
+// reply is the head of an answer to a caller.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+}
+
 // ask sends a request of a caller.
-func (w *world) ask(headers ...string) (*http.Response, string, error) {
+func (w *world) ask(headers ...string) (*reply, string, error) {
 	w.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, w.front.URL+"/x/y?z=%2F", strings.NewReader("body"))
 	if err != nil {
@@ -182,7 +188,7 @@
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
-	return res, string(body), err
+	return &reply{res.StatusCode, res.Header}, string(body), err
 }
 
 // sign answers as the request's own upstream.
--- a/plantainlane/forward/server_test.go
+++ b/plantainlane/forward/server_test.go
@@ -81,7 +81,7 @@
 		"once, foreign":     {site.AtMostOnce, foreign, 1, 502},
 		"idempotent, 500":   {site.Idempotent, failure, 2, 200},
 		"once, 500":         {site.AtMostOnce, failure, 1, 500},
-		"once, misdirected": {site.AtMostOnce, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(421) }, 2, 200},
+		"once, misdirected": {site.AtMostOnce, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }, 2, 200},
 		"once, encoded":     {site.AtMostOnce, encoded, 1, 502},
 	}
 	for name, tt := range tests {
@@ -110,12 +110,12 @@
 func notRunAnswer(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	w.Header().Set("X-Not-Run", "1")
-	w.WriteHeader(503)
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func failure(w http.ResponseWriter, r *http.Request) {
 	sign(w, r)
-	w.WriteHeader(500)
+	w.WriteHeader(http.StatusInternalServerError)
 }
 
 func foreign(w http.ResponseWriter, _ *http.Request) {
@@ -253,7 +253,7 @@
 		if n == 1 {
 			rw.Header().Set("X-Id", r.Header.Get("X-Id"))
 			rw.Header().Set("X-Not-Run", "1")
-			rw.WriteHeader(409)
+			rw.WriteHeader(http.StatusConflict)
 			return
 		}
 		ok(rw, r)
