--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -66,6 +66,8 @@
 	roomPause = 150 * time.Millisecond
 	// answerTime is the time beside the work until the answer to a call is here.
 	answerTime = 20 * time.Millisecond
+	// unneededPart is the part of an upstream's room that results which nobody needs may take.
+	unneededPart = 0.15
 	// readTime is the time after which an upstream has read the inputs of a call.
 	readTime = 150 * time.Millisecond
 	// steadySlowness is the slowness up to which an upstream works at its usual pace.
@@ -369,6 +371,7 @@
 	for _, handle := range handles {
 		if w := q.holder(handle); w != nil {
 			w.unneeded = append(w.unneeded, handle)
+			w.unneededBytes += w.held[handle].bytes
 			continue
 		}
 		unknown = append(unknown, handle)
@@ -387,17 +390,22 @@
 }
 
 // Freeable returns results to be freed, by the ID of the upstream that holds them: given-up ones of each upstream
-// that has no room for a full call. Others end by themselves. Their room counts until Freed.
+// that has no room for a full call, or where they take much room, which a next owner of the queue would know nothing
+// of. Others end by themselves. Their room counts until Freed.
 func (q *Queue) Freeable() map[string][]string {
 	var out map[string][]string
 	for id, w := range q.workers {
-		if len(w.unneeded) == 0 || w.used+q.spec.Size*q.largest < q.spec.RoomBytes {
+		if len(w.unneeded) == 0 {
+			continue
+		}
+		hasRoom := w.used+q.spec.Size*q.largest < q.spec.RoomBytes
+		if hasRoom && float64(w.unneededBytes) < unneededPart*float64(q.spec.RoomBytes) {
 			continue
 		}
 		if out == nil {
 			out = make(map[string][]string)
 		}
-		out[id], w.unneeded = w.unneeded, nil
+		out[id], w.unneeded, w.unneededBytes = w.unneeded, nil, 0
 	}
 	return out
 }
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -321,3 +321,26 @@
 	is.True(3*over >= 0.9*below) // goodput at three times the load
 	is.True(fill >= 0.8)         // calls are full while pieces wait
 }
+
+// TestLittleRoomIsLeftToTheNextOwner replays the loss of an owner: what it had not freed takes room of which the next
+// one knows nothing.
+func TestLittleRoomIsLeftToTheNextOwner(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	roomy := spec
+	roomy.RoomBytes = 100_000
+	q := NewQueue(roomy)
+	q.SetWorkers(workers("z"))
+	for i := range 40 {
+		o, got := order(now, 8, time.Second, 5*time.Second)
+		q.Add(now, o)
+		c := q.Next(now)
+		q.Done(now, c, made(c, fmt.Sprint(i)), false)
+		q.Release(got.Handles)
+		for id, handles := range q.Freeable() {
+			q.Freed(id, handles)
+		}
+		used, room := q.Room()
+		is.True(float64(used) <= unneededPart*float64(room))
+	}
+}
--- a/plantainlane/batch/worker.go
+++ b/plantainlane/batch/worker.go
@@ -17,7 +17,8 @@
 	used int
 	held map[string]heldResult
 	// unneeded results were given up and still take room.
-	unneeded []string
+	unneeded      []string
+	unneededBytes int
 	// slowness is the time of calls over the expected time, smoothed. 1 at first.
 	slowness float64
 	failures int
