batch: queues are owned by instances with processor to spare

Change: instances tell their cores, those under 0.25 own none while others have more; the period of telling grows with the members.

--- a/plantainlane/batch/desk.go
+++ b/plantainlane/batch/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +14,8 @@
 // Member is an instance that may own queues.
 type Member struct {
 	ID string
-	// Zone is its availability zone.
-	Zone string
+	// Cores is the processor cores that it may use.
+	Cores float64
 }
 
 // Peers is what a Desk uses of the other instances. It is safe for concurrent use.
@@ -29,9 +30,11 @@
 	// memberCheck is the period at which a waiting order looks whether its owner can still be reached.
 	memberCheck = 150 * time.Millisecond
 	// waitHolds is how long the word of a queue's owner on its length counts.
-	waitHolds = 600 * time.Millisecond
+	waitHolds = 2500 * time.Millisecond
 	// longWait is the wait from which a queue gets no more of what is late already.
 	longWait = 300 * time.Millisecond
+	// ownerCores is the processor cores that the owner of a queue should have.
+	ownerCores = 0.25
 	// maxOwners is the number of owners that an order is given to, one after the other.
 	maxOwners = 4
 )
@@ -89,8 +92,12 @@
 	}
 }
 
-// Owner returns the member that owns a service's queue by rendezvous hashing; empty without members.
+// Owner returns the member that owns a service's queue by rendezvous hashing; empty without members. Members with few
+// cores own none while others have more.
 func Owner(service string, members []Member) string {
+	if able := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Cores < ownerCores }); len(able) > 0 {
+		members = able
+	}
 	best, most := "", uint64(0)
 	for _, m := range members {
 		weight := xxhash.Sum64String(service + "\x00" + m.ID)
@@ -214,14 +221,17 @@
 	d.waits[service] = queueWait{wait, time.Now()}
 }
 
-// tellWait tells every member how long a queue of this instance is.
-func (d *Desk) tellWait(service string, wait time.Duration) {
+// tellWait tells every member how long a queue of this instance is. It returns when to tell it again: the more
+// members, the later.
+func (d *Desk) tellWait(service string, wait time.Duration) (again time.Duration) {
 	d.noteWait(service, wait)
-	for _, m := range d.peers.Members() {
+	members := d.peers.Members()
+	for _, m := range members {
 		if m.ID != d.self {
 			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{Service: service, WaitMs: int(wait / time.Millisecond)}})
 		}
 	}
+	return min(max(tellEvery, time.Duration(len(members))*tellPerMember), maxTell)
 }
 
 // Frame takes a frame of another instance. It returns false for one that is none of a desk's.
@@ -323,7 +333,7 @@
 	defer d.mu.Unlock()
 	w := d.owners[service]
 	if w == nil {
-		tell := func(wait time.Duration) { d.tellWait(service, wait) }
+		tell := func(wait time.Duration) (again time.Duration) { return d.tellWait(service, wait) }
 		owns := func() bool { return Owner(service, d.peers.Members()) == d.self }
 		w = newOwner(service, d.maker, d.supply(service), tell, d.isCongested, owns)
 		d.owners[service] = w
--- a/plantainlane/batch/desk_test.go
+++ b/plantainlane/batch/desk_test.go
@@ -158,3 +158,12 @@
 	}
 	is.Equal(Owner("encode", nil), "")
 }
+
+func TestSmallInstancesOwnNoQueue(t *testing.T) {
+	is := is.New(t)
+	members := []Member{{ID: "a", Cores: 0.1}, {ID: "b", Cores: 0.5}, {ID: "c", Cores: 0.1}}
+	for _, service := range []string{"encode", "retrieve", "rerank", "generate"} {
+		is.Equal(Owner(service, members), "b")
+	}
+	is.True(Owner("encode", []Member{members[0], members[2]}) != "") // better than none
+}
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -23,8 +23,11 @@
 	ownerTick = 25 * time.Millisecond
 	// reportEvery is the period at which the state of a queue in use is logged.
 	reportEvery = 2 * time.Second
-	// tellEvery is the period at which the length of a long queue is passed on.
-	tellEvery = 200 * time.Millisecond
+	// tellEvery is the least period at which the length of a long queue is passed on, tellPerMember that for each
+	// member, and maxTell the longest.
+	tellEvery     = 200 * time.Millisecond
+	tellPerMember = 15 * time.Millisecond
+	maxTell       = time.Second
 	// shortWait is a wait that need not be passed on.
 	shortWait = 50 * time.Millisecond
 	// ownerInbox is the number of messages that may wait for an owner.
@@ -73,7 +76,7 @@
 	supply  Supply
 	inbox   chan message
 	// tell passes on how long the queue is.
-	tell func(wait time.Duration)
+	tell func(wait time.Duration) (again time.Duration)
 	// told is the wait that was passed on last, and tellAt when it is passed on next.
 	told   time.Duration
 	tellAt time.Time
@@ -84,7 +87,7 @@
 	reportAt time.Time
 }
 
-func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration), congested func(service string) bool, owns func() bool) *owner {
+func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration) (again time.Duration), congested func(service string) bool, owns func() bool) *owner {
 	o := &owner{
 		owns:    owns,
 		tell:    tell,
@@ -130,8 +133,8 @@
 	if wait < shortWait && o.told < shortWait {
 		return
 	}
-	o.told, o.tellAt = wait, now.Add(tellEvery)
-	o.tell(wait)
+	o.told = wait
+	o.tellAt = now.Add(o.tell(wait))
 }
 
 // handBack gives what has not begun to the next owner, when this instance no longer owns the queue.
--- a/plantainlane/instance/front.go
+++ b/plantainlane/instance/front.go
@@ -107,10 +107,10 @@
 		if i.ControlOnly || i.Silent || i.Draining || id == x.self.ID || !x.net.Reached(id) {
 			continue
 		}
-		out = append(out, batch.Member{ID: id, Zone: i.Zone})
+		out = append(out, batch.Member{ID: id, Cores: i.Cores})
 	}
 	if v.Instances.Has(x.self.ID) && !x.self.ControlOnly && (!v.Draining || len(out) == 0) {
-		out = append(out, batch.Member{ID: x.self.ID, Zone: x.self.Zone})
+		out = append(out, batch.Member{ID: x.self.ID, Cores: x.self.Cores})
 	}
 	return out
 }
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -94,6 +94,7 @@
 			PeerAddress:     s.Advertise.Peers,
 			HasData:         s.Data != nil,
 			ControlOnly:     s.Instance.ControlOnly,
+			Cores:           s.Instance.Cores,
 		},
 	}
 	for _, o := range opts {
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -20,6 +20,8 @@
 	minEvents       = 16
 	maxEvents       = 1 << 24
 	maxVerbosity    = 9
+	minCores        = 0.01
+	maxCores        = 1024
 	minWeightRate   = 0.001
 	maxWeightRate   = 1000
 )
@@ -34,6 +36,7 @@
 	c.name("instance.id", s.Instance.ID)
 	c.name("instance.zone", s.Instance.Zone)
 	c.name("instance.region", s.Instance.Region)
+	c.number("instance.cores", s.Instance.Cores, minCores, maxCores)
 	c.addresses(s)
 	if s.Data != nil {
 		c.data(*s.Data)
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -47,6 +47,8 @@
 	Zone string `json:"zone"`
 	// Region is the region that the zone belongs to.
 	Region string `json:"region"`
+	// Cores is the processor cores that the instance may use, a part of one included. Default 1.
+	Cores float64 `json:"cores"`
 	// ControlOnly tells that the instance serves control and takes no callers. Default false.
 	ControlOnly bool `json:"controlOnly"`
 }
@@ -179,6 +181,7 @@
 // Default returns the settings that a file changes.
 func Default() Settings {
 	return Settings{
+		Instance: Instance{Cores: 1},
 		Control: Control{
 			Tick:            Duration(100 * time.Millisecond),
 			Lease:           Duration(10 * time.Second),
--- a/wire/types.go
+++ b/wire/types.go
@@ -919,6 +919,9 @@
 	// Whether the instance serves control only and takes no callers.
 	ControlOnly bool `json:"controlOnly" cbor:"controlOnly"`
 
+	// Processor cores that the instance may use.
+	Cores float64 `json:"cores" cbor:"cores"`
+
 	// Whether it takes no new callers.
 	Draining bool `json:"draining" cbor:"draining"`
 
