--- a/plantainlane/batch/desk.go
+++ b/plantainlane/batch/desk.go
@@ -29,8 +29,8 @@
 const (
 	// memberCheck is the period at which a waiting order looks whether its owner can still be reached.
 	memberCheck = 150 * time.Millisecond
-	// waitHolds is how long the word of a queue's owner on its length counts.
-	waitHolds = 2500 * time.Millisecond
+	// waitPeriods is the number of periods for which the word of a queue's owner on its length counts.
+	waitPeriods = 3
 	// longWait is the wait from which a queue gets no more of what is late already.
 	longWait = 300 * time.Millisecond
 	// ownerCores is the processor cores that the owner of a queue should have.
@@ -61,7 +61,8 @@
 // queueWait is what the owner of a queue told of it.
 type queueWait struct {
 	wait time.Duration
-	at   time.Time
+	// until is how long the word counts.
+	until time.Time
 }
 
 // waiting is an order at another instance.
@@ -207,7 +208,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.waits[service]
-	if time.Since(w.at) > waitHolds {
+	if time.Now().After(w.until) {
 		return 0
 	}
 	return w.wait
@@ -216,9 +217,15 @@
 func (d *Desk) isCongested(service string) bool { return d.Wait(service) > longWait }
 
 func (d *Desk) noteWait(service string, wait time.Duration) {
+	until := time.Now().Add(waitPeriods * tellPeriod(len(d.peers.Members())))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.waits[service] = queueWait{wait, time.Now()}
+	d.waits[service] = queueWait{wait, until}
+}
+
+// tellPeriod is the period at which the length of a long queue is told so many members.
+func tellPeriod(members int) time.Duration {
+	return min(max(tellEvery, time.Duration(members)*tellPerMember), maxTell)
 }
 
 // tellWait tells every member how long a queue of this instance is. It returns when to tell it again: the more
@@ -231,7 +238,7 @@
 			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{Service: service, WaitMs: int(wait / time.Millisecond)}})
 		}
 	}
-	return min(max(tellEvery, time.Duration(len(members))*tellPerMember), maxTell)
+	return tellPeriod(len(members))
 }
 
 // Frame takes a frame of another instance. It returns false for one that is none of a desk's.
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -160,7 +160,7 @@
 	opts := []control.Option{control.WithOrders(func() *order.Planner {
 		return order.NewPlanner(order.WithWeightRate(wire.Rate{PerSecond: w.PerSecond, Burst: w.Burst}),
 			order.WithSeed(uint64(x.self.Incarnation)))
-	}), control.WithTiming(t), control.WithRecorder(x.ring), control.WithLimiter(x.limiter)}
+	}), control.WithTiming(t), control.WithRecorder(eventLog{x.ring}), control.WithLimiter(x.limiter)}
 	if r := x.replica; r != nil {
 		opts = append(opts, control.WithLog(r, r.State, r.Applied), control.WithVoters(x.settings.Data.Voters))
 	}
