--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -22,43 +22,43 @@
 	return q.Congested != nil && o.isLate(now, q.usualCall()) && slices.ContainsFunc(o.Next, q.Congested)
 }
 
-// freeWorker returns the upstream for the next call: of those with a free slot the one of the zone that the most
+// freeUpstream returns the upstream for the next call: of those with a free slot the one of the zone that the most
 // urgent order needs its results in, then the quickest.
-func (q *Queue) freeWorker(now time.Time, order []*Order) *Worker {
-	var best *Worker
-	for _, w := range q.workers {
-		if w.Leaving || w.calls >= max(q.spec.Slots, 1) || now.Before(w.notBefore) {
+func (q *Queue) freeUpstream(now time.Time, order []*Order) *Upstream {
+	var best *Upstream
+	for _, u := range q.upstreams {
+		if u.Leaving || u.calls >= max(q.spec.Slots, 1) || now.Before(u.notBefore) {
 			continue
 		}
-		if w.slowness >= slowLimit && !q.pressed() {
+		if u.slowness >= slowLimit && !q.isBacklogged() {
 			continue
 		}
-		if !q.hasRoom(w, order) {
+		if !q.hasRoom(u, order) {
 			continue
 		}
-		if q.isTooFar(now, w, order) {
+		if q.isTooFar(now, u, order) {
 			continue
 		}
-		if best == nil || w.before(best, order[0].Zone) {
-			best = w
+		if best == nil || u.before(best, order[0].Zone) {
+			best = u
 		}
 	}
 	return best
 }
 
 // staysNear tells whether an order still waits for an upstream of the zone in which its results are needed.
-func (q *Queue) staysNear(now time.Time, o *Order, w *Worker) bool {
-	if o.Zone == w.Zone || q.near[o.Zone] == 0 {
+func (q *Queue) staysNear(now time.Time, o *Order, u *Upstream) bool {
+	if o.Zone == u.Zone || q.near[o.Zone] == 0 {
 		return false
 	}
 	ample := now.Add(q.spec.CallTime + nearSlack).Before(o.Due)
-	wait := time.Duration(float64(o.Haul) / 1e6 * float64(nearWaitPerMB))
+	wait := time.Duration(float64(o.CrossBytes) / 1e6 * float64(nearWaitPerMB))
 	return ample && now.Sub(o.added) < min(wait, maxNearWait)
 }
 
 // isTooFar tells whether all orders still wait for upstreams of other zones.
-func (q *Queue) isTooFar(now time.Time, w *Worker, order []*Order) bool {
-	return !slices.ContainsFunc(order, func(o *Order) bool { return !q.staysNear(now, o, w) })
+func (q *Queue) isTooFar(now time.Time, u *Upstream, order []*Order) bool {
+	return !slices.ContainsFunc(order, func(o *Order) bool { return !q.staysNear(now, o, u) })
 }
 
 // sendable returns the orders with pieces to send now, the first one first.
@@ -85,11 +85,11 @@
 
 // hasRoom tells whether an upstream has room for a call that is worth its time: for what waits, or for the most part
 // of a full call.
-func (q *Queue) hasRoom(w *Worker, order []*Order) bool {
-	if q.spec.RoomBytes <= 0 || w.used == 0 {
+func (q *Queue) hasRoom(u *Upstream, order []*Order) bool {
+	if q.spec.RoomBytes <= 0 || u.used == 0 {
 		return true
 	}
-	room, fits, wanted := q.spec.RoomBytes-w.used, 0, 0
+	room, fits, wanted := q.spec.RoomBytes-u.used, 0, 0
 	for _, o := range order {
 		n := o.unsent()
 		if wanted+n > q.spec.Size {
@@ -107,11 +107,11 @@
 	return fits == wanted || float64(fits) >= worthwhileFill*float64(q.spec.Size)
 }
 
-// pressed tells whether more waits than the quick upstreams take in one call each.
-func (q *Queue) pressed() bool {
+// isBacklogged tells whether more waits than the quick upstreams take in one call each.
+func (q *Queue) isBacklogged() bool {
 	quick := 0
-	for _, w := range q.workers {
-		if !w.Leaving && w.slowness < slowLimit {
+	for _, u := range q.upstreams {
+		if !u.Leaving && u.slowness < slowLimit {
 			quick++
 		}
 	}
@@ -120,9 +120,9 @@
 
 // fill chooses the pieces of a call, the most urgent first. Of the orders that are on time, those whose results are
 // needed in the upstream's zone count as a little more urgent.
-func (q *Queue) fill(now time.Time, w *Worker, order []*Order) []Item {
+func (q *Queue) fill(now time.Time, u *Upstream, order []*Order) []Item {
 	rank := func(o *Order) time.Time {
-		if o.Zone == w.Zone {
+		if o.Zone == u.Zone {
 			return o.rank().Add(-nearBonus)
 		}
 		return o.rank()
@@ -133,9 +133,9 @@
 		}
 		return rank(a).Compare(rank(b))
 	})
-	order = slices.DeleteFunc(order, func(o *Order) bool { return q.staysNear(now, o, w) })
+	order = slices.DeleteFunc(order, func(o *Order) bool { return q.staysNear(now, o, u) })
 	var items []Item
-	room := q.spec.RoomBytes - w.used
+	room := q.spec.RoomBytes - u.used
 	for _, o := range order {
 		fits := q.spec.Size - len(items)
 		if q.spec.RoomBytes > 0 && o.Bytes > 0 {
--- a/plantainlane/batch/desk.go
+++ b/plantainlane/batch/dispatcher.go
@@ -18,7 +18,7 @@
 	Cores float64
 }
 
-// Peers is what a Desk uses of the other instances. It is safe for concurrent use.
+// Peers is what a Dispatcher uses of the other instances. It is safe for concurrent use.
 type Peers interface {
 	// Send passes a frame to an instance. It doesn't block; the frame may be lost.
 	Send(to string, f wire.Frame)
@@ -39,8 +39,8 @@
 	maxOwners = 4
 )
 
-// Desk takes this instance's orders to the owners of the queues, and serves the queues that it owns itself.
-type Desk struct {
+// Dispatcher takes this instance's orders to the owners of the queues, and serves the queues that it owns itself.
+type Dispatcher struct {
 	self   string
 	peers  Peers
 	maker  Maker
@@ -81,10 +81,10 @@
 	owner *owner
 }
 
-// NewDesk returns a desk. Its goroutines end with ctx. Calls are numbered from firstCall on, so that those of an
+// NewDispatcher returns a dispatcher. Its goroutines end with ctx. Calls are numbered from firstCall on, so that those of an
 // earlier start are not mistaken for its own.
-func NewDesk(ctx context.Context, self string, firstCall int, peers Peers, maker Maker, supply func(service string) Supply) *Desk {
-	return &Desk{
+func NewDispatcher(ctx context.Context, self string, firstCall int, peers Peers, maker Maker, supply func(service string) Supply) *Dispatcher {
+	return &Dispatcher{
 		self: self, peers: peers, maker: maker, supply: supply, ctx: ctx, call: firstCall,
 		owners: make(map[string]*owner),
 		calls:  make(map[int]waiting),
@@ -110,7 +110,7 @@
 }
 
 // Make orders pieces and waits for them, until ctx ends. An order whose owner is lost is given to the next one.
-func (d *Desk) Make(ctx context.Context, service string, o Order) Outcome {
+func (d *Dispatcher) Make(ctx context.Context, service string, o Order) Outcome {
 	for range maxOwners {
 		to := Owner(service, d.peers.Members())
 		out := d.try(ctx, to, service, o)
@@ -121,7 +121,7 @@
 	return Outcome{Reason: ReasonNoOwner}
 }
 
-func (d *Desk) try(ctx context.Context, to, service string, o Order) Outcome {
+func (d *Dispatcher) try(ctx context.Context, to, service string, o Order) Outcome {
 	if to == "" {
 		return Outcome{Reason: ReasonNoOwner}
 	}
@@ -150,7 +150,7 @@
 	}
 }
 
-func (d *Desk) reaches(id string) bool {
+func (d *Dispatcher) reaches(id string) bool {
 	for _, m := range d.peers.Members() {
 		if m.ID == id {
 			return true
@@ -160,7 +160,7 @@
 }
 
 // giveHere adds an order to a queue of this instance. It returns how to give it up.
-func (d *Desk) giveHere(service string, o *Order, reply chan Outcome) (giveUp func()) {
+func (d *Dispatcher) giveHere(service string, o *Order, reply chan Outcome) (giveUp func()) {
 	o.Reply = func(out Outcome) { reply <- out }
 	w := d.owner(service)
 	d.deliver(w, added{o})
@@ -168,7 +168,7 @@
 }
 
 // giveTo sends an order to another instance. It returns how to give it up.
-func (d *Desk) giveTo(to, service string, o *Order, reply chan Outcome) (giveUp func()) {
+func (d *Dispatcher) giveTo(to, service string, o *Order, reply chan Outcome) (giveUp func()) {
 	d.mu.Lock()
 	d.call++
 	call := d.call
@@ -178,7 +178,7 @@
 	d.peers.Send(to, wire.Frame{Call: call, PieceOrder: &wire.PieceOrder{
 		Service: service, Request: o.Request, Stage: o.Stage, Pieces: o.Pieces, Key: o.Key,
 		Inputs: append([]string{}, o.Inputs...), Next: append([]string{}, o.Next...),
-		Zone: o.Zone, HaulBytes: o.Haul, Bytes: o.Bytes, Priority: o.Priority,
+		Zone: o.Zone, CrossBytes: o.CrossBytes, Bytes: o.Bytes, Priority: o.Priority,
 		DueMs:  int(o.Due.Sub(now) / time.Millisecond),
 		LeftMs: int(o.Deadline.Sub(now) / time.Millisecond),
 	}})
@@ -192,7 +192,7 @@
 }
 
 // Release gives up results of a service.
-func (d *Desk) Release(service string, handles []string) {
+func (d *Dispatcher) Release(service string, handles []string) {
 	to := Owner(service, d.peers.Members())
 	switch to {
 	case "":
@@ -204,7 +204,7 @@
 }
 
 // Wait is how long a piece of a service ordered now waits for its call, as far as it is known.
-func (d *Desk) Wait(service string) time.Duration {
+func (d *Dispatcher) Wait(service string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.waits[service]
@@ -214,9 +214,9 @@
 	return w.wait
 }
 
-func (d *Desk) isCongested(service string) bool { return d.Wait(service) > longWait }
+func (d *Dispatcher) isCongested(service string) bool { return d.Wait(service) > longWait }
 
-func (d *Desk) noteWait(service string, wait time.Duration) {
+func (d *Dispatcher) noteWait(service string, wait time.Duration) {
 	until := time.Now().Add(waitPeriods * tellPeriod(len(d.peers.Members())))
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -230,7 +230,7 @@
 
 // tellWait tells every member how long a queue of this instance is. It returns when to tell it again: the more
 // members, the later.
-func (d *Desk) tellWait(service string, wait time.Duration) (again time.Duration) {
+func (d *Dispatcher) tellWait(service string, wait time.Duration) (again time.Duration) {
 	d.noteWait(service, wait)
 	members := d.peers.Members()
 	for _, m := range members {
@@ -241,8 +241,8 @@
 	return tellPeriod(len(members))
 }
 
-// Frame takes a frame of another instance. It returns false for one that is none of a desk's.
-func (d *Desk) Frame(f wire.Frame) bool {
+// Frame takes a frame of another instance. It returns false for one that is none of a dispatcher's.
+func (d *Dispatcher) Frame(f wire.Frame) bool {
 	switch {
 	case f.PieceOrder != nil:
 		d.takeOrder(f.From, f.Call, f.PieceOrder)
@@ -262,7 +262,7 @@
 	return true
 }
 
-func (d *Desk) takeOrder(from string, call int, p *wire.PieceOrder) {
+func (d *Dispatcher) takeOrder(from string, call int, p *wire.PieceOrder) {
 	if p.Pieces < 1 {
 		d.answer(from, call, Outcome{Reason: ReasonFailed})
 		return
@@ -270,7 +270,7 @@
 	now := time.Now()
 	key := remoteCall{from, call}
 	o := &Order{
-		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone, Haul: p.HaulBytes,
+		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone, CrossBytes: p.CrossBytes,
 		Bytes: p.Bytes, Priority: p.Priority,
 		Due:      now.Add(time.Duration(p.DueMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(p.LeftMs) * time.Millisecond),
@@ -292,7 +292,7 @@
 	d.deliver(w, added{o})
 }
 
-func (d *Desk) answer(to string, call int, out Outcome) {
+func (d *Dispatcher) answer(to string, call int, out Outcome) {
 	handles := out.Handles
 	if handles == nil {
 		handles = []string{}
@@ -302,7 +302,7 @@
 	}})
 }
 
-func (d *Desk) takeAnswer(call int, a *wire.PieceAnswer) {
+func (d *Dispatcher) takeAnswer(call int, a *wire.PieceAnswer) {
 	d.mu.Lock()
 	w := d.calls[call]
 	delete(d.calls, call)
@@ -315,7 +315,7 @@
 	}
 }
 
-func (d *Desk) takeBegun(call int) {
+func (d *Dispatcher) takeBegun(call int) {
 	d.mu.Lock()
 	w := d.calls[call]
 	d.mu.Unlock()
@@ -324,7 +324,7 @@
 	}
 }
 
-func (d *Desk) takeCancel(key remoteCall) {
+func (d *Dispatcher) takeCancel(key remoteCall) {
 	d.mu.Lock()
 	r, ok := d.remote[key]
 	delete(d.remote, key)
@@ -335,7 +335,7 @@
 }
 
 // owner returns the queue of a service on this instance and starts it if need be.
-func (d *Desk) owner(service string) *owner {
+func (d *Dispatcher) owner(service string) *owner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.owners[service]
@@ -349,7 +349,7 @@
 	return w
 }
 
-func (d *Desk) deliver(w *owner, m message) {
+func (d *Dispatcher) deliver(w *owner, m message) {
 	select {
 	case w.inbox <- m:
 	case <-d.ctx.Done():
--- a/plantainlane/batch/desk_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -12,11 +12,11 @@
 	"plantainlane/wire"
 )
 
-// net joins desks in memory.
+// net joins dispatchers in memory.
 type net struct {
-	mu    sync.Mutex
-	desks map[string]*Desk
-	lost  map[string]bool
+	mu          sync.Mutex
+	dispatchers map[string]*Dispatcher
+	lost        map[string]bool
 }
 
 type port struct {
@@ -27,7 +27,7 @@
 func (p port) Send(to string, f wire.Frame) {
 	f.From = p.self
 	p.net.mu.Lock()
-	d, lost := p.net.desks[to], p.net.lost[to] || p.net.lost[p.self]
+	d, lost := p.net.dispatchers[to], p.net.lost[to] || p.net.lost[p.self]
 	p.net.mu.Unlock()
 	if d != nil && !lost {
 		go d.Frame(f)
@@ -38,7 +38,7 @@
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
 	var out []Member
-	for id := range p.net.desks {
+	for id := range p.net.dispatchers {
 		if !p.net.lost[id] {
 			out = append(out, Member{ID: id})
 		}
@@ -72,15 +72,15 @@
 	m.freed = append(m.freed, handles...)
 }
 
-func newDesks(t *testing.T, m Maker, ids ...string) *net {
+func newDispatchers(t *testing.T, m Maker, ids ...string) *net {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	n := &net{desks: make(map[string]*Desk), lost: make(map[string]bool)}
+	n := &net{dispatchers: make(map[string]*Dispatcher), lost: make(map[string]bool)}
 	supply := func(string) Supply {
-		return func() (site.Batch, []Worker, bool) { return spec, workers("z", "z"), true }
+		return func() (site.Batch, []Upstream, bool) { return spec, upstreams("z", "z"), true }
 	}
 	for i, id := range ids {
-		n.desks[id] = NewDesk(ctx, id, i<<20, port{n, id}, m, supply)
+		n.dispatchers[id] = NewDispatcher(ctx, id, i<<20, port{n, id}, m, supply)
 	}
 	return n
 }
@@ -92,14 +92,14 @@
 func TestEveryInstanceOrdersAtOneOwner(t *testing.T) {
 	is := is.New(t)
 	m := &fakeMaker{}
-	n := newDesks(t, m, "a", "b", "c")
-	for id, d := range n.desks {
+	n := newDispatchers(t, m, "a", "b", "c")
+	for id, d := range n.dispatchers {
 		out := d.Make(context.Background(), "encode", anOrder(id))
 		is.Equal(out.Reason, Reason(""))
 		is.Equal(len(out.Handles), 2)
 	}
 	owners := 0
-	for _, d := range n.desks {
+	for _, d := range n.dispatchers {
 		owners += len(d.owners)
 	}
 	is.Equal(owners, 1)
@@ -108,7 +108,7 @@
 func TestLostOwnerIsReplaced(t *testing.T) {
 	is := is.New(t)
 	m := &fakeMaker{stuck: true}
-	n := newDesks(t, m, "a", "b", "c")
+	n := newDispatchers(t, m, "a", "b", "c")
 	owner := Owner("encode", port{n, "a"}.Members())
 	asker := "a"
 	if owner == "a" {
@@ -123,17 +123,17 @@
 		n.lost[owner] = true
 		n.mu.Unlock()
 	}()
-	out := n.desks[asker].Make(context.Background(), "encode", anOrder("r"))
+	out := n.dispatchers[asker].Make(context.Background(), "encode", anOrder("r"))
 	is.Equal(out.Reason, Reason(""))
 	is.Equal(len(out.Handles), 2)
 }
 
 func TestCallerThatLeavesCancelsItsOrder(t *testing.T) {
 	is := is.New(t)
-	n := newDesks(t, &fakeMaker{stuck: true}, "a", "b")
+	n := newDispatchers(t, &fakeMaker{stuck: true}, "a", "b")
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	for _, d := range n.desks {
+	for _, d := range n.dispatchers {
 		is.Equal(d.Make(ctx, "encode", anOrder("r")).Reason, ReasonCancelled)
 	}
 }
--- a/plantainlane/batch/order.go
+++ b/plantainlane/batch/order.go
@@ -18,8 +18,8 @@
 	Inputs []string
 	// Zone in which the pieces are best made; empty for any.
 	Zone string
-	// Haul is the bytes that cross zones if they are made in another one.
-	Haul int
+	// CrossBytes is the bytes that cross zones if they are made in another one.
+	CrossBytes int
 	// Bytes is the approximate size of a result.
 	Bytes int
 	// Due is when the results should be there for the request to be on time.
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -55,8 +55,8 @@
 
 // freed tells that an upstream was asked to free results, and did or can't be reached.
 type freed struct {
-	worker  string
-	handles []string
+	upstream string
+	handles  []string
 }
 
 func (added) isMessage()     {}
@@ -66,7 +66,7 @@
 func (ended) isMessage()     {}
 
 // Supply tells an owner what it works with. It is called by the owner's main loop.
-type Supply func() (spec site.Batch, workers []Worker, ok bool)
+type Supply func() (spec site.Batch, upstreams []Upstream, ok bool)
 
 // owner runs the queue of one service.
 type owner struct {
@@ -155,17 +155,17 @@
 	o.reportAt = now.Add(reportEvery)
 	c := o.queue.TakeCounts()
 	used, room := o.queue.Room()
-	all, busy, paused := o.queue.Workers(now)
+	all, busy, paused := o.queue.Upstreams(now)
 	klog.InfoS("queue", "service", o.service, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
 		"noRoom", c.NoRoom, "failed", c.Failed, "gone", c.Gone, "late", c.Late, "roomUsed", used, "room", room,
 		"upstreams", all, "busy", busy, "paused", paused)
 }
 
 func (o *owner) refresh() {
-	spec, workers, ok := o.supply()
+	spec, upstreams, ok := o.supply()
 	if ok {
 		o.queue.SetSpec(spec)
-		o.queue.SetWorkers(workers)
+		o.queue.SetUpstreams(upstreams)
 	}
 }
 
@@ -182,19 +182,19 @@
 			go o.maker.Free(ctx, unknown)
 		}
 	case freed:
-		o.queue.Freed(m.worker, m.handles)
+		o.queue.Freed(m.upstream, m.handles)
 	case ended:
 		o.queue.Release(o.queue.Done(now, m.call, m.results, m.busy))
 	}
-	for worker, handles := range o.queue.Freeable() {
-		go o.free(ctx, worker, handles)
+	for upstream, handles := range o.queue.Freeable() {
+		go o.free(ctx, upstream, handles)
 	}
 }
 
-func (o *owner) free(ctx context.Context, worker string, handles []string) {
+func (o *owner) free(ctx context.Context, upstream string, handles []string) {
 	o.maker.Free(ctx, handles)
 	select {
-	case o.inbox <- freed{worker, handles}:
+	case o.inbox <- freed{upstream, handles}:
 	case <-ctx.Done():
 	}
 }
@@ -216,7 +216,7 @@
 	defer cancel()
 	results, busy, err := o.maker.Make(callCtx, c)
 	if err != nil {
-		klog.InfoS("pieces not made", "service", o.service, "upstream", c.Worker.ID, "pieces", len(c.Items),
+		klog.InfoS("pieces not made", "service", o.service, "upstream", c.Upstream.ID, "pieces", len(c.Items),
 			"busy", busy, "took", time.Since(c.Began), "err", err)
 		results = nil
 	}
--- a/plantainlane/batch/pace.go
+++ b/plantainlane/batch/pace.go
@@ -23,8 +23,8 @@
 		return time.Duration(float64(pieces) / q.rate * float64(time.Second))
 	}
 	usable := 0
-	for _, w := range q.workers {
-		if !w.Leaving && w.slowness < slowLimit {
+	for _, u := range q.upstreams {
+		if !u.Leaving && u.slowness < slowLimit {
 			usable++
 		}
 	}
@@ -82,21 +82,21 @@
 
 // Room is the room that results take at all upstreams, and all there is, in bytes.
 func (q *Queue) Room() (used, all int) {
-	for _, w := range q.workers {
-		used += w.used
+	for _, u := range q.upstreams {
+		used += u.used
 		all += q.spec.RoomBytes
 	}
 	return used, all
 }
 
-// Workers returns the number of upstreams, and of those that are busy and those that are left alone for a while.
-func (q *Queue) Workers(now time.Time) (all, busy, paused int) {
-	for _, w := range q.workers {
+// Upstreams returns the number of upstreams, and of those that are busy and those that are left alone for a while.
+func (q *Queue) Upstreams(now time.Time) (all, busy, paused int) {
+	for _, u := range q.upstreams {
 		all++
-		if w.calls > 0 {
+		if u.calls > 0 {
 			busy++
 		}
-		if w.Leaving || now.Before(w.notBefore) || w.slowness >= slowLimit {
+		if u.Leaving || now.Before(u.notBefore) || u.slowness >= slowLimit {
 			paused++
 		}
 	}
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -22,9 +22,9 @@
 
 // Call is pieces for one upstream.
 type Call struct {
-	// Worker that makes the pieces.
-	Worker *Worker
-	Items  []Item
+	// Upstream that makes the pieces.
+	Upstream *Upstream
+	Items    []Item
 	// Began is when the call was sent.
 	Began time.Time
 	// Expected is when the call should end.
@@ -95,9 +95,9 @@
 
 // Queue holds the orders of one service and chooses the calls. It is used by one goroutine and does no I/O.
 type Queue struct {
-	spec    site.Batch
-	orders  []*Order
-	workers map[string]*Worker
+	spec      site.Batch
+	orders    []*Order
+	upstreams map[string]*Upstream
 	// unsteadyAt is when an upstream was slow or failed last, or else when the queue began.
 	unsteadyAt time.Time
 	// near counts the quick upstreams of each zone.
@@ -122,33 +122,33 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(spec site.Batch) *Queue {
-	return &Queue{spec: spec, workers: make(map[string]*Worker)}
+	return &Queue{spec: spec, upstreams: make(map[string]*Upstream)}
 }
 
 // SetSpec takes a changed description of the calls.
 func (q *Queue) SetSpec(spec site.Batch) { q.spec = spec }
 
-// SetWorkers takes the upstreams known now. Those that are missing are forgotten.
-func (q *Queue) SetWorkers(list []Worker) {
+// SetUpstreams takes the upstreams known now. Those that are missing are forgotten.
+func (q *Queue) SetUpstreams(list []Upstream) {
 	seen := make(map[string]bool, len(list))
-	for _, w := range list {
-		seen[w.ID] = true
-		known := q.workers[w.ID]
-		if known == nil || known.Address != w.Address {
-			known = &Worker{ID: w.ID, Address: w.Address, Zone: w.Zone, slowness: 1, held: make(map[string]heldResult)}
-			q.workers[w.ID] = known
+	for _, u := range list {
+		seen[u.ID] = true
+		known := q.upstreams[u.ID]
+		if known == nil || known.Address != u.Address {
+			known = &Upstream{ID: u.ID, Address: u.Address, Zone: u.Zone, slowness: 1, held: make(map[string]heldResult)}
+			q.upstreams[u.ID] = known
 		}
-		known.Leaving = w.Leaving
+		known.Leaving = u.Leaving
 	}
-	for id := range q.workers {
+	for id := range q.upstreams {
 		if !seen[id] {
-			delete(q.workers, id)
+			delete(q.upstreams, id)
 		}
 	}
 	q.near = make(map[string]int)
-	for _, w := range q.workers {
-		if !w.Leaving && w.slowness < slowLimit {
-			q.near[w.Zone]++
+	for _, u := range q.upstreams {
+		if !u.Leaving && u.slowness < slowLimit {
+			q.near[u.Zone]++
 		}
 	}
 }
@@ -159,7 +159,7 @@
 // Add takes an order. One that can't be made in time is turned away at once.
 func (q *Queue) Add(now time.Time, o *Order) {
 	if now.Add(q.estimate(now, o)).After(o.giveUp(now)) {
-		q.turnAway(o)
+		q.reject(o)
 		return
 	}
 	o.added = now
@@ -169,8 +169,8 @@
 	q.waiting += o.Pieces
 }
 
-// turnAway ends an order that can't be made in time.
-func (q *Queue) turnAway(o *Order) {
+// reject ends an order that can't be made in time.
+func (q *Queue) reject(o *Order) {
 	q.counts.Late++
 	o.finish(Outcome{Reason: ReasonLate, RetryAfter: min(max(q.timeFor(q.waiting), minRetryAfter), maxRetryAfter)})
 }
@@ -231,20 +231,20 @@
 	if len(order) == 0 {
 		return nil
 	}
-	w := q.freeWorker(now, order)
-	if w == nil {
+	u := q.freeUpstream(now, order)
+	if u == nil {
 		return nil
 	}
-	items := q.fill(now, w, order)
+	items := q.fill(now, u, order)
 	if len(items) == 0 {
 		return nil
 	}
-	w.calls++
+	u.calls++
 	q.usualSize += sizeShare * (float64(len(items)) - q.usualSize)
 	q.counts.Calls++
 	q.counts.Pieces += len(items)
-	expected := time.Duration(float64(q.callTime(len(items))) * w.slowness)
-	return &Call{Worker: w, Items: items, Began: now, Expected: now.Add(expected)}
+	expected := time.Duration(float64(q.callTime(len(items))) * u.slowness)
+	return &Call{Upstream: u, Items: items, Began: now, Expected: now.Add(expected)}
 }
 
 // expire ends the orders that are of no use any more and frees the results whose time is over.
@@ -252,14 +252,14 @@
 	for _, o := range slices.Clone(q.orders) {
 		if now.Add(q.spec.CallTime).After(o.giveUp(now)) && o.unsent() > 0 {
 			q.remove(o)
-			q.turnAway(o)
+			q.reject(o)
 		}
 	}
 	q.noteBegun(now)
-	for _, w := range q.workers {
-		for handle, h := range w.held {
+	for _, u := range q.upstreams {
+		for handle, h := range u.held {
 			if now.After(h.until) {
-				w.release(handle)
+				u.release(handle)
 			}
 		}
 	}
@@ -288,8 +288,8 @@
 	if q.unsteadyAt.IsZero() {
 		q.unsteadyAt = now
 	}
-	for _, w := range q.workers {
-		if w.slowness > steadySlowness || w.failures > 0 {
+	for _, u := range q.upstreams {
+		if u.slowness > steadySlowness || u.failures > 0 {
 			q.unsteadyAt = now
 		}
 	}
@@ -302,15 +302,15 @@
 // Done takes the results of a call, in the order of its items. A nil list means that the call failed; ran tells
 // whether it may have been worked on. It returns results that nobody waits for.
 func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
-	w := c.Worker
-	w.calls--
+	u := c.Upstream
+	u.calls--
 	if results == nil {
-		w.fail(now, busy)
+		u.fail(now, busy)
 	} else {
-		w.succeed(now.Sub(c.Began), q.callTime(len(c.Items)))
+		u.succeed(now.Sub(c.Began), q.callTime(len(c.Items)))
 	}
 	if slices.ContainsFunc(results, func(r Result) bool { return r.Reason == ReasonRoom }) {
-		w.notBefore = now.Add(roomPause)
+		u.notBefore = now.Add(roomPause)
 	}
 	for i, item := range c.Items {
 		r := Result{Reason: ReasonFailed}
@@ -319,7 +319,7 @@
 		}
 		if r.Handle != "" {
 			q.madeSince++
-			w.hold(r.Handle, item.Order.Bytes, now.Add(q.spec.KeepFor+keepSlack))
+			u.hold(r.Handle, item.Order.Bytes, now.Add(q.spec.KeepFor+keepSlack))
 		}
 		if item.Order.done {
 			if r.Handle != "" {
@@ -327,7 +327,7 @@
 			}
 			continue
 		}
-		q.take(item, r, w.Zone, busy)
+		q.take(item, r, u.Zone, busy)
 	}
 	return unused
 }
@@ -369,9 +369,9 @@
 // that the queue doesn't know, such as those of an owner before.
 func (q *Queue) Release(handles []string) (unknown []string) {
 	for _, handle := range handles {
-		if w := q.holder(handle); w != nil {
-			w.unneeded = append(w.unneeded, handle)
-			w.unneededBytes += w.held[handle].bytes
+		if u := q.holder(handle); u != nil {
+			u.unneeded = append(u.unneeded, handle)
+			u.unneededBytes += u.held[handle].bytes
 			continue
 		}
 		unknown = append(unknown, handle)
@@ -380,10 +380,10 @@
 }
 
 // holder returns the upstream that holds a result; nil if it is not known.
-func (q *Queue) holder(handle string) *Worker {
-	for _, w := range q.workers {
-		if _, ok := w.held[handle]; ok {
-			return w
+func (q *Queue) holder(handle string) *Upstream {
+	for _, u := range q.upstreams {
+		if _, ok := u.held[handle]; ok {
+			return u
 		}
 	}
 	return nil
@@ -394,29 +394,29 @@
 // of. Others end by themselves. Their room counts until Freed.
 func (q *Queue) Freeable() map[string][]string {
 	var out map[string][]string
-	for id, w := range q.workers {
-		if len(w.unneeded) == 0 {
+	for id, u := range q.upstreams {
+		if len(u.unneeded) == 0 {
 			continue
 		}
-		hasRoom := w.used+q.spec.Size*q.largest < q.spec.RoomBytes
-		if hasRoom && float64(w.unneededBytes) < unneededPart*float64(q.spec.RoomBytes) {
+		hasRoom := u.used+q.spec.Size*q.largest < q.spec.RoomBytes
+		if hasRoom && float64(u.unneededBytes) < unneededPart*float64(q.spec.RoomBytes) {
 			continue
 		}
 		if out == nil {
 			out = make(map[string][]string)
 		}
-		out[id], w.unneeded, w.unneededBytes = w.unneeded, nil, 0
+		out[id], u.unneeded, u.unneededBytes = u.unneeded, nil, 0
 	}
 	return out
 }
 
 // Freed notes that an upstream has freed results.
-func (q *Queue) Freed(worker string, handles []string) {
-	w := q.workers[worker]
-	if w == nil {
+func (q *Queue) Freed(upstream string, handles []string) {
+	u := q.upstreams[upstream]
+	if u == nil {
 		return
 	}
 	for _, handle := range handles {
-		w.release(handle)
+		u.release(handle)
 	}
 }
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -16,10 +16,10 @@
 	RoomBytes: 1 << 30, KeepFor: 4 * time.Second,
 }
 
-func workers(zones ...string) []Worker {
-	var out []Worker
+func upstreams(zones ...string) []Upstream {
+	var out []Upstream
 	for i, zone := range zones {
-		out = append(out, Worker{ID: fmt.Sprint("w", i), Address: fmt.Sprint("a", i), Zone: zone})
+		out = append(out, Upstream{ID: fmt.Sprint("w", i), Address: fmt.Sprint("a", i), Zone: zone})
 	}
 	return out
 }
@@ -46,7 +46,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	a, gotA := order(now, 3, time.Second, 5*time.Second)
 	b, gotB := order(now, 4, time.Second, 5*time.Second)
 	q.Add(now, a)
@@ -64,7 +64,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	for _, pieces := range []int{6, 4, 2} {
 		o, _ := order(now, pieces, time.Second, 5*time.Second)
 		q.Add(now, o)
@@ -77,7 +77,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	late, _ := order(now, 8, 100*time.Millisecond, 20*time.Second)
 	timely, _ := order(now, 8, time.Second, 20*time.Second)
 	q.Add(now, late)
@@ -91,7 +91,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	late, _ := order(now, 8, -time.Second, 20*time.Second)
 	late.Inputs = []string{"x/1"}
 	q.Add(now, late)
@@ -105,7 +105,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	congested := true
 	q.Congested = func(service string) bool { return service == "next" && congested }
 	late, _ := order(now, 1, 0, 20*time.Second)
@@ -120,7 +120,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	for range 40 {
 		o, _ := order(now, 8, 500*time.Millisecond, 20*time.Second)
 		q.Add(now, o)
@@ -140,7 +140,7 @@
 	small := spec
 	small.RoomBytes = 10_000
 	q := NewQueue(small)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	first, got := order(now, 8, time.Second, 5*time.Second)
 	q.Add(now, first)
 	c := q.Next(now)
@@ -158,7 +158,7 @@
 func TestUnknownResultsAreReported(t *testing.T) {
 	is := is.New(t)
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	is.Equal(q.Release([]string{"elsewhere/1"}), []string{"elsewhere/1"})
 }
 
@@ -168,7 +168,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	o, _ := order(now, 2, time.Second, 5*time.Second)
 	q.Add(now, o)
 	calls := 0
@@ -185,13 +185,13 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z", "z"))
+	q.SetUpstreams(upstreams("z", "z"))
 	o, got := order(now, 2, time.Second, 5*time.Second)
 	q.Add(now, o)
 	c := q.Next(now)
 	q.Done(now, c, nil, false)
 	again := q.Next(now)
-	is.True(again.Worker != c.Worker)
+	is.True(again.Upstream != c.Upstream)
 	q.Done(now, again, made(again, "h"), false)
 	is.Equal(len(got.Handles), 2)
 }
@@ -200,7 +200,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	o, got := order(now, 9, time.Second, 5*time.Second)
 	q.Add(now, o)
 	c := q.Next(now)
@@ -214,23 +214,23 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("near", "far"))
+	q.SetUpstreams(upstreams("near", "far"))
 	busy, _ := order(now, 8, time.Second, 5*time.Second)
 	busy.Zone = "near"
 	q.Add(now, busy)
-	is.Equal(q.Next(now).Worker.Zone, "near")
+	is.Equal(q.Next(now).Upstream.Zone, "near")
 	o, _ := order(now, 8, 2*time.Second, 5*time.Second)
-	o.Zone, o.Haul = "near", 3_000_000
+	o.Zone, o.CrossBytes = "near", 3_000_000
 	q.Add(now, o)
 	is.True(q.Next(now.Add(100*time.Millisecond)) == nil)
-	is.Equal(q.Next(now.Add(maxNearWait)).Worker.Zone, "far")
+	is.Equal(q.Next(now.Add(maxNearWait)).Upstream.Zone, "far")
 }
 
 func TestInputsCountAsReadOnceTheirCallsBegan(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	q.Next(now) // the queue begins
 	now = now.Add(2 * steadyAfter)
 	o, _ := order(now, 8, time.Second, 5*time.Second)
@@ -249,7 +249,7 @@
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	a, gotA := order(now, 8, time.Second, 5*time.Second)
 	b, gotB := order(now, 8, 2*time.Second, 5*time.Second)
 	q.Add(now, a)
@@ -267,7 +267,7 @@
 	now := time.Now()
 	start := now
 	q := NewQueue(spec)
-	q.SetWorkers(workers("z", "z", "z", "z", "z"))
+	q.SetUpstreams(upstreams("z", "z", "z", "z", "z"))
 	random := rand.New(rand.NewPCG(1, 2))
 	type running struct {
 		call *Call
@@ -330,7 +330,7 @@
 	roomy := spec
 	roomy.RoomBytes = 100_000
 	q := NewQueue(roomy)
-	q.SetWorkers(workers("z"))
+	q.SetUpstreams(upstreams("z"))
 	for i := range 40 {
 		o, got := order(now, 8, time.Second, 5*time.Second)
 		q.Add(now, o)
--- a/plantainlane/forward/dialect_test.go
+++ b/plantainlane/forward/dialect_test.go
@@ -65,15 +65,15 @@
 	_, _ = io.WriteString(w, r.Reason)
 }
 
-// fakeDesk makes all pieces at once, unless it is given outcomes.
-type fakeDesk struct {
+// fakeDispatcher makes all pieces at once, unless it is given outcomes.
+type fakeDispatcher struct {
 	mu       sync.Mutex
 	orders   []batch.Order
 	released []string
 	outcomes []batch.Outcome
 }
 
-func (d *fakeDesk) Make(_ context.Context, service string, o batch.Order) batch.Outcome {
+func (d *fakeDispatcher) Make(_ context.Context, service string, o batch.Order) batch.Outcome {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.orders = append(d.orders, o)
@@ -89,23 +89,23 @@
 	return out
 }
 
-func (d *fakeDesk) Release(_ string, handles []string) {
+func (d *fakeDispatcher) Release(_ string, handles []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.released = append(d.released, handles...)
 }
 
-func (d *fakeDesk) Wait(string) time.Duration { return 0 }
+func (d *fakeDispatcher) Wait(string) time.Duration { return 0 }
 
 // world is a server with upstreams.
 type world struct {
-	t        *testing.T
-	server   *Server
-	front    *httptest.Server
-	desk     *fakeDesk
-	site     *site.Site
-	balancer *route.Balancer
-	roster   *roster.Roster
+	t          *testing.T
+	server     *Server
+	front      *httptest.Server
+	dispatcher *fakeDispatcher
+	site       *site.Site
+	balancer   *route.Balancer
+	roster     *roster.Roster
 	// arrivals counts the requests that each upstream got.
 	mu       sync.Mutex
 	arrivals map[string]int
@@ -118,7 +118,7 @@
 func newWorld(t *testing.T, r *site.Route) *world {
 	t.Helper()
 	now := time.Now()
-	w := &world{t: t, desk: &fakeDesk{}, arrivals: make(map[string]int), roster: roster.New()}
+	w := &world{t: t, dispatcher: &fakeDispatcher{}, arrivals: make(map[string]int), roster: roster.New()}
 	r.Name, r.Host, r.Prefix, r.Shares = "r", "a.example", "/x/", []site.Share{{Service: "s", Weight: 1}}
 	if r.Timeout == 0 {
 		r.Timeout = 5 * time.Second
@@ -127,7 +127,7 @@
 	w.site.Compile([]*site.Workspace{{Name: "hostel", Keys: []string{"key"}}})
 	w.balancer = route.New(now, "region", "zone")
 	w.server = &Server{
-		Dialect: plainDialect{}, Views: w, Picker: w.balancer, Pool: exchange.NewPool(time.Minute), Desk: w.desk, Zone: "zone",
+		Dialect: plainDialect{}, Views: w, Picker: w.balancer, Pool: exchange.NewPool(time.Minute), Dispatcher: w.dispatcher, Zone: "zone",
 		Budget: &Budget{Ratio: 1, Spare: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
 	}
 	w.front = httptest.NewServer(w.server)
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -32,13 +32,13 @@
 
 // Server takes callers' requests and forwards them.
 type Server struct {
-	Dialect  Dialect
-	Views    Views
-	Picker   Picker
-	Pool     *exchange.Pool
-	Desk     Desk
-	Budget   *Budget
-	Observer Observer
+	Dialect    Dialect
+	Views      Views
+	Picker     Picker
+	Pool       *exchange.Pool
+	Dispatcher Dispatcher
+	Budget     *Budget
+	Observer   Observer
 	// Zone of the instance.
 	Zone string
 }
@@ -189,7 +189,7 @@
 		zone = s.Zone
 	}
 	q.stages = &stageRun{
-		desk: s.Desk, site: q.site, route: q.route, call: &q.call, zone: zone,
+		dispatcher: s.Dispatcher, site: q.site, route: q.route, call: &q.call, zone: zone,
 		received: q.received, deadline: q.firstBy(), priority: q.priority,
 	}
 	var err error
--- a/plantainlane/forward/server_test.go
+++ b/plantainlane/forward/server_test.go
@@ -236,12 +236,12 @@
 	res, _, err := w.ask("X-Pieces", "2,1,0", "X-Piece-Key", "k")
 	is.NoErr(err)
 	is.Equal(res.StatusCode, 200)
-	is.Equal(len(w.desk.orders), 2)
-	is.Equal(w.desk.orders[0].Key, "k")
-	is.Equal(w.desk.orders[1].Inputs, []string{"e0.0", "e0.1"})
-	is.Equal(w.desk.orders[1].Key, "")
+	is.Equal(len(w.dispatcher.orders), 2)
+	is.Equal(w.dispatcher.orders[0].Key, "k")
+	is.Equal(w.dispatcher.orders[1].Inputs, []string{"e0.0", "e0.1"})
+	is.Equal(w.dispatcher.orders[1].Key, "")
 	is.Equal(w.headers[0].Get("X-Inputs"), "f1.0") // only of stages that no other follows
-	is.Equal(len(w.desk.released), 3)
+	is.Equal(len(w.dispatcher.released), 3)
 }
 
 func TestGoneResultsAreMadeAnew(t *testing.T) {
@@ -263,14 +263,14 @@
 	res, _, err := w.ask("X-Pieces", "1,1,1")
 	is.NoErr(err)
 	is.Equal(res.StatusCode, 200)
-	is.Equal(len(w.desk.orders), 6)
+	is.Equal(len(w.dispatcher.orders), 6)
 }
 
 func TestStageThatIsLateIsRefusedTruly(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, staged())
 	w.upstream("u1", ok)
-	w.desk.outcomes = []batch.Outcome{{Reason: batch.ReasonLate, RetryAfter: 2 * time.Second}}
+	w.dispatcher.outcomes = []batch.Outcome{{Reason: batch.ReasonLate, RetryAfter: 2 * time.Second}}
 	res, _, err := w.ask("X-Pieces", "1,0,0")
 	is.NoErr(err)
 	is.Equal(res.StatusCode, 503)
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -13,8 +13,8 @@
 	"plantainlane/plantainlane/site"
 )
 
-// Desk has pieces made.
-type Desk interface {
+// Dispatcher has pieces made.
+type Dispatcher interface {
 	Make(ctx context.Context, service string, o batch.Order) batch.Outcome
 	Release(service string, handles []string)
 	// Wait is how long a piece ordered now waits for its call, as far as it is known.
@@ -34,10 +34,10 @@
 
 // stageRun makes the stages of one request.
 type stageRun struct {
-	desk  Desk
-	site  *site.Site
-	route *site.Route
-	call  *Call
+	dispatcher Dispatcher
+	site       *site.Site
+	route      *site.Route
+	call       *Call
 	// zone in which the request will run.
 	zone     string
 	received time.Time
@@ -121,7 +121,7 @@
 	if len(stage.After) == 0 {
 		o.Key = x.call.PieceKey
 	}
-	o.Zone, o.Haul = x.place(i)
+	o.Zone, o.CrossBytes = x.place(i)
 	rest, waits := x.timeAfter(i)
 	o.Due = x.received.Add(time.Duration(aimPart*float64(x.route.Aim)) - rest - waits)
 	o.Deadline = x.deadline.Add(-rest)
@@ -129,12 +129,12 @@
 	once := sync.OnceFunc(func() { x.followed(stage.After) })
 	if len(stage.After) > 0 {
 		o.Begun = func() {
-			if x.isPressed(stage.After) {
+			if x.isBacklogged(stage.After) {
 				once()
 			}
 		}
 	}
-	out := x.desk.Make(ctx, stage.Service, o)
+	out := x.dispatcher.Make(ctx, stage.Service, o)
 	if out.Reason != "" {
 		return &stageError{stage: i, outcome: out}
 	}
@@ -147,24 +147,24 @@
 
 // place returns the zone in which the pieces of a stage are best made, and the bytes that cross zones otherwise: near
 // the results that they need, or near the request if their own results are larger.
-func (x *stageRun) place(stage int) (zone string, haul int) {
+func (x *stageRun) place(stage int) (zone string, crossBytes int) {
 	s := &x.route.Stages[stage]
 	if slices.Contains(x.route.Finals(), stage) {
-		zone, haul = x.zone, x.pieces(stage)*s.Bytes
+		zone, crossBytes = x.zone, x.pieces(stage)*s.Bytes
 	}
 	for _, before := range s.After {
 		in := x.pieces(stage) * x.pieces(before) * x.route.Stages[before].Bytes
-		if in > haul {
-			zone, haul = x.zones[before], in
+		if in > crossBytes {
+			zone, crossBytes = x.zones[before], in
 		}
 	}
-	return zone, haul
+	return zone, crossBytes
 }
 
-// isPressed tells whether pieces wait for room at the services of some stages. Results are then given up as soon as
+// isBacklogged tells whether pieces wait for room at the services of some stages. Results are then given up as soon as
 // they were read, though a piece that needs them might have to be made again.
-func (x *stageRun) isPressed(stages []int) bool {
-	return slices.ContainsFunc(stages, func(i int) bool { return x.desk.Wait(x.route.Stages[i].Service) > 0 })
+func (x *stageRun) isBacklogged(stages []int) bool {
+	return slices.ContainsFunc(stages, func(i int) bool { return x.dispatcher.Wait(x.route.Stages[i].Service) > 0 })
 }
 
 // followed notes that a stage which needs the results of others was made. Results that no further stage needs are
@@ -175,7 +175,7 @@
 	for _, i := range before {
 		x.followers[i]--
 		if x.followers[i] == 0 && len(x.handles[i]) > 0 {
-			x.desk.Release(x.route.Stages[i].Service, x.handles[i])
+			x.dispatcher.Release(x.route.Stages[i].Service, x.handles[i])
 			x.handles[i] = nil
 		}
 	}
@@ -215,7 +215,7 @@
 		}
 		after, wait := x.timeAfter(j)
 		least = max(least, own+after)
-		waits = max(waits, x.desk.Wait(service)+wait)
+		waits = max(waits, x.dispatcher.Wait(service)+wait)
 	}
 	return least, waits
 }
@@ -244,7 +244,7 @@
 func (x *stageRun) release() {
 	for i, handles := range x.handles {
 		if len(handles) > 0 {
-			x.desk.Release(x.route.Stages[i].Service, handles)
+			x.dispatcher.Release(x.route.Stages[i].Service, handles)
 		}
 	}
 	x.handles = nil
--- a/plantainlane/instance/front.go
+++ b/plantainlane/instance/front.go
@@ -117,7 +117,7 @@
 
 // supply tells the owner of a queue its service and upstreams.
 func (x *Instance) supply(service string) batch.Supply {
-	return func() (site.Batch, []batch.Worker, bool) {
+	return func() (site.Batch, []batch.Upstream, bool) {
 		current := x.sites.Site()
 		if current == nil {
 			return site.Batch{}, nil, false
@@ -126,14 +126,14 @@
 		if v == nil || v.Batch == nil {
 			return site.Batch{}, nil, false
 		}
-		var workers []batch.Worker
+		var upstreams []batch.Upstream
 		for id, row := range x.View().Upstreams.Rows.All() {
 			a := row.Announcement
 			if a.Service == service && !row.Lapsed {
-				workers = append(workers, batch.Worker{ID: id, Address: a.Address, Zone: a.Zone, Leaving: a.Leaving})
+				upstreams = append(upstreams, batch.Upstream{ID: id, Address: a.Address, Zone: a.Zone, Leaving: a.Leaving})
 			}
 		}
-		return *v.Batch, workers, true
+		return *v.Batch, upstreams, true
 	}
 }
 
@@ -144,10 +144,10 @@
 	}
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(idleUpstream)
-	x.desk = batch.NewDesk(ctx, x.self.ID, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.front.Maker(pool), x.supply)
+	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.front.Maker(pool), x.supply)
 	x.front.Retries.Instances = x.serving
 	handler := &forward.Server{
-		Dialect: x.front.Dialect, Views: x.sites, Picker: x.services, Pool: pool, Desk: x.desk,
+		Dialect: x.front.Dialect, Views: x.sites, Picker: x.services, Pool: pool, Dispatcher: x.dispatcher,
 		Budget: x.front.Retries, Observer: x.metrics, Zone: x.self.Zone,
 	}
 	s, err := listenHTTP(x.front.Address, handler, x.settings.Entry.MaxHeaderBytes)
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -65,11 +65,11 @@
 	servers  []*server
 	// traffic holds the servers of callers, which a drain waits for.
 	traffic []*server
-	// front, sites and desk are nil unless the instance takes opaque requests.
-	front *Front
-	sites *sites
-	desk  *batch.Desk
-	extra []extraListener
+	// front, sites and dispatcher are nil unless the instance takes opaque requests.
+	front      *Front
+	sites      *sites
+	dispatcher *batch.Dispatcher
+	extra      []extraListener
 	// replica is nil on an instance without a data folder.
 	replica *replica.Opened
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -1249,12 +1249,12 @@
 	// Approximate size of a result.
 	Bytes int `json:"bytes" cbor:"bytes"`
 
+	// Bytes that cross availability zones if the pieces are made in another one.
+	CrossBytes int `json:"crossBytes" cbor:"crossBytes"`
+
 	// Milliseconds left until the results should be there.
 	DueMs int `json:"dueMs" cbor:"dueMs"`
 
-	// Bytes that cross availability zones if the pieces are made in another one.
-	HaulBytes int `json:"haulBytes" cbor:"haulBytes"`
-
 	// Handles of the results that each piece needs.
 	Inputs []string `json:"inputs" cbor:"inputs"`
 
