--- a/plantainlane/peer/net_test.go
+++ b/plantainlane/peer/net_test.go
@@ -228,3 +228,20 @@
 	}
 	is.Equal(await(t, a.in.lost, "loss"), "b")
 }
+
+// TestLostInstanceIsNotReached follows an instance that is connected, lost, and there again.
+func TestLostInstanceIsNotReached(t *testing.T) {
+	is := is.New(t)
+	a, b := newEnd(t, "a"), newEnd(t, "b")
+	is.True(a.net.Reached("b")) // nothing speaks against it yet
+	r := newRelay(t, b.address())
+	a.net.Join(r.address)
+	await(t, a.in.connected, "connection")
+	is.True(a.net.Reached("b"))
+	r.freeze(true, true)
+	await(t, a.in.lost, "loss")
+	is.True(!a.net.Reached("b"))
+	a.net.Keep([]wire.InstanceInfo{{ID: "b", PeerAddress: b.address()}})
+	await(t, a.in.connected, "new connection")
+	is.True(a.net.Reached("b"))
+}
