--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -299,8 +299,8 @@
 // Idle tells that there are no orders.
 func (q *Queue) Idle() bool { return len(q.orders) == 0 }
 
-// Done takes the results of a call, in the order of its items. A nil list means that the call failed; ran tells
-// whether it may have been worked on. It returns results that nobody waits for.
+// Done takes the results of a call, in the order of its items. A nil list means that the call failed; busy tells that
+// the upstream refused it because it is full. It returns results that nobody waits for.
 func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
 	u := c.Upstream
 	u.calls--
