--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -109,13 +109,7 @@
 
 // isBacklogged tells whether more waits than the quick upstreams take in one call each.
 func (q *Queue) isBacklogged() bool {
-	quick := 0
-	for _, u := range q.upstreams {
-		if !u.Leaving && u.slowness < slowLimit {
-			quick++
-		}
-	}
-	return q.waiting > quick*q.spec.Size
+	return q.waiting > q.quickUpstreams()*q.spec.Size
 }
 
 // fill chooses the pieces of a call, the most urgent first. Of the orders that are on time, those whose results are
--- a/plantainlane/batch/pace.go
+++ b/plantainlane/batch/pace.go
@@ -22,12 +22,7 @@
 	if q.rate > 0 {
 		return time.Duration(float64(pieces) / q.rate * float64(time.Second))
 	}
-	usable := 0
-	for _, u := range q.upstreams {
-		if !u.Leaving && u.slowness < slowLimit {
-			usable++
-		}
-	}
+	usable := q.quickUpstreams()
 	if usable == 0 || q.spec.Size == 0 {
 		return 0
 	}
@@ -35,6 +30,16 @@
 	return time.Duration(float64(pieces) * perPiece)
 }
 
+func (q *Queue) quickUpstreams() int {
+	n := 0
+	for _, u := range q.upstreams {
+		if u.isQuick() {
+			n++
+		}
+	}
+	return n
+}
+
 // measure notes how quickly pieces are made while more than a full call waits.
 func (q *Queue) measure(now time.Time) {
 	span := now.Sub(q.measuredAt)
@@ -96,7 +101,7 @@
 		if u.calls > 0 {
 			busy++
 		}
-		if u.Leaving || now.Before(u.notBefore) || u.slowness >= slowLimit {
+		if !u.isQuick() || now.Before(u.notBefore) {
 			paused++
 		}
 	}
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -147,7 +147,7 @@
 	}
 	q.near = make(map[string]int)
 	for _, u := range q.upstreams {
-		if !u.Leaving && u.slowness < slowLimit {
+		if u.isQuick() {
 			q.near[u.Zone]++
 		}
 	}
--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -31,6 +31,9 @@
 	until time.Time
 }
 
+// isQuick tells whether an upstream takes new calls at about its usual pace.
+func (u *Upstream) isQuick() bool { return !u.Leaving && u.slowness < slowLimit }
+
 func (u *Upstream) before(other *Upstream, zone string) bool {
 	if (u.Zone == zone) != (other.Zone == zone) {
 		return u.Zone == zone
--- a/plantainlane/consensus/node.go
+++ b/plantainlane/consensus/node.go
@@ -100,14 +100,9 @@
 
 // Bootstrap returns the start of a new log whose only voter is the given replica.
 func Bootstrap(id, logID string) (Start, error) {
-	data, err := wire.Encode(wire.ReplicaSet{Voters: []string{id}, Learners: []string{}})
-	if err != nil {
-		return Start{}, err
-	}
-	return Start{
-		Hard:    Hard{Term: 1, Vote: id, Log: logID},
-		Entries: []wire.LogEntry{{Index: 1, Term: 1, Kind: KindMembership, Data: data}},
-	}, nil
+	start, err := Found([]string{id}, logID)
+	start.Hard.Vote = id
+	return start, err
 }
 
 // Found returns the start of a new log with several voters. Each of them starts with the same voters and log ID.
--- a/plantainlane/replica/found.go
+++ b/plantainlane/replica/found.go
@@ -25,8 +25,7 @@
 		return err
 	}
 	defer j.Close()
-	empty := stored.Start.Hard == (consensus.Hard{}) && stored.Start.Snapshot.Index == 0 && len(stored.Start.Entries) == 0
-	if stored.Replica != self || !empty {
+	if stored.Replica != self || !isEmpty(stored) {
 		return nil
 	}
 	voters := make([]string, 0, len(founders))
--- a/plantainlane/replica/open.go
+++ b/plantainlane/replica/open.go
@@ -90,6 +90,11 @@
 	return o.folder.Close()
 }
 
+// isEmpty tells whether a folder belongs to no log yet.
+func isEmpty(s journal.Stored) bool {
+	return s.Start.Hard == (consensus.Hard{}) && s.Start.Snapshot.Index == 0 && len(s.Start.Entries) == 0
+}
+
 // Bootstrap makes a new log with a single voter in an empty data folder. It returns the replica ID, or
 // ErrNotEmpty if the folder already belongs to a log.
 func Bootstrap(path, instance string) (string, error) {
@@ -104,7 +109,7 @@
 		return "", err
 	}
 	defer j.Close()
-	if stored.Start.Hard != (consensus.Hard{}) || stored.Start.Snapshot.Index > 0 || len(stored.Start.Entries) > 0 {
+	if !isEmpty(stored) {
 		return "", errors.Wrapf(ErrNotEmpty, "%s", path)
 	}
 	random := make([]byte, logIDBytes)
