--- a/plantainlane/replica/site_test.go
+++ b/plantainlane/replica/site_test.go
@@ -55,6 +55,21 @@
 	m.Synced(journal.Synced{Batch: number})
 }
 
+// crash leaves out what is not synced yet.
+func (d *disk) crash() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mailbox = nil
+}
+
+// restart forgets what waits, and returns what the disk holds. A sync from before the crash may be under way.
+func (d *disk) restart() consensus.Start {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mailbox, d.waiting = NewMailbox(), nil
+	return d.start
+}
+
 func (d *disk) store(b journal.Batch) {
 	if b.Hard != nil {
 		d.start.Hard = *b.Hard
@@ -195,21 +210,21 @@
 	opts := []control.Option{control.WithTiming(m.site.timing), control.WithVoters(m.site.voters), control.WithSeed(m.site.seed)}
 	var wake <-chan struct{}
 	if m.disk != nil {
-		m.disk.mailbox, m.disk.waiting = NewMailbox(), nil
+		start := m.disk.restart()
 		cfg := consensus.Config{ID: m.disk.replica, HeartbeatInterval: 200 * time.Millisecond, KeepEntries: 10, MaxChunkBytes: 512}
 		random := consensus.WithRand(rand.New(rand.NewPCG(m.site.rng.Uint64(), 1)))
-		r, err := New(cfg, m.disk.start, m.disk, m.disk.mailbox, time.Now(), random)
+		r, err := New(cfg, start, m.disk, m.disk.mailbox, time.Now(), random)
 		if err != nil {
 			m.site.t.Fatalf("seed %d: %v", m.site.seed, err)
 		}
 		st := &state.State{}
-		if applied := m.disk.start.Snapshot; applied.Index > 0 {
+		if applied := start.Snapshot; applied.Index > 0 {
 			if st, err = state.Decode(applied.Data); err != nil {
 				m.site.t.Fatalf("seed %d: %v", m.site.seed, err)
 			}
 		}
 		m.replica, wake = &watched{Replica: r}, r.Wake()
-		opts = append(opts, control.WithLog(m.replica, st, m.disk.start.Snapshot.Index))
+		opts = append(opts, control.WithLog(m.replica, st, start.Snapshot.Index))
 	}
 	loop := control.NewLoop(control.New(m.info, opts...), m, nothing{}, wake)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -232,7 +247,7 @@
 	m.replica = nil
 	if m.disk != nil {
 		m.disk.mu.Lock()
-		m.disk.mailbox = nil
+		m.disk.crash()
 		m.disk.mu.Unlock()
 	}
 }
@@ -374,3 +389,18 @@
 	}
 	return ids
 }
+
+// TestDiskRestartsBesideASync starts a member while a sync from before its crash runs; the race detector tells
+// whether the two share the disk's state without its lock.
+func TestDiskRestartsBesideASync(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(*testing.T) {
+			d := &disk{rng: rand.New(rand.NewPCG(seed, 0)), mailbox: NewMailbox()}
+			d.Write(journal.Batch{Number: 1})
+			old := d.mailbox
+			go d.sync(old)
+			d.restart()
+			time.Sleep(10 * time.Millisecond)
+		})
+	}
+}
