--- a/plantainlane/replica/site_test.go
+++ b/plantainlane/replica/site_test.go
@@ -246,9 +246,7 @@
 	m.running.Store(nil)
 	m.replica = nil
 	if m.disk != nil {
-		m.disk.mu.Lock()
 		m.disk.crash()
-		m.disk.mu.Unlock()
 	}
 }
 
