batch: plan orders by the later queues as they are when calls are chosen

Cause: whether a request can still be on time was decided by the waits of later stages as the instance knew them when it ordered: at 70 instances the word on a queue's length is up to a second old.

Change: orders carry the services that follow; the owner of a queue takes their waits off the due time whenever it chooses a call. Owners tell each other the length of a long queue every 100 ms, all members as before. Orders are sorted only if some upstream is free.

The test of the held order sets a wait instead of a flag, with the same expectations.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -17,9 +17,38 @@
 	return a.rank().Before(b.rank())
 }
 
+// plan notes when an order is due with the queues that its request goes through afterwards as they are now.
+//
+// Load pattern: in a burst the queues of later stages fill while an order waits for the first one. By the waits at the
+// time of the order every request is begun and none is on time.
+func (q *Queue) plan(o *Order) {
+	o.due, o.held = o.Due, false
+	if q.WaitOf == nil {
+		return
+	}
+	for _, service := range o.Next {
+		wait := q.WaitOf(service)
+		o.due = o.due.Add(-wait)
+		o.held = o.held || wait > longWait
+	}
+}
+
 // isHeld tells whether an order has to wait for the queues that its request goes through afterwards.
-func (q *Queue) isHeld(now time.Time, o *Order) bool {
-	return q.Congested != nil && o.isLate(now, q.usualCall()) && slices.ContainsFunc(o.Next, q.Congested)
+func (q *Queue) isHeld(now time.Time, o *Order) bool { return o.held && o.isLate(now, q.usualCall()) }
+
+// hasFreeUpstream tells whether some upstream may be sent a call.
+func (q *Queue) hasFreeUpstream(now time.Time) bool {
+	for _, u := range q.upstreams {
+		if q.isFree(now, u) {
+			return true
+		}
+	}
+	return false
+}
+
+// isFree tells whether an upstream may be sent a call.
+func (q *Queue) isFree(now time.Time, u *Upstream) bool {
+	return !u.Leaving && u.calls < max(q.spec.Slots, 1) && !now.Before(u.notBefore)
 }
 
 // freeUpstream returns the upstream for the next call: of those with a free slot the one of the zone that the most
@@ -27,7 +56,7 @@
 func (q *Queue) freeUpstream(now time.Time, order []*Order) *Upstream {
 	var best *Upstream
 	for _, u := range q.upstreams {
-		if u.Leaving || u.calls >= max(q.spec.Slots, 1) || now.Before(u.notBefore) {
+		if !q.isFree(now, u) {
 			continue
 		}
 		if u.slowness >= slowLimit && !q.isBacklogged() {
@@ -51,7 +80,7 @@
 	if o.Zone == u.Zone || q.near[o.Zone] == 0 {
 		return false
 	}
-	ample := now.Add(q.spec.CallTime + nearSlack).Before(o.Due)
+	ample := now.Add(q.spec.CallTime + nearSlack).Before(o.due)
 	wait := time.Duration(float64(o.CrossBytes) / 1e6 * float64(nearWaitPerMB))
 	return ample && now.Sub(o.added) < min(wait, maxNearWait)
 }
@@ -65,6 +94,7 @@
 func (q *Queue) sendable(now time.Time) []*Order {
 	out := make([]*Order, 0, len(q.orders))
 	for _, o := range q.orders {
+		q.plan(o)
 		if o.unsent() > 0 && !q.isHeld(now, o) {
 			out = append(out, o)
 		}
--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -31,8 +31,6 @@
 	memberCheck = 150 * time.Millisecond
 	// waitPeriods is the number of periods for which the word of a queue's owner on its length counts.
 	waitPeriods = 3
-	// longWait is the wait from which a queue gets no more of what is late already.
-	longWait = 300 * time.Millisecond
 	// ownerCores is the processor cores that the owner of a queue should have.
 	ownerCores = 0.25
 	// maxOwners is the number of owners that an order is given to, one after the other.
@@ -96,11 +94,8 @@
 // Owner returns the member that owns a service's queue by rendezvous hashing; empty without members. Members with few
 // cores own none while others have more.
 func Owner(service string, members []Member) string {
-	if able := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Cores < ownerCores }); len(able) > 0 {
-		members = able
-	}
 	best, most := "", uint64(0)
-	for _, m := range members {
+	for _, m := range owners(members) {
 		weight := xxhash.Sum64String(service + "\x00" + m.ID)
 		if best == "" || weight > most || weight == most && m.ID < best {
 			best, most = m.ID, weight
@@ -109,6 +104,15 @@
 	return best
 }
 
+// owners returns the members that may own queues: those with enough cores, or else all.
+func owners(members []Member) []Member {
+	able := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Cores < ownerCores })
+	if len(able) == 0 {
+		return members
+	}
+	return able
+}
+
 // Make orders pieces and waits for them, until ctx ends. An order whose owner is lost is given to the next one.
 func (d *Dispatcher) Make(ctx context.Context, service string, o Order) Outcome {
 	for range maxOwners {
@@ -214,8 +218,6 @@
 	return w.wait
 }
 
-func (d *Dispatcher) isCongested(service string) bool { return d.Wait(service) > longWait }
-
 func (d *Dispatcher) noteWait(service string, wait time.Duration) {
 	until := time.Now().Add(waitPeriods * tellPeriod(len(d.peers.Members())))
 	d.mu.Lock()
@@ -228,12 +230,16 @@
 	return min(max(tellEvery, time.Duration(members)*tellPerMember), maxTell)
 }
 
-// tellWait tells every member how long a queue of this instance is. It returns when to tell it again: the more
-// members, the later.
-func (d *Dispatcher) tellWait(service string, wait time.Duration) (again time.Duration) {
+// tellWait tells the owners of queues how long a queue of this instance is, or all members. It returns when to tell all
+// of them again: the more members, the later.
+func (d *Dispatcher) tellWait(service string, wait time.Duration, all bool) (again time.Duration) {
 	d.noteWait(service, wait)
 	members := d.peers.Members()
-	for _, m := range members {
+	told := members
+	if !all {
+		told = owners(members)
+	}
+	for _, m := range told {
 		if m.ID != d.self {
 			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{Service: service, WaitMs: int(wait / time.Millisecond)}})
 		}
@@ -340,9 +346,9 @@
 	defer d.mu.Unlock()
 	w := d.owners[service]
 	if w == nil {
-		tell := func(wait time.Duration) (again time.Duration) { return d.tellWait(service, wait) }
+		tell := func(wait time.Duration, all bool) (again time.Duration) { return d.tellWait(service, wait, all) }
 		owns := func() bool { return Owner(service, d.peers.Members()) == d.self }
-		w = newOwner(service, d.maker, d.supply(service), tell, d.isCongested, owns)
+		w = newOwner(service, d.maker, d.supply(service), tell, d.Wait, owns)
 		d.owners[service] = w
 		go w.run(d.ctx)
 	}
--- a/plantainlane/batch/order.go
+++ b/plantainlane/batch/order.go
@@ -22,13 +22,13 @@
 	CrossBytes int
 	// Bytes is the approximate size of a result.
 	Bytes int
-	// Due is when the results should be there for the request to be on time.
+	// Due is when the results should be there for the request to be on time if it waits nowhere afterwards.
 	Due time.Time
 	// Deadline is when the results are of no use any more.
 	Deadline time.Time
 	// Priority ranks the request; 0 is the highest.
 	Priority int
-	// Next lists the services whose queues the request goes through afterwards.
+	// Next lists the services whose queues the request goes through afterwards, one after the other.
 	Next []string
 	// Begun is called at most once, when the upstreams have read the inputs of all pieces. It may be nil.
 	Begun func()
@@ -37,6 +37,9 @@
 
 	// added is when the order came to the queue.
 	added time.Time
+	// due is Due less the waits that the request meets afterwards, and held tells that one of them is long.
+	due  time.Time
+	held bool
 	// next is the first piece not sent yet.
 	next int
 	// sentAt is when the last piece was sent; begun tells that Begun was called.
@@ -87,7 +90,7 @@
 // rank is when the order counts as due against other orders. One that holds results is never put off for long, but
 // being late doesn't put it before those that can be on time.
 func (o *Order) rank() time.Time {
-	due := o.Due
+	due := o.due
 	if soon := o.added.Add(lateShift); len(o.Inputs) > 0 && due.Before(soon) {
 		due = soon
 	}
@@ -118,7 +121,7 @@
 // isLate tells whether a request can't be on time any more. Only a request that holds no results counts: one that
 // has begun is finished, since its results take room until then.
 func (o *Order) isLate(now time.Time, callTime time.Duration) bool {
-	return len(o.Inputs) == 0 && now.Add(callTime).After(o.Due)
+	return len(o.Inputs) == 0 && now.Add(callTime).After(o.due)
 }
 
 // giveUp is until when an order waits at most. One that holds no results yet gives up early enough for its caller
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -23,8 +23,10 @@
 	ownerTick = 25 * time.Millisecond
 	// reportEvery is the period at which the state of a queue in use is logged.
 	reportEvery = 2 * time.Second
-	// tellEvery is the least period at which the length of a long queue is passed on, tellPerMember that for each
-	// member, and maxTell the longest.
+	// tellOwnersEvery is the period at which the length of a long queue is passed on to the owners of other queues.
+	tellOwnersEvery = 100 * time.Millisecond
+	// tellEvery is the least period at which it is passed on to all members, tellPerMember that for each member, and
+	// maxTell the longest.
 	tellEvery     = 200 * time.Millisecond
 	tellPerMember = 15 * time.Millisecond
 	maxTell       = time.Second
@@ -75,11 +77,12 @@
 	maker   Maker
 	supply  Supply
 	inbox   chan message
-	// tell passes on how long the queue is.
-	tell func(wait time.Duration) (again time.Duration)
-	// told is the wait that was passed on last, and tellAt when it is passed on next.
-	told   time.Duration
-	tellAt time.Time
+	// tell passes on how long the queue is, to all members or to the owners of queues.
+	tell func(wait time.Duration, all bool) (again time.Duration)
+	// told is the wait that was passed on last, tellAt when it is passed on next, and tellAllAt when to all members.
+	told      time.Duration
+	tellAt    time.Time
+	tellAllAt time.Time
 	// owns tells whether this instance is to own the queue now, and owned whether it was.
 	owns  func() bool
 	owned bool
@@ -87,7 +90,7 @@
 	reportAt time.Time
 }
 
-func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration) (again time.Duration), congested func(service string) bool, owns func() bool) *owner {
+func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration, all bool) (again time.Duration), waitOf func(service string) time.Duration, owns func() bool) *owner {
 	o := &owner{
 		owns:    owns,
 		tell:    tell,
@@ -97,7 +100,7 @@
 		supply:  supply,
 		inbox:   make(chan message, ownerInbox),
 	}
-	o.queue.Congested = congested
+	o.queue.WaitOf = waitOf
 	return o
 }
 
@@ -133,8 +136,13 @@
 	if wait < shortWait && o.told < shortWait {
 		return
 	}
+	all := !now.Before(o.tellAllAt)
+	again := o.tell(wait, all)
+	if all {
+		o.tellAllAt = now.Add(again)
+	}
 	o.told = wait
-	o.tellAt = now.Add(o.tell(wait))
+	o.tellAt = now.Add(tellOwnersEvery)
 }
 
 // handBack gives what has not begun to the next owner, when this instance no longer owns the queue.
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -56,6 +56,8 @@
 	lateShift = 400 * time.Millisecond
 	// slowShare is the weight of the newest call in an upstream's slowness.
 	slowShare = 0.4
+	// longWait is the wait from which a queue gets no more of what is late already.
+	longWait = 300 * time.Millisecond
 	// firstPause and maxPause bound the time an upstream is left alone after failures.
 	firstPause = 300 * time.Millisecond
 	maxPause   = 3 * time.Second
@@ -104,9 +106,8 @@
 	near map[string]int
 	// waiting is the number of pieces not sent yet.
 	waiting int
-	// Congested tells whether the queue of another service is so long that it should get no more of what is
-	// late already. Nil stands for never.
-	Congested func(service string) bool
+	// WaitOf is how long the queue of another service is. Nil stands for short queues.
+	WaitOf func(service string) time.Duration
 	// usualSize is the number of pieces in a call, smoothed.
 	usualSize float64
 	// rate is the pieces made a second of late while more than a full call waited; 0 while that is unknown.
@@ -158,6 +159,7 @@
 
 // Add takes an order. One that can't be made in time is turned away at once.
 func (q *Queue) Add(now time.Time, o *Order) {
+	q.plan(o)
 	if now.Add(q.estimate(now, o)).After(o.giveUp(now)) {
 		q.reject(o)
 		return
@@ -224,7 +226,7 @@
 func (q *Queue) Next(now time.Time) *Call {
 	q.expire(now)
 	q.measure(now)
-	if q.waiting == 0 {
+	if q.waiting == 0 || !q.hasFreeUpstream(now) {
 		return nil
 	}
 	order := q.sendable(now)
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -106,16 +106,37 @@
 	now := time.Now()
 	q := NewQueue(spec)
 	q.SetUpstreams(upstreams("z"))
-	congested := true
-	q.Congested = func(service string) bool { return service == "next" && congested }
+	wait := map[string]time.Duration{"next": time.Second}
+	q.WaitOf = func(service string) time.Duration { return wait[service] }
 	late, _ := order(now, 1, 0, 20*time.Second)
 	late.Next = []string{"next"}
 	q.Add(now, late)
 	is.True(q.Next(now) == nil)
-	congested = false
+	wait["next"] = 0
 	is.True(q.Next(now) != nil)
 }
 
+// TestLaterQueueThatGrowsMakesRequestLate replays the begin of a burst: the queue of the next stage grows while orders
+// wait for the first one.
+func TestLaterQueueThatGrowsMakesRequestLate(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := NewQueue(spec)
+	q.SetUpstreams(upstreams("z"))
+	wait := time.Duration(0)
+	q.WaitOf = func(string) time.Duration { return wait }
+	long, _ := order(now, 8, 500*time.Millisecond, 20*time.Second)
+	long.Next = []string{"next"}
+	short, _ := order(now, 8, time.Second, 20*time.Second)
+	q.Add(now, long)
+	q.Add(now, short)
+	wait = 280 * time.Millisecond // too short to hold late requests
+	c := q.Next(now)
+	is.True(c.Items[0].Order == short) // long can't be on time any more
+	q.Done(now, c, made(c, "h"), false)
+	is.True(q.Next(now).Items[0].Order == long)
+}
+
 func TestHopelessRequestIsTurnedAwayAtOnce(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -122,10 +122,10 @@
 		o.Key = x.call.PieceKey
 	}
 	o.Zone, o.CrossBytes = x.place(i)
-	rest, waits := x.timeAfter(i)
-	o.Due = x.received.Add(time.Duration(aimPart*float64(x.route.Aim)) - rest - waits)
+	rest, next := x.after(i)
+	o.Due = x.received.Add(time.Duration(aimPart*float64(x.route.Aim)) - rest)
 	o.Deadline = x.deadline.Add(-rest)
-	o.Next = x.servicesAfter(i)
+	o.Next = next
 	once := sync.OnceFunc(func() { x.followed(stage.After) })
 	if len(stage.After) > 0 {
 		o.Begun = func() {
@@ -200,35 +200,29 @@
 // runTime is the time that a request needs after its stages until its first event.
 const runTime = 100 * time.Millisecond
 
-// timeAfter is the least time that a request needs once a stage is made: the calls of the stages that follow, and
-// its own run. Waits is the time that these calls wait at present.
-func (x *stageRun) timeAfter(stage int) (least, waits time.Duration) {
+// after returns the least time that a request needs once a stage is made, for the calls of the stages that follow and
+// its own run, and the services of these stages, one after the other.
+func (x *stageRun) after(stage int) (least time.Duration, services []string) {
 	least = runTime
 	for j := stage + 1; j < len(x.route.Stages); j++ {
 		if x.pieces(j) == 0 || !follows(x.route.Stages[j], stage) {
 			continue
 		}
-		service := x.route.Stages[j].Service
-		own := time.Duration(0)
-		if v := x.site.Services[service]; v != nil && v.Batch != nil {
-			own = v.Batch.CallTime + time.Duration(x.pieces(j))*v.Batch.PieceTime
+		rest, next := x.after(j)
+		if whole := x.callTime(j) + rest; whole > least {
+			least, services = whole, append([]string{x.route.Stages[j].Service}, next...)
 		}
-		after, wait := x.timeAfter(j)
-		least = max(least, own+after)
-		waits = max(waits, x.dispatcher.Wait(service)+wait)
 	}
-	return least, waits
+	return least, services
 }
 
-// servicesAfter lists the services whose queues the request goes through after a stage.
-func (x *stageRun) servicesAfter(stage int) []string {
-	var out []string
-	for j := stage + 1; j < len(x.route.Stages); j++ {
-		if x.pieces(j) > 0 && follows(x.route.Stages[j], stage) {
-			out = append(append(out, x.route.Stages[j].Service), x.servicesAfter(j)...)
-		}
+// callTime is the usual time of a call with the pieces of a stage; 0 if it is not known.
+func (x *stageRun) callTime(stage int) time.Duration {
+	v := x.site.Services[x.route.Stages[stage].Service]
+	if v == nil || v.Batch == nil {
+		return 0
 	}
-	return out
+	return v.Batch.CallTime + time.Duration(x.pieces(stage))*v.Batch.PieceTime
 }
 
 func follows(s site.Stage, stage int) bool {
