logs: write lines in batches to standard output, sample the usual ones

Cause: each line was a system call of the goroutine that served the request, to standard error in plantainlane; lines didn't name their instance, and what had decided a refusal was not logged.

Lines on requests answered in time at the first try are bounded by log.usualPerSecond; all others are whole. New lines: order refused, upstream ejected and readmitted; new fields firstMs, gapMs and leftOut at the end of a request.

Conclusion: a blocked output loses lines and no requests (test).

--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -46,7 +46,7 @@
   for n in $(seq "$count"); do
     settings "$n" "$disks" "$count" >"$data/entry-$n.jsonc"
     if [ "$n" = 1 ]; then bin/plantainlane bootstrap "$data/entry-$n.jsonc" >"$data/bootstrap.log"; fi
-    bin/plantainlane serve "$data/entry-$n.jsonc" 2>"$data/entry-$n.log" &
+    bin/plantainlane serve "$data/entry-$n.jsonc" >"$data/entry-$n.log" 2>&1 &
     instance_pid[$n]=$!
   done
   for n in $(seq "$count"); do until_ok curl -fsS "127.0.0.1:75${n}1/readyz" || return 1; done
--- a/demo.sh
+++ b/demo.sh
@@ -20,7 +20,7 @@
 rm -rf data && mkdir -p data
 bin/plantainlane bootstrap demo/instance-a.jsonc
 for i in a b c; do
-  bin/plantainlane serve "demo/instance-$i.jsonc" 2>"data/$i.log" &
+  bin/plantainlane serve "demo/instance-$i.jsonc" >"data/$i.log" 2>&1 &
   pids+=($!)
 done
 for service in encoder retriever writer accounts; do
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -123,6 +123,7 @@
 		o.handBack()
 		o.start(ctx)
 		o.tellWait(time.Now())
+		o.logRefusals()
 		o.report(time.Now())
 	}
 }
@@ -155,6 +156,14 @@
 	o.owned = owns
 }
 
+func (o *owner) logRefusals() {
+	for _, r := range o.queue.TakeRefusals() {
+		klog.InfoS("order refused", "request", r.Order.Request, "service", o.service, "stage", r.Order.Stage,
+			"pieces", r.Order.Pieces, "ahead", r.Ahead, "estimateMs", r.Estimate.Milliseconds(),
+			"waitedMs", r.Waited.Milliseconds(), "leftMs", r.Left.Milliseconds(), "upstreams", o.queue.quickUpstreams())
+	}
+}
+
 // report logs the state of the queue now and then while it is in use.
 func (o *owner) report(now time.Time) {
 	if now.Before(o.reportAt) {
--- a/plantainlane/batch/pace.go
+++ b/plantainlane/batch/pace.go
@@ -85,6 +85,26 @@
 	return out
 }
 
+// Refusal is what decided that an order was turned away.
+type Refusal struct {
+	Order *Order
+	// Estimate is the time until the order would have been made.
+	Estimate time.Duration
+	// Left is the time until its deadline.
+	Left time.Duration
+	// Waited is the time that it has waited.
+	Waited time.Duration
+	// Ahead is the number of pieces that waited.
+	Ahead int
+}
+
+// TakeRefusals returns the refusals, and forgets them.
+func (q *Queue) TakeRefusals() []Refusal {
+	out := q.refusals
+	q.refusals = nil
+	return out
+}
+
 // Room is the room that results take at all upstreams, and all there is, in bytes.
 func (q *Queue) Room() (used, all int) {
 	for _, u := range q.upstreams {
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -88,6 +88,8 @@
 	rateShare = 0.3
 	// rateEvery is the period of measuring it.
 	rateEvery = 500 * time.Millisecond
+	// maxRefusals bounds the refusals that are kept.
+	maxRefusals = 64
 	// patientPart is the part of its time that an order without results waits.
 	patientPart = 0.5
 	// minRetryAfter and maxRetryAfter bound the time that callers are told to wait.
@@ -119,6 +121,8 @@
 	// largest is the size of the largest result ordered so far, in bytes.
 	largest int
 	counts  Counts
+	// refusals are those of late, the oldest first.
+	refusals []Refusal
 }
 
 // NewQueue returns an empty queue.
@@ -160,8 +164,8 @@
 // Add takes an order. One that can't be made in time is turned away at once.
 func (q *Queue) Add(now time.Time, o *Order) {
 	q.plan(o)
-	if now.Add(q.estimate(now, o)).After(o.giveUp(now)) {
-		q.reject(o)
+	if estimate := q.estimate(now, o); now.Add(estimate).After(o.giveUp(now)) {
+		q.reject(now, o, estimate)
 		return
 	}
 	o.added = now
@@ -172,8 +176,15 @@
 }
 
 // reject ends an order that can't be made in time.
-func (q *Queue) reject(o *Order) {
+func (q *Queue) reject(now time.Time, o *Order, estimate time.Duration) {
 	q.counts.Late++
+	if len(q.refusals) < maxRefusals {
+		r := Refusal{Order: o, Estimate: estimate, Left: o.Deadline.Sub(now), Ahead: q.waiting}
+		if !o.added.IsZero() {
+			r.Waited = now.Sub(o.added)
+		}
+		q.refusals = append(q.refusals, r)
+	}
 	o.finish(Outcome{Reason: ReasonLate, RetryAfter: min(max(q.timeFor(q.waiting), minRetryAfter), maxRetryAfter)})
 }
 
@@ -254,7 +265,7 @@
 	for _, o := range slices.Clone(q.orders) {
 		if now.Add(q.spec.CallTime).After(o.giveUp(now)) && o.unsent() > 0 {
 			q.remove(o)
-			q.reject(o)
+			q.reject(now, o, q.estimate(now, o))
 		}
 	}
 	q.noteBegun(now)
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -151,6 +151,11 @@
 	is.Equal(got.Reason, ReasonLate)
 	is.True(got.RetryAfter > 0)
 	is.True(got.RetryAfter <= maxRetryAfter)
+	refusals := q.TakeRefusals()
+	is.Equal(len(refusals), 1) // what decided it is told
+	is.Equal(refusals[0].Ahead, 320)
+	is.True(refusals[0].Estimate > time.Second)
+	is.Equal(len(q.TakeRefusals()), 0)
 }
 
 // TestRoomCountsUntilFreed replays the race of a free with the next call: room that was given up and not yet
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -61,7 +61,7 @@
 	if _, err := q.writer.Write(e.bytes); err != nil {
 		return errors.Wrap(err, "caller")
 	}
-	q.events++
+	q.noteEvent(time.Now())
 	if e.id != "" {
 		q.lastEvent = e.id
 	}
@@ -71,6 +71,16 @@
 	return nil
 }
 
+func (q *request) noteEvent(now time.Time) {
+	if q.events == 0 {
+		q.firstAfter = now.Sub(q.received)
+	} else {
+		q.longestGap = max(q.longestGap, now.Sub(q.lastAt))
+	}
+	q.events++
+	q.lastAt = now
+}
+
 // endStream ends a stream after its last event.
 func (q *request) endStream(res *http.Response) sendOutcome {
 	if !q.started {
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -12,6 +12,7 @@
 
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/exchange"
+	"plantainlane/plantainlane/logs"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/site"
 )
@@ -41,6 +42,8 @@
 	Observer   Observer
 	// Zone of the instance.
 	Zone string
+	// UsualLines bounds the log lines on requests that were answered in time at the first try; nil for all.
+	UsualLines *logs.Sampler
 }
 
 const (
@@ -86,10 +89,14 @@
 	sends, runs int
 	// started tells that the head of an answer was passed on.
 	started bool
-	// events counts the events passed on; lastEvent is the ID of the last one.
+	// events counts the events passed on; lastEvent is the ID of the last one, passed on at lastAt.
 	events    int
 	lastEvent string
-	upstream  string
+	lastAt    time.Time
+	// firstAfter is the time from the receipt until the first event was passed on, and longestGap the longest pause
+	// between two events.
+	firstAfter, longestGap time.Duration
+	upstream               string
 }
 
 // ServeHTTP takes one request of a caller.
@@ -259,11 +266,29 @@
 	if q.server.Observer != nil {
 		q.server.Observer.Forwarded(name, outcome, took)
 	}
+	log, leftOut := true, 0
+	if q.isUsual(outcome, took) && q.server.UsualLines != nil {
+		log, leftOut = q.server.UsualLines.Pass(time.Now())
+	}
+	if !log {
+		return
+	}
 	version := 0
 	if q.site != nil {
 		version = q.site.Version
 	}
 	klog.InfoS("request ended", "request", q.call.ID, "outcome", outcome, "status", status, "reason", reason,
 		"route", name, "workspace", q.workspace, "upstream", q.upstream, "home", q.homes.first(), "sends", q.sends, "runs", q.runs,
-		"events", q.events, "stagesMs", q.madeMs, "ms", took.Milliseconds(), "version", version)
+		"events", q.events, "firstMs", q.firstAfter.Milliseconds(), "gapMs", q.longestGap.Milliseconds(), "stagesMs", q.madeMs, "ms", took.Milliseconds(), "version", version, "leftOut", leftOut)
+}
+
+// isUsual tells whether a request was answered in time at the first try.
+func (q *request) isUsual(outcome string, took time.Duration) bool {
+	if q.route == nil || outcome != "answered" || q.sends != 1 {
+		return false
+	}
+	if q.route.Stream {
+		return q.firstAfter <= q.route.Aim && q.longestGap <= q.route.GapAim
+	}
+	return took <= q.route.Aim
 }
--- a/plantainlane/instance/front.go
+++ b/plantainlane/instance/front.go
@@ -12,6 +12,7 @@
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/forward"
+	"plantainlane/plantainlane/logs"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/site"
 	"plantainlane/plantainlane/state"
@@ -149,6 +150,7 @@
 	handler := &forward.Server{
 		Dialect: x.front.Dialect, Views: x.sites, Picker: x.services, Pool: pool, Dispatcher: x.dispatcher,
 		Budget: x.front.Retries, Observer: x.metrics, Zone: x.self.Zone,
+		UsualLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
 	}
 	s, err := listenHTTP(x.front.Address, handler, x.settings.Entry.MaxHeaderBytes)
 	if err != nil {
--- /dev/null
+++ b/plantainlane/logs/logs_test.go
@@ -0,0 +1,137 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"k8s.io/klog/v2"
+
+	"plantainlane/plantainlane/settings"
+)
+
+// output notes each write. It takes nothing while it is blocked.
+type output struct {
+	mu      sync.Mutex
+	writes  []string
+	blocked chan struct{}
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	if o.blocked != nil {
+		<-o.blocked
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes = append(o.writes, string(b))
+	return len(b), nil
+}
+
+func (o *output) text() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Join(o.writes, "")
+}
+
+func (o *output) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.writes)
+}
+
+func leftOut(count int) []byte { return fmt.Appendf(nil, "%d left out\n", count) }
+
+func TestLinesAreWrittenInBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &output{}
+		w := NewWriter(out, leftOut)
+		for range 5 {
+			_, _ = w.Write([]byte("line\n"))
+		}
+		is.Equal(out.count(), 0)
+		time.Sleep(2 * flushEvery)
+		synctest.Wait()
+		is.Equal(out.count(), 1)
+		is.Equal(out.text(), strings.Repeat("line\n", 5))
+		_, _ = w.Write([]byte("last\n"))
+		w.Close()
+		is.Equal(out.count(), 2)
+	})
+}
+
+func TestManyLinesAreWrittenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &output{}
+		w := NewWriter(out, leftOut)
+		_, _ = w.Write([]byte("first\n"))
+		_, _ = w.Write(make([]byte, batchBytes))
+		synctest.Wait()
+		is.Equal(out.count(), 1)
+	})
+}
+
+// TestBlockedOutputLosesLinesOnly guards against a log that holds requests up.
+func TestBlockedOutputLosesLinesOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &output{blocked: make(chan struct{})}
+		w := NewWriter(out, leftOut)
+		began, line := time.Now(), []byte(strings.Repeat("x", 1023)+"\n")
+		const lines = 4 * maxWaitingBytes / 1024
+		for range lines {
+			_, _ = w.Write(line)
+		}
+		is.Equal(time.Since(began), time.Duration(0)) // no line waited
+		w.Close()
+		is.Equal(time.Since(began), closeTime)
+		close(out.blocked)
+		time.Sleep(2 * flushEvery)
+		synctest.Wait()
+		kept := strings.Count(out.text(), string(line))
+		is.True(kept < lines && kept > 0)
+		is.True(strings.Contains(out.text(), fmt.Sprintf("%d left out\n", lines-kept)))
+	})
+}
+
+func TestSamplerCountsWhatItLeavesOut(t *testing.T) {
+	is := is.New(t)
+	s := Sampler{PerSecond: 2}
+	now := time.Unix(100, 0)
+	passed := 0
+	for range 10 {
+		if ok, _ := s.Pass(now); ok {
+			passed++
+		}
+	}
+	is.Equal(passed, 2)
+	ok, leftOut := s.Pass(now.Add(time.Second))
+	is.True(ok)
+	is.Equal(leftOut, 8)
+}
+
+func TestLinesBearTheInstance(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	stop := Start(&out, "entry-1", settings.Log{Format: "json"})
+	klog.InfoS("serving", "zone", "z")
+	stop()
+	is.True(strings.Contains(out.String(), `"msg":"serving","instance":"entry-1","zone":"z"`))
+}
+
+// BenchmarkLine measures a line as it is logged at the end of a request.
+func BenchmarkLine(b *testing.B) {
+	stop := Start(io.Discard, "entry-1", settings.Log{Format: "json"})
+	defer stop()
+	b.ReportAllocs()
+	for b.Loop() {
+		klog.InfoS("request ended", "request", "7f8d0011aa", "outcome", "answered", "status", 200, "route", "r", "ms", 12)
+	}
+}
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"plantainlane/wire"
 	"plantainlane/wire/declaration"
 )
@@ -78,6 +80,8 @@
 		u.service.ejected.Add(-1)
 		return
 	}
+	klog.InfoS("upstream ejected", "upstream", u.info.Load().id, "service", u.service.name, "failures", u.failures.Load(),
+		"slowness", u.slowness(now), "inFlight", u.inFlight.Load(), "forMs", period.Milliseconds())
 	if u.state.Load() == leaving {
 		u.release()
 	}
@@ -93,6 +97,7 @@
 // readmit ends an ejection: the upstream is on probation and starts slowly, with nothing held against it but
 // the number of its ejections.
 func (u *upstream) readmit(now int64) {
+	klog.InfoS("upstream readmitted", "upstream", u.info.Load().id, "service", u.service.name, "ejections", u.ejections.Load())
 	u.failures.Store(0)
 	u.samples.Store(0)
 	u.latency.Store(0)
--- a/plantainlane/serve.go
+++ b/plantainlane/serve.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"flag"
-	"log/slog"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
-	"k8s.io/klog/v2"
 
 	"plantainlane/plantainlane/instance"
+	"plantainlane/plantainlane/logs"
 	"plantainlane/plantainlane/settings"
 )
 
@@ -37,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	startLogs(s.Log)
+	defer logs.Start(os.Stdout, s.Instance.ID, s.Log)()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT)
 	defer stop()
 	x, err := instance.New(ctx, s)
@@ -55,18 +52,3 @@
 	}()
 	return x.Run(ctx)
 }
-
-// startLogs sends logs to standard error as JSON lines, or as text.
-func startLogs(l settings.Log) {
-	level := slog.Level(-l.Verbosity)
-	var handler slog.Handler = slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
-	if l.Format != "json" {
-		handler = slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
-	}
-	klog.SetSlogLogger(slog.New(handler))
-	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	if err := flags.Set("v", strconv.Itoa(l.Verbosity)); err != nil {
-		klog.ErrorS(err, "verbosity not set")
-	}
-}
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -11,19 +11,20 @@
 )
 
 const (
-	minSecretLength = 16
-	maxLease        = 10 * time.Minute
-	maxDuration     = 24 * time.Hour
-	maxBodyBytes    = 1 << 30
-	minHeaderBytes  = 4 << 10
-	maxHeaderBytes  = 1 << 20
-	minEvents       = 16
-	maxEvents       = 1 << 24
-	maxVerbosity    = 9
-	minCores        = 0.01
-	maxCores        = 1024
-	minWeightRate   = 0.001
-	maxWeightRate   = 1000
+	minSecretLength   = 16
+	maxLease          = 10 * time.Minute
+	maxDuration       = 24 * time.Hour
+	maxBodyBytes      = 1 << 30
+	minHeaderBytes    = 4 << 10
+	maxHeaderBytes    = 1 << 20
+	minEvents         = 16
+	maxEvents         = 1 << 24
+	maxUsualPerSecond = 100_000
+	maxVerbosity      = 9
+	minCores          = 0.01
+	maxCores          = 1024
+	minWeightRate     = 0.001
+	maxWeightRate     = 1000
 )
 
 type checker struct {
@@ -51,6 +52,7 @@
 		c.integer("timeline.events", s.Timeline.Events, minEvents, maxEvents)
 	}
 	c.integer("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
+	c.integer("log.usualPerSecond", s.Log.UsualPerSecond, 0, maxUsualPerSecond)
 	if s.Log.Format != "json" && s.Log.Format != "text" {
 		c.fail("log.format", `"json" or "text"`, strconv.Quote(s.Log.Format))
 	}
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -176,6 +176,9 @@
 	Verbosity int `json:"verbosity"`
 	// Format is "json" for JSON lines or "text". Default "json".
 	Format string `json:"format"`
+	// UsualPerSecond is the number of lines a second on requests that were answered in time at the first try.
+	// Others are always logged. Default 20.
+	UsualPerSecond int `json:"usualPerSecond"`
 }
 
 // Default returns the settings that a file changes.
@@ -199,7 +202,7 @@
 		Upstreams:   Upstreams{IdleConnectionLimit: Duration(30 * time.Second)},
 		WeightStore: WeightStore{PerSecond: 1, Burst: 1},
 		Timeline:    Timeline{Events: 65536},
-		Log:         Log{Format: "json"},
+		Log:         Log{Format: "json", UsualPerSecond: 20},
 	}
 }
 
