--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 SKIP := $(if $(RED),-skip '$(RED)')
 
-.PHONY: build test race red demo lint experiments speed
+.PHONY: build test race soak red demo lint experiments speed
 
 build:
 	mkdir -p bin
@@ -17,6 +17,9 @@
 race: red
 	go test -race -short $(SKIP) $(MODULES)
 
+soak:
+	go test ./platform -run TestSoak -timeout 60m -v -soak.seeds 50
+
 red:
 	@[ -z '$(RED)' ] || { echo 'known to fail, left out:'; cat KNOWN-RED.txt; }
 
