forward: take no budget for a send that reached no upstream

The users count arrivals only.

Change: only a further send after one that may have arrived takes from the budget.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -75,7 +75,7 @@
 		if ctx.Err() != nil || time.Until(q.deadline) < minLeft {
 			break
 		}
-		if q.sends > 0 && !q.server.Budget.Take(q.service, time.Now()) {
+		if q.arrived && !q.server.Budget.Take(q.service, time.Now()) {
 			break
 		}
 		target, ok := q.pick()
@@ -163,6 +163,7 @@
 	if err != nil {
 		return sendOutcome{result: notRun, err: err}
 	}
+	q.arrived = true
 	stop := context.AfterFunc(ctx, c.Close)
 	out, keep := q.exchangeOn(c, t)
 	if !stop() {
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -87,6 +87,8 @@
 	tried []string
 	// sends counts the sends, runs those that may have run.
 	sends, runs int
+	// arrived tells that an upstream may have seen the request.
+	arrived bool
 	// started tells that the head of an answer was passed on.
 	started bool
 	// events counts the events passed on; lastEvent is the ID of the last one, passed on at lastAt.
--- a/plantainlane/forward/server_test.go
+++ b/plantainlane/forward/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
 )
 
 func ok(w http.ResponseWriter, r *http.Request) {
@@ -272,6 +274,32 @@
 	is.Equal(w.total(), 0)
 }
 
+// TestUnreachedUpstreamCostsNoBudget replays upstreams that crashed: a request that reached none of them is sent
+// elsewhere, even if no further send is allowed.
+func TestUnreachedUpstreamCostsNoBudget(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, &site.Route{Repeat: site.AtMostOnce, MaxAttempts: 1})
+	w.server.Budget.Ratio, w.server.Budget.Spare = 0, 0
+	for i := range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		a := wire.Announcement{
+			ID: fmt.Sprint("gone", i), Service: "s", Address: l.Addr().String(), Zone: "zone", Region: "region", Capacity: 100,
+			Incarnation: 1, Sequence: 1, TTLMs: 60_000,
+		}
+		l.Close()
+		is.NoErr(w.roster.Announce(a, "", time.Now()))
+		w.balancer.Apply(time.Now(), a)
+	}
+	w.upstream("u1", ok)
+	for range 20 {
+		res, _, err := w.ask()
+		is.NoErr(err)
+		is.Equal(res.StatusCode, 200)
+	}
+	is.Equal(w.total(), 20)
+}
+
 func TestBudgetBoundsFurtherSends(t *testing.T) {
 	is := is.New(t)
 	b := &Budget{Ratio: 0.2, Spare: 10, Window: 10 * time.Second, Instances: func() int { return 10 }}
