batch: late requests with small results wait behind those that can be on time

Cause: a request with results counted as due 0.4 s after it came to a queue, even if it was late already, because results take room until they are read. That holds for large results only.

TestLateRequestWithResultsIsFinished now says that its results take room: it guards against full room, and small results don't fill it.

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -182,7 +182,7 @@
 	d.peers.Send(to, wire.Frame{Call: call, PieceOrder: &wire.PieceOrder{
 		Service: service, Request: o.Request, Stage: o.Stage, Pieces: o.Pieces, Key: o.Key,
 		Inputs: append([]string{}, o.Inputs...), Next: append([]string{}, o.Next...),
-		Zone: o.Zone, CrossBytes: o.CrossBytes, Bytes: o.Bytes, Priority: o.Priority,
+		Zone: o.Zone, CrossBytes: o.CrossBytes, HoldsRoom: o.HoldsRoom, Bytes: o.Bytes, Priority: o.Priority,
 		DueMs:  int(o.Due.Sub(now) / time.Millisecond),
 		LeftMs: int(o.Deadline.Sub(now) / time.Millisecond),
 	}})
@@ -276,7 +276,7 @@
 	now := time.Now()
 	key := remoteCall{from, call}
 	o := &Order{
-		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone, CrossBytes: p.CrossBytes,
+		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone, CrossBytes: p.CrossBytes, HoldsRoom: p.HoldsRoom,
 		Bytes: p.Bytes, Priority: p.Priority,
 		Due:      now.Add(time.Duration(p.DueMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(p.LeftMs) * time.Millisecond),
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -88,6 +88,22 @@
 
 // TestLateRequestWithResultsIsFinished guards against results that wait for ever and fill the room.
 func TestLateRequestWithResultsIsFinished(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := NewQueue(spec)
+	q.SetUpstreams(upstreams("z"))
+	late, _ := order(now, 8, -time.Second, 20*time.Second)
+	late.Inputs, late.HoldsRoom = []string{"x/1"}, true
+	q.Add(now, late)
+	timely, _ := order(now, 8, time.Second, 20*time.Second)
+	timely.Inputs, timely.HoldsRoom = []string{"x/2"}, true
+	q.Add(now, timely)
+	is.True(q.Next(now).Items[0].Order == late)
+}
+
+// TestLateRequestWithSmallResultsMakesNoOtherLate replays the second of three queues after a burst: late requests came
+// first, and their results take next to no room.
+func TestLateRequestWithSmallResultsMakesNoOtherLate(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	q := NewQueue(spec)
@@ -95,10 +111,20 @@
 	late, _ := order(now, 8, -time.Second, 20*time.Second)
 	late.Inputs = []string{"x/1"}
 	q.Add(now, late)
+	for range 10 {
+		timely, _ := order(now, 8, time.Second, 20*time.Second)
+		timely.Inputs = []string{"x/2"}
+		q.Add(now, timely)
+		c := q.Next(now)
+		is.True(c.Items[0].Order == timely)
+		now = now.Add(100 * time.Millisecond)
+		q.Done(now, c, made(c, "h"), false)
+	}
+	now = now.Add(resultPatience)
 	timely, _ := order(now, 8, time.Second, 20*time.Second)
 	timely.Inputs = []string{"x/2"}
 	q.Add(now, timely)
-	is.True(q.Next(now).Items[0].Order == late)
+	is.True(q.Next(now).Items[0].Order == late) // before its results end
 }
 
 func TestLateRequestWaitsForLaterQueues(t *testing.T) {
@@ -207,6 +233,24 @@
 	is.True(calls <= 8)
 }
 
+// TestLackOfRoomForOneResultIsNoPause replays results that are a little larger than the route says: an upstream that
+// lacked room for one of eight is sent its next call at once.
+func TestLackOfRoomForOneResultIsNoPause(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := NewQueue(spec)
+	q.SetUpstreams(upstreams("z"))
+	for range 4 {
+		o, _ := order(now, 4, time.Second, 5*time.Second)
+		q.Add(now, o)
+	}
+	c := q.Next(now)
+	results := made(c, "h")
+	results[7] = Result{Reason: ReasonRoom}
+	q.Done(now, c, results, false)
+	is.True(q.Next(now) != nil)
+}
+
 func TestFailedCallIsMadeElsewhere(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -111,6 +111,7 @@
 		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Bytes: stage.Bytes, Priority: x.priority,
 	}
 	for _, before := range stage.After {
+		o.HoldsRoom = o.HoldsRoom || x.isLarge(before)
 		select {
 		case <-x.ready[before]:
 		case <-ctx.Done():
@@ -145,6 +146,19 @@
 	return nil
 }
 
+// largePart is the part of an upstream's room from which the results of a full call take much of it.
+const largePart = 0.25
+
+// isLarge tells whether the results of a stage take much of their upstreams' room.
+func (x *stageRun) isLarge(stage int) bool {
+	s := &x.route.Stages[stage]
+	v := x.site.Services[s.Service]
+	if v == nil || v.Batch == nil || v.Batch.RoomBytes <= 0 {
+		return false
+	}
+	return float64(v.Batch.Size*s.Bytes) > largePart*float64(v.Batch.RoomBytes)
+}
+
 // place returns the zone in which the pieces of a stage are best made, and the bytes that cross zones otherwise: near
 // the results that they need, or near the request if their own results are larger.
 func (x *stageRun) place(stage int) (zone string, crossBytes int) {
--- a/wire/types.go
+++ b/wire/types.go
@@ -1255,6 +1255,9 @@
 	// Milliseconds left until the results should be there.
 	DueMs int `json:"dueMs" cbor:"dueMs"`
 
+	// The inputs take much of their upstreams' room.
+	HoldsRoom bool `json:"holdsRoom" cbor:"holdsRoom"`
+
 	// Handles of the results that each piece needs.
 	Inputs []string `json:"inputs" cbor:"inputs"`
 
