batch: late requests count in the length that holds others back

Cause: the owners told each other the wait of what can be on time. Orders went on being sent.

Change: owners tell both the wait of what can be on time, which plans are made with, and the time until everything is begun, which holds late orders back. The queue's log line gives the mean time of its calls and the expected one.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -23,13 +23,13 @@
 // time of the order every request is begun and none is on time.
 func (q *Queue) plan(o *Order) {
 	o.due, o.held = o.Due, false
-	if q.WaitOf == nil {
+	if q.WaitsOf == nil {
 		return
 	}
 	for _, service := range o.Next {
-		wait := q.WaitOf(service)
-		o.due = o.due.Add(-wait)
-		o.held = o.held || wait > longWait
+		waits := q.WaitsOf(service)
+		o.due = o.due.Add(-waits.Timely)
+		o.held = o.held || waits.All > longWait
 	}
 }
 
--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -58,7 +58,7 @@
 
 // queueWait is what the owner of a queue told of it.
 type queueWait struct {
-	wait time.Duration
+	waits Waits
 	// until is how long the word counts.
 	until time.Time
 }
@@ -207,22 +207,22 @@
 	}
 }
 
-// Wait is how long a piece of a service ordered now waits for its call, as far as it is known.
-func (d *Dispatcher) Wait(service string) time.Duration {
+// Waits is how long the queue of a service is, as far as it is known.
+func (d *Dispatcher) Waits(service string) Waits {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.waits[service]
 	if time.Now().After(w.until) {
-		return 0
+		return Waits{}
 	}
-	return w.wait
+	return w.waits
 }
 
-func (d *Dispatcher) noteWait(service string, wait time.Duration) {
+func (d *Dispatcher) noteWaits(service string, w Waits) {
 	until := time.Now().Add(waitPeriods * tellPeriod(len(d.peers.Members())))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.waits[service] = queueWait{wait, until}
+	d.waits[service] = queueWait{w, until}
 }
 
 // tellPeriod is the period at which the length of a long queue is told so many members.
@@ -230,10 +230,10 @@
 	return min(max(tellEvery, time.Duration(members)*tellPerMember), maxTell)
 }
 
-// tellWait tells the owners of queues how long a queue of this instance is, or all members. It returns when to tell all
+// tellWaits tells the owners of queues how long a queue of this instance is, or all members. It returns when to tell all
 // of them again: the more members, the later.
-func (d *Dispatcher) tellWait(service string, wait time.Duration, all bool) (again time.Duration) {
-	d.noteWait(service, wait)
+func (d *Dispatcher) tellWaits(service string, w Waits, all bool) (again time.Duration) {
+	d.noteWaits(service, w)
 	members := d.peers.Members()
 	told := members
 	if !all {
@@ -241,7 +241,9 @@
 	}
 	for _, m := range told {
 		if m.ID != d.self {
-			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{Service: service, WaitMs: int(wait / time.Millisecond)}})
+			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{
+				Service: service, WaitMs: int(w.Timely / time.Millisecond), AllMs: int(w.All / time.Millisecond),
+			}})
 		}
 	}
 	return tellPeriod(len(members))
@@ -259,7 +261,10 @@
 	case f.PieceCancel != nil:
 		d.takeCancel(remoteCall{f.From, f.Call})
 	case f.PieceQueue != nil:
-		d.noteWait(f.PieceQueue.Service, time.Duration(f.PieceQueue.WaitMs)*time.Millisecond)
+		d.noteWaits(f.PieceQueue.Service, Waits{
+			Timely: time.Duration(f.PieceQueue.WaitMs) * time.Millisecond,
+			All:    time.Duration(f.PieceQueue.AllMs) * time.Millisecond,
+		})
 	case f.PieceRelease != nil:
 		d.deliver(d.owner(f.PieceRelease.Service), released{f.PieceRelease.Handles})
 	default:
@@ -346,9 +351,9 @@
 	defer d.mu.Unlock()
 	w := d.owners[service]
 	if w == nil {
-		tell := func(wait time.Duration, all bool) (again time.Duration) { return d.tellWait(service, wait, all) }
+		tell := func(w Waits, all bool) (again time.Duration) { return d.tellWaits(service, w, all) }
 		owns := func() bool { return Owner(service, d.peers.Members()) == d.self }
-		w = newOwner(service, d.maker, d.supply(service), tell, d.Wait, owns)
+		w = newOwner(service, d.maker, d.supply(service), tell, d.Waits, owns)
 		d.owners[service] = w
 		go w.run(d.ctx)
 	}
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -78,9 +78,9 @@
 	supply  Supply
 	inbox   chan message
 	// tell passes on how long the queue is, to all members or to the owners of queues.
-	tell func(wait time.Duration, all bool) (again time.Duration)
-	// told is the wait that was passed on last, tellAt when it is passed on next, and tellAllAt when to all members.
-	told      time.Duration
+	tell func(w Waits, all bool) (again time.Duration)
+	// told is what was passed on last, tellAt when it is passed on next, and tellAllAt when to all members.
+	told      Waits
 	tellAt    time.Time
 	tellAllAt time.Time
 	// owns tells whether this instance is to own the queue now, and owned whether it was.
@@ -90,7 +90,7 @@
 	reportAt time.Time
 }
 
-func newOwner(service string, maker Maker, supply Supply, tell func(wait time.Duration, all bool) (again time.Duration), waitOf func(service string) time.Duration, owns func() bool) *owner {
+func newOwner(service string, maker Maker, supply Supply, tell func(w Waits, all bool) (again time.Duration), waitsOf func(service string) Waits, owns func() bool) *owner {
 	o := &owner{
 		owns:    owns,
 		tell:    tell,
@@ -100,7 +100,7 @@
 		supply:  supply,
 		inbox:   make(chan message, ownerInbox),
 	}
-	o.queue.WaitOf = waitOf
+	o.queue.WaitsOf = waitsOf
 	return o
 }
 
@@ -115,7 +115,7 @@
 		case m := <-o.inbox:
 			o.take(ctx, m)
 		case <-ticker.C:
-			if o.queue.Idle() && o.told < shortWait {
+			if o.queue.Idle() && o.told.All < shortWait {
 				continue
 			}
 		}
@@ -133,16 +133,16 @@
 	if now.Before(o.tellAt) {
 		return
 	}
-	wait := o.queue.Wait(now)
-	if wait < shortWait && o.told < shortWait {
+	w := o.queue.Waits(now)
+	if w.All < shortWait && o.told.All < shortWait {
 		return
 	}
 	all := !now.Before(o.tellAllAt)
-	again := o.tell(wait, all)
+	again := o.tell(w, all)
 	if all {
 		o.tellAllAt = now.Add(again)
 	}
-	o.told = wait
+	o.told = w
 	o.tellAt = now.Add(tellOwnersEvery)
 }
 
@@ -173,7 +173,9 @@
 	c := o.queue.TakeCounts()
 	used, room := o.queue.Room()
 	all, busy, paused := o.queue.Upstreams(now)
+	took, expected := c.meanTimes()
 	klog.InfoS("queue", "service", o.service, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
+		"callMs", took.Milliseconds(), "expectedMs", expected.Milliseconds(),
 		"noRoom", c.NoRoom, "failed", c.Failed, "gone", c.Gone, "late", c.Late, "roomUsed", used, "room", room,
 		"upstreams", all, "busy", busy, "paused", paused)
 }
--- a/plantainlane/batch/pace.go
+++ b/plantainlane/batch/pace.go
@@ -57,27 +57,46 @@
 	q.measuredAt, q.madeSince, q.backlog = now, 0, q.waiting >= q.spec.Size
 }
 
-// Wait is the time until a piece ordered now is begun, not counting what waits behind it.
-func (q *Queue) Wait(now time.Time) time.Duration {
-	ahead := 0
+// Waits is how long a queue is.
+type Waits struct {
+	// Timely is the time until a piece ordered now is begun, if its request can be on time.
+	Timely time.Duration
+	// All is the time until everything that waits is begun. At least Timely.
+	All time.Duration
+}
+
+// Waits returns how long the queue is.
+func (q *Queue) Waits(now time.Time) Waits {
+	timely, callTime := 0, q.usualCall()
 	for _, o := range q.orders {
-		if !o.isLate(now, q.usualCall()) {
-			ahead += o.unsent()
+		if !o.isLate(now, callTime) {
+			timely += o.unsent()
 		}
 	}
-	return q.timeFor(ahead)
+	return Waits{Timely: q.timeFor(timely), All: q.timeFor(q.waiting)}
 }
 
 // Counts sums up what a queue did since they were last taken.
 type Counts struct {
 	// Calls sent, and the pieces in them.
 	Calls, Pieces int
+	// Ended calls that were answered, the time that they took, and the time that they usually take.
+	Ended       int
+	Took, Usual time.Duration
 	// NoRoom, Failed and Gone count pieces by why they were not made.
 	NoRoom, Failed, Gone int
 	// Late counts orders that were turned away or gave up.
 	Late int
 }
 
+// meanTimes returns the mean time that the calls took, and that they usually take.
+func (c *Counts) meanTimes() (took, usual time.Duration) {
+	if c.Ended == 0 {
+		return 0, 0
+	}
+	return c.Took / time.Duration(c.Ended), c.Usual / time.Duration(c.Ended)
+}
+
 // TakeCounts returns the counts and begins them anew.
 func (q *Queue) TakeCounts() Counts {
 	out := q.counts
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -58,7 +58,7 @@
 	lateShift = 400 * time.Millisecond
 	// slowShare is the weight of the newest call in an upstream's slowness.
 	slowShare = 0.4
-	// longWait is the wait from which a queue gets no more of what is late already.
+	// longWait is the length from which a queue gets no more of what is late already.
 	longWait = 300 * time.Millisecond
 	// firstPause and maxPause bound the time an upstream is left alone after failures.
 	firstPause = 300 * time.Millisecond
@@ -110,8 +110,8 @@
 	near map[string]int
 	// waiting is the number of pieces not sent yet.
 	waiting int
-	// WaitOf is how long the queue of another service is. Nil stands for short queues.
-	WaitOf func(service string) time.Duration
+	// WaitsOf is how long the queue of another service is. Nil stands for short queues.
+	WaitsOf func(service string) Waits
 	// usualSize is the number of pieces in a call, smoothed.
 	usualSize float64
 	// rate is the pieces made a second of late while more than a full call waited; 0 while that is unknown.
@@ -322,7 +322,11 @@
 	if results == nil {
 		u.fail(now, busy)
 	} else {
-		u.succeed(now.Sub(c.Began), q.callTime(len(c.Items)))
+		took, usual := now.Sub(c.Began), q.callTime(len(c.Items))
+		u.succeed(took, usual)
+		q.counts.Ended++
+		q.counts.Took += took
+		q.counts.Usual += usual
 	}
 	if isFull(results) {
 		u.notBefore = now.Add(roomPause)
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -101,6 +101,23 @@
 	is.True(q.Next(now).Items[0].Order == late)
 }
 
+// TestLateOrdersCountInTheLength replays a queue that late requests fill: what can be on time waits for none of them,
+// and a queue before it must send no more of them.
+func TestLateOrdersCountInTheLength(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := NewQueue(spec)
+	q.SetUpstreams(upstreams("z"))
+	for range 20 {
+		late, _ := order(now, 8, -time.Second, 20*time.Second)
+		late.Inputs = []string{"x/1"}
+		q.Add(now, late)
+	}
+	w := q.Waits(now)
+	is.Equal(w.Timely, time.Duration(0))
+	is.Equal(w.All, 20*q.callTime(8))
+}
+
 // TestLateRequestWithSmallResultsMakesNoOtherLate replays the second of three queues after a burst: late requests came
 // first, and their results take next to no room.
 func TestLateRequestWithSmallResultsMakesNoOtherLate(t *testing.T) {
@@ -133,7 +150,7 @@
 	q := NewQueue(spec)
 	q.SetUpstreams(upstreams("z"))
 	wait := map[string]time.Duration{"next": time.Second}
-	q.WaitOf = func(service string) time.Duration { return wait[service] }
+	q.WaitsOf = func(service string) Waits { return Waits{All: wait[service]} }
 	late, _ := order(now, 1, 0, 20*time.Second)
 	late.Next = []string{"next"}
 	q.Add(now, late)
@@ -150,7 +167,7 @@
 	q := NewQueue(spec)
 	q.SetUpstreams(upstreams("z"))
 	wait := time.Duration(0)
-	q.WaitOf = func(string) time.Duration { return wait }
+	q.WaitsOf = func(string) Waits { return Waits{Timely: wait, All: wait} }
 	long, _ := order(now, 8, 500*time.Millisecond, 20*time.Second)
 	long.Next = []string{"next"}
 	short, _ := order(now, 8, time.Second, 20*time.Second)
--- a/plantainlane/forward/dialect_test.go
+++ b/plantainlane/forward/dialect_test.go
@@ -95,7 +95,7 @@
 	d.released = append(d.released, handles...)
 }
 
-func (d *fakeDispatcher) Wait(string) time.Duration { return 0 }
+func (d *fakeDispatcher) Waits(string) batch.Waits { return batch.Waits{} }
 
 // world is a server with upstreams.
 type world struct {
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -17,8 +17,8 @@
 type Dispatcher interface {
 	Make(ctx context.Context, service string, o batch.Order) batch.Outcome
 	Release(service string, handles []string)
-	// Wait is how long a piece ordered now waits for its call, as far as it is known.
-	Wait(service string) time.Duration
+	// Waits is how long the queue of a service is, as far as it is known.
+	Waits(service string) batch.Waits
 }
 
 // stageError tells why a stage was not made.
@@ -178,7 +178,7 @@
 // isBacklogged tells whether pieces wait for room at the services of some stages. Results are then given up as soon as
 // they were read, though a piece that needs them might have to be made again.
 func (x *stageRun) isBacklogged(stages []int) bool {
-	return slices.ContainsFunc(stages, func(i int) bool { return x.dispatcher.Wait(x.route.Stages[i].Service) > 0 })
+	return slices.ContainsFunc(stages, func(i int) bool { return x.dispatcher.Waits(x.route.Stages[i].Service).All > 0 })
 }
 
 // followed notes that a stage which needs the results of others was made. Results that no further stage needs are
--- a/wire/types.go
+++ b/wire/types.go
@@ -1291,10 +1291,13 @@
 
 // PieceQueue is what the owner of a queue tells the other instances of it.
 type PieceQueue struct {
+	// Milliseconds until everything that waits is begun.
+	AllMs int `json:"allMs" cbor:"allMs"`
+
 	// Service that makes the pieces.
 	Service string `json:"service" cbor:"service"`
 
-	// Milliseconds until a piece ordered now is begun.
+	// Milliseconds until a piece ordered now is begun, if it can be on time.
 	WaitMs int `json:"waitMs" cbor:"waitMs"`
 }
 
