route: keep a session's home though its answers are longer than others

A home was passed over from 1.5 times the median latency on, but streams of different kinds differ by more; and an upstream with one long stream counted as silent, since only the end of a call was progress.

Change: a home is passed over from three times the median on, and each event of a stream is progress.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -271,7 +271,7 @@
 	case res.Header.Get("Content-Encoding") != "":
 		return sendOutcome{result: mayHaveRun, err: errEncoded}, false
 	case isSuccess && q.route.Stream:
-		return q.relay(c, res)
+		return q.relay(c, t, res)
 	case q.started:
 		return sendOutcome{result: mayHaveRun, err: errors.Newf("status %d instead of the rest of a stream", res.StatusCode)}, false
 	}
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -15,7 +15,7 @@
 
 // relay passes the events of a stream on as they arrive. A stream that breaks off keeps what was passed on, so
 // that it may go on elsewhere.
-func (q *request) relay(c *exchange.Conn, res *http.Response) (out sendOutcome, whole bool) {
+func (q *request) relay(c *exchange.Conn, t route.Target, res *http.Response) (out sendOutcome, whole bool) {
 	defer res.Body.Close()
 	reader := newEventReader(res.Body)
 	first := true
@@ -34,7 +34,9 @@
 		if err := q.passOn(res, e, !reader.more()); err != nil {
 			return sendOutcome{result: mayHaveRun, err: err}, false
 		}
-		c.SetDeadline(q.gapLimit(time.Now()))
+		now := time.Now()
+		t.Progressed(now)
+		c.SetDeadline(q.gapLimit(now))
 	}
 }
 
--- a/plantainlane/route/outcome.go
+++ b/plantainlane/route/outcome.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// Progressed notes that the upstream goes on with the attempt, such as by an event of a stream.
+func (t Target) Progressed(now time.Time) { t.upstream.progress.Store(t.balancer.since(now)) }
+
 // Reported takes the load that the upstream told with an answer.
 func (t Target) Reported(load wire.UpstreamLoad) {
 	t.upstream.report(load)
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -17,6 +17,9 @@
 	crowdedShare = 0.85
 	// tolerableSlowness is the latency over the median that counts as the usual scatter.
 	tolerableSlowness = 1.5
+	// homeSlowness is the latency over the median from which a home is passed over. The latency of a stream is as long as
+	// its answer, so that it differs more than that of other requests.
+	homeSlowness = 3
 	// fartherPenalty multiplies the score of each tier after the nearest.
 	fartherPenalty = 1.25
 	// hintDiscount is the part of its score that an upstream with the whole prefix cached is spared.
@@ -82,7 +85,7 @@
 func (b *Balancer) home(now int64, q *Query, best candidate) *upstream {
 	for _, id := range q.Homes {
 		u := b.hinted(Hint{Upstream: id}, q)
-		if u == nil || u.slowness(now) > tolerableSlowness {
+		if u == nil || u.slowness(now) > homeSlowness {
 			continue
 		}
 		if best.upstream == nil || u.load() <= best.upstream.load()+q.HomeSlack {
--- a/plantainlane/route/pick_test.go
+++ b/plantainlane/route/pick_test.go
@@ -292,6 +292,61 @@
 	is.Equal(counts["a-001"], 4)
 }
 
+// TestHomeWithLongAnswersIsKept replays sessions with streams of different lengths: the upstream of a session with long
+// ones has twice the latency of the others, and is sound. One that is four times as slow is passed over.
+func TestHomeWithLongAnswersIsKept(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(rows(8, "a", 64)...)
+	now := warm
+	answer := func(home string, latency time.Duration) {
+		target, ok := b.Pick(now, Query{Service: "encode", Homes: []string{home}, HomeSlack: 9})
+		is.True(ok)
+		is.Equal(target.ID, home)
+		target.Done(now, Outcome{Result: Success, Latency: latency})
+	}
+	for range 20 {
+		for i := range 8 {
+			latency := time.Second
+			if i == 2 {
+				latency = 2 * time.Second
+			}
+			answer(fmt.Sprintf("a-%03d", i), latency)
+		}
+		now = now.Add(ReviewEvery)
+		b.Review(now)
+	}
+	answer("a-002", 8*time.Second)
+	target, ok := b.Pick(now, Query{Service: "encode", Homes: []string{"a-002"}, HomeSlack: 9})
+	is.True(ok)
+	is.True(target.ID != "a-002")
+}
+
+// TestStreamThatGoesOnIsProgress replays one long stream at an upstream that nothing else is sent to.
+func TestStreamThatGoesOnIsProgress(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(rows(8, "a", 64)...)
+	now := warm
+	for i := range 8 {
+		target, _ := b.Pick(now, Query{Service: "encode", Homes: []string{fmt.Sprintf("a-%03d", i)}, HomeSlack: 9})
+		target.Done(now, Outcome{Result: Success, Latency: time.Second})
+	}
+	b.Review(now)
+	home := Query{Service: "encode", Homes: []string{"a-002"}, HomeSlack: 9}
+	stream, _ := b.Pick(now, home)
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		stream.Progressed(now)
+		target, ok := b.Pick(now, home)
+		is.True(ok)
+		is.Equal(target.ID, "a-002")
+		target.Done(now, Outcome{Result: Cancelled})
+	}
+	now = now.Add(5 * time.Second) // silence
+	target, ok := b.Pick(now, home)
+	is.True(ok)
+	is.True(target.ID != "a-002")
+}
+
 func TestAvoidedHomeIsNotTaken(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(rows(4, "a", 64)...)
