--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -79,8 +79,8 @@
 	owner *owner
 }
 
-// NewDispatcher returns a dispatcher. Its goroutines end with ctx. Calls are numbered from firstCall on, so that those of an
-// earlier start are not mistaken for its own.
+// NewDispatcher returns a dispatcher. Its goroutines end with ctx. Calls are numbered from firstCall on, so that those of
+// an earlier start are not mistaken for its own.
 func NewDispatcher(ctx context.Context, self string, firstCall int, peers Peers, maker Maker, supply func(service string) Supply) *Dispatcher {
 	return &Dispatcher{
 		self: self, peers: peers, maker: maker, supply: supply, ctx: ctx, call: firstCall,
@@ -281,8 +281,8 @@
 	now := time.Now()
 	key := remoteCall{from, call}
 	o := &Order{
-		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone, CrossBytes: p.CrossBytes, HoldsRoom: p.HoldsRoom,
-		Bytes: p.Bytes, Priority: p.Priority,
+		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, Next: p.Next, Zone: p.Zone,
+		CrossBytes: p.CrossBytes, HoldsRoom: p.HoldsRoom, Bytes: p.Bytes, Priority: p.Priority,
 		Due:      now.Add(time.Duration(p.DueMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(p.LeftMs) * time.Millisecond),
 	}
--- a/plantainlane/batch/pace.go
+++ b/plantainlane/batch/pace.go
@@ -104,35 +104,6 @@
 	return out
 }
 
-// Refusal is what decided that an order was turned away.
-type Refusal struct {
-	Order *Order
-	// Estimate is the time until the order would have been made.
-	Estimate time.Duration
-	// Left is the time until its deadline.
-	Left time.Duration
-	// Waited is the time that it has waited.
-	Waited time.Duration
-	// Ahead is the number of pieces that waited.
-	Ahead int
-}
-
-// TakeRefusals returns the refusals, and forgets them.
-func (q *Queue) TakeRefusals() []Refusal {
-	out := q.refusals
-	q.refusals = nil
-	return out
-}
-
-// Room is the room that results take at all upstreams, and all there is, in bytes.
-func (q *Queue) Room() (used, all int) {
-	for _, u := range q.upstreams {
-		used += u.used
-		all += q.spec.RoomBytes
-	}
-	return used, all
-}
-
 // Upstreams returns the number of upstreams, and of those that are busy and those that are left alone for a while.
 func (q *Queue) Upstreams(now time.Time) (all, busy, paused int) {
 	for _, u := range q.upstreams {
