test: wait for a restarted instance's own start line

The word voter took the incarnation from the newest start line in the log; lines are now written up to 0.1 s later, so that it was the start before, which never votes again. What was ruled out: the replica did vote (the status that the failure prints says so). It now waits for a start line after the place where the log ended at the restart.

--- a/plantainctl/scenario/operator_test.go
+++ b/plantainctl/scenario/operator_test.go
@@ -91,11 +91,15 @@
 	if err != nil {
 		return err
 	}
-	starts := startedAs.FindAllStringSubmatch(w.log(p), -1)
-	if len(starts) == 0 {
-		return errors.Newf("%s has not started", p.name)
+	var start []string
+	err = await(p.name+" says that it serves", func() bool {
+		start = startedAs.FindStringSubmatch(w.newestLog(p))
+		return start != nil
+	})
+	if err != nil {
+		return err
 	}
-	incarnation, err := strconv.Atoi(starts[len(starts)-1][1])
+	incarnation, err := strconv.Atoi(start[1])
 	if err != nil {
 		return err
 	}
--- a/plantainctl/scenario/world_test.go
+++ b/plantainctl/scenario/world_test.go
@@ -51,6 +51,8 @@
 	// exited is closed once the process has ended, and code is set then.
 	exited chan struct{}
 	code   int
+	// logFrom is the size of the log when the process was started last.
+	logFrom int64
 }
 
 var worlds atomic.Int32
@@ -106,6 +108,9 @@
 		return err
 	}
 	defer log.Close()
+	if info, err := log.Stat(); err == nil {
+		p.logFrom = info.Size()
+	}
 	p.cmd = exec.Command(filepath.Join(programs, program), args...)
 	p.cmd.Dir = w.folder
 	p.cmd.Stdout, p.cmd.Stderr = log, log
@@ -121,6 +126,15 @@
 	return nil
 }
 
+// newestLog returns what a process has printed since it was started last.
+func (w *world) newestLog(p *process) string {
+	text, err := os.ReadFile(filepath.Join(w.folder, p.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[min(p.logFrom, int64(len(text))):])
+}
+
 // log returns the end of what a process printed.
 func (w *world) log(p *process) string {
 	text, err := os.ReadFile(filepath.Join(w.folder, p.name+".log"))
