control: connect all instances of a site of up to 24

With two cores a zone the site has 18 instances, and over 16 each instance is connected to some neighbors only. One that was frozen at 14.2 s and thawed at 17.8 s applied revisions 17 to 46 at 21.85 s, though its own calls to the leader were answered in 7 ms; the other 17 had them within 0.1 s. Ruled out: the leader's loss, the jump of the clock (on other machines).

Change: up to 24 instances count as a small site, where all are connected.

--- a/plantainlane/control/neighbor.go
+++ b/plantainlane/control/neighbor.go
@@ -10,7 +10,7 @@
 
 const (
 	// smallSite is the number of instances up to which every instance is connected to every other.
-	smallSite = 16
+	smallSite = 24
 	// zoneNeighbors and farNeighbors are the instances of the same availability zone, and of all, that an
 	// instance of a larger site connects to. About as many connect to it.
 	zoneNeighbors = 3
