--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -275,7 +275,7 @@
 			x.net.Know(i)
 		}
 	}
-	klog.InfoS("serving", "instance", x.self.ID, "incarnation", x.self.Incarnation, "callers", x.self.CallerAddress)
+	klog.InfoS("serving", "incarnation", x.self.Incarnation, "callers", x.self.CallerAddress)
 	g.Go(func() error {
 		x.reportCosts(ctx)
 		return nil
