--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -281,7 +281,8 @@
 	}
 	klog.InfoS("request ended", "request", q.call.ID, "outcome", outcome, "status", status, "reason", reason,
 		"route", name, "workspace", q.workspace, "upstream", q.upstream, "home", q.homes.first(), "sends", q.sends, "runs", q.runs,
-		"events", q.events, "firstMs", q.firstAfter.Milliseconds(), "gapMs", q.longestGap.Milliseconds(), "stagesMs", q.madeMs, "ms", took.Milliseconds(), "version", version, "leftOut", leftOut)
+		"events", q.events, "firstMs", q.firstAfter.Milliseconds(), "gapMs", q.longestGap.Milliseconds(),
+		"stagesMs", q.madeMs, "ms", took.Milliseconds(), "version", version, "leftOut", leftOut)
 }
 
 // isUsual tells whether a request was answered in time at the first try.
