batch, forward, exchange, story, instance: say things once

- batch: one comparison of orders, which takes the rank, instead of three that worked out lateness anew; one formula for how long an order waits.
- forward: exchange.Reply instead of a copy of it; slices.Contains instead of a loop; one place looks up a stage's calls, one bounds a time by the deadline.
- exchange: ErrTooLarge stands beside ReadBody, which returns it.
- story: log lines are decoded into Line itself, not into a copy of it first.
- instance: optional fields of events by wire/timeline's Value, now exported.
- site: Batches was not used.
No assertion changed.

--- a/plantainctl/story/story.go
+++ b/plantainctl/story/story.go
@@ -20,25 +20,28 @@
 // around is the time before a request's end in which lines on a queue that refused it are of interest.
 const around = 3 * time.Second
 
-// Line is one log line.
+// Line is one log line. Fields that it lacks are empty.
 type Line struct {
 	// Time at which it was logged, by the clock of its process.
-	Time time.Time
+	Time time.Time `json:"time"`
 	// Source is the instance that logged it, or else the name of the file.
-	Source string
+	Source string `json:"instance"`
 	// Message names the event.
-	Message string
+	Message string `json:"msg"`
 	// Request ID, empty on lines about none.
-	Request string
+	Request string `json:"request"`
 	// Service of a queue, on lines about one.
-	Service string
+	Service string `json:"service"`
 	// Outcome, Status, Reason, Sends and Events are those of the end of a request.
-	Outcome, Reason       string
-	Status, Sends, Events int
+	Outcome string `json:"outcome"`
+	Status  int    `json:"status"`
+	Reason  string `json:"reason"`
+	Sends   int    `json:"sends"`
+	Events  int    `json:"events"`
 	// Upstream that was sent to last.
-	Upstream string
-	// Fields are the others in the order in which they were logged, as name and JSON text.
-	Fields []Field
+	Upstream string `json:"upstream"`
+	// Fields are all but those that every line has, in the order in which they were logged, as name and JSON text.
+	Fields []Field `json:"-"`
 }
 
 // Field is a field of a line.
@@ -75,32 +78,14 @@
 	return errors.Wrapf(s.Err(), "read %s", name)
 }
 
-// known are the fields that a line's own fields are read from.
-type known struct {
-	Time     time.Time `json:"time"`
-	Message  string    `json:"msg"`
-	Instance string    `json:"instance"`
-	Request  string    `json:"request"`
-	Service  string    `json:"service"`
-	Outcome  string    `json:"outcome"`
-	Status   int       `json:"status"`
-	Reason   string    `json:"reason"`
-	Sends    int       `json:"sends"`
-	Events   int       `json:"events"`
-	Upstream string    `json:"upstream"`
-}
-
 func parse(text []byte) (Line, error) {
-	var k known
-	if err := json.Unmarshal(text, &k); err != nil {
+	var l Line
+	if err := json.Unmarshal(text, &l); err != nil {
 		return Line{}, errors.Wrap(err, "log line")
 	}
-	fields, err := parseFields(text)
-	return Line{
-		Time: k.Time, Source: k.Instance, Message: k.Message, Request: k.Request, Service: k.Service,
-		Outcome: k.Outcome, Status: k.Status, Reason: k.Reason, Sends: k.Sends, Events: k.Events, Upstream: k.Upstream,
-		Fields: fields,
-	}, err
+	var err error
+	l.Fields, err = parseFields(text)
+	return l, err
 }
 
 // parseFields returns the fields of a line in their order, without those that every line has.
--- a/plantainlane/batch/bench_test.go
+++ b/plantainlane/batch/bench_test.go
@@ -12,8 +12,7 @@
 // call, and its results are given up.
 func BenchmarkBacklog(b *testing.B) {
 	large := site.Batch{Slots: 1, Size: 48, CallTime: 240 * time.Millisecond, PieceTime: 4 * time.Millisecond, RoomBytes: 5_300_000, KeepFor: 4 * time.Second}
-	q := NewQueue(large)
-	q.SetUpstreams(upstreams("a", "b", "c", "a", "b", "c", "a", "b", "c", "a", "b", "c", "a", "b", "c"))
+	q := newQueue(large, "a", "b", "c", "a", "b", "c", "a", "b", "c", "a", "b", "c", "a", "b", "c")
 	q.WaitsOf = func(string) Waits { return Waits{Timely: 100 * time.Millisecond, All: 200 * time.Millisecond} }
 	now := time.Now()
 	n := 0
--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -10,11 +10,20 @@
 // Load pattern: in a burst, serving by due time alone makes every request late, since the oldest are always served
 // just after their time. Late requests are served with what capacity is left.
 func (q *Queue) before(now time.Time, a, b *Order) bool {
-	lateA, lateB := a.isLate(now, q.usualCall()), b.isLate(now, q.usualCall())
-	if lateA != lateB {
-		return lateB
+	return q.compare(now, a, b, (*Order).rank) < 0
+}
+
+// compare sorts orders that can be on time before those that can't, and otherwise by rank.
+func (q *Queue) compare(now time.Time, a, b *Order, rank func(*Order) time.Time) int {
+	callTime := q.usualCall()
+	lateA, lateB := a.isLate(now, callTime), b.isLate(now, callTime)
+	switch {
+	case lateA == lateB:
+		return rank(a).Compare(rank(b))
+	case lateB:
+		return -1
 	}
-	return a.rank().Before(b.rank())
+	return 1
 }
 
 // plan notes when an order is due with the queues that its request goes through afterwards as they are now.
@@ -99,20 +108,10 @@
 			out = append(out, o)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *Order) int { return q.compare(now, a, b) })
+	slices.SortStableFunc(out, func(a, b *Order) int { return q.compare(now, a, b, (*Order).rank) })
 	return out
 }
 
-func (q *Queue) compare(now time.Time, a, b *Order) int {
-	switch {
-	case q.before(now, a, b):
-		return -1
-	case q.before(now, b, a):
-		return 1
-	}
-	return 0
-}
-
 // hasRoom tells whether an upstream has room for a call that is worth its time: for what waits, or for the most part
 // of a full call.
 func (q *Queue) hasRoom(u *Upstream, order []*Order) bool {
@@ -151,12 +150,7 @@
 		}
 		return o.rank()
 	}
-	slices.SortStableFunc(order, func(a, b *Order) int {
-		if a.isLate(now, q.usualCall()) != b.isLate(now, q.usualCall()) {
-			return q.compare(now, a, b)
-		}
-		return rank(a).Compare(rank(b))
-	})
+	slices.SortStableFunc(order, func(a, b *Order) int { return q.compare(now, a, b, rank) })
 	order = slices.DeleteFunc(order, func(o *Order) bool { return q.staysNear(now, o, u) })
 	var items []Item
 	room := q.spec.RoomBytes - u.used
--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -155,12 +155,7 @@
 }
 
 func (d *Dispatcher) reaches(id string) bool {
-	for _, m := range d.peers.Members() {
-		if m.ID == id {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.peers.Members(), func(m Member) bool { return m.ID == id })
 }
 
 // giveHere adds an order to a queue of this instance. It returns how to give it up.
--- a/plantainlane/batch/order.go
+++ b/plantainlane/batch/order.go
@@ -135,10 +135,11 @@
 	if len(o.Inputs) > 0 {
 		return o.Deadline
 	}
-	if o.added.IsZero() {
-		return now.Add(time.Duration(patientPart * float64(o.Deadline.Sub(now))))
+	since := o.added
+	if since.IsZero() {
+		since = now
 	}
-	return o.added.Add(time.Duration(patientPart * float64(o.Deadline.Sub(o.added))))
+	return since.Add(time.Duration(patientPart * float64(o.Deadline.Sub(since))))
 }
 
 // take returns the next piece to send.
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -24,6 +24,13 @@
 	return out
 }
 
+// newQueue returns a queue with an upstream in each zone.
+func newQueue(spec site.Batch, zones ...string) *Queue {
+	q := NewQueue(spec)
+	q.SetUpstreams(upstreams(zones...))
+	return q
+}
+
 // order returns an order that notes its outcome.
 func order(now time.Time, pieces int, due, deadline time.Duration) (*Order, *Outcome) {
 	out := &Outcome{}
@@ -45,8 +52,7 @@
 func TestCallHoldsPiecesOfManyRequests(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	a, gotA := order(now, 3, time.Second, 5*time.Second)
 	b, gotB := order(now, 4, time.Second, 5*time.Second)
 	q.Add(now, a)
@@ -63,8 +69,7 @@
 func TestOrderIsNotSplitWhileOthersFill(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	for _, pieces := range []int{6, 4, 2} {
 		o, _ := order(now, pieces, time.Second, 5*time.Second)
 		q.Add(now, o)
@@ -76,8 +81,7 @@
 func TestRequestInTimeGoesBeforeLateOne(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	late, _ := order(now, 8, 100*time.Millisecond, 20*time.Second)
 	timely, _ := order(now, 8, time.Second, 20*time.Second)
 	q.Add(now, late)
@@ -90,8 +94,7 @@
 func TestLateRequestWithResultsIsFinished(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	late, _ := order(now, 8, -time.Second, 20*time.Second)
 	late.Inputs, late.HoldsRoom = []string{"x/1"}, true
 	q.Add(now, late)
@@ -106,8 +109,7 @@
 func TestLateOrdersCountInTheLength(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	for range 20 {
 		late, _ := order(now, 8, -time.Second, 20*time.Second)
 		late.Inputs = []string{"x/1"}
@@ -123,8 +125,7 @@
 func TestLateRequestWithSmallResultsMakesNoOtherLate(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	late, _ := order(now, 8, -time.Second, 20*time.Second)
 	late.Inputs = []string{"x/1"}
 	q.Add(now, late)
@@ -143,8 +144,7 @@
 func TestLateRequestWaitsForLaterQueues(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	wait := map[string]time.Duration{"next": time.Second}
 	q.WaitsOf = func(service string) Waits { return Waits{All: wait[service]} }
 	late, _ := order(now, 1, 0, 20*time.Second)
@@ -160,8 +160,7 @@
 func TestLaterQueueThatGrowsMakesRequestLate(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	wait := time.Duration(0)
 	q.WaitsOf = func(string) Waits { return Waits{Timely: wait, All: wait} }
 	long, _ := order(now, 8, 500*time.Millisecond, 20*time.Second)
@@ -179,8 +178,7 @@
 func TestHopelessRequestIsTurnedAwayAtOnce(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	for range 40 {
 		o, _ := order(now, 8, 500*time.Millisecond, 20*time.Second)
 		q.Add(now, o)
@@ -204,8 +202,7 @@
 	now := time.Now()
 	small := spec
 	small.RoomBytes = 10_000
-	q := NewQueue(small)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(small, "z")
 	first, got := order(now, 8, time.Second, 5*time.Second)
 	q.Add(now, first)
 	c := q.Next(now)
@@ -222,8 +219,7 @@
 
 func TestUnknownResultsAreReported(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	is.Equal(q.Release([]string{"elsewhere/1"}), []string{"elsewhere/1"})
 }
 
@@ -232,8 +228,7 @@
 func TestUpstreamWithoutRoomIsLeftAlone(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	o, _ := order(now, 2, time.Second, 5*time.Second)
 	q.Add(now, o)
 	calls := 0
@@ -251,8 +246,7 @@
 func TestLackOfRoomForOneResultIsNoPause(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	for range 4 {
 		o, _ := order(now, 4, time.Second, 5*time.Second)
 		q.Add(now, o)
@@ -267,8 +261,7 @@
 func TestFailedCallIsMadeElsewhere(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z", "z"))
+	q := newQueue(spec, "z", "z")
 	o, got := order(now, 2, time.Second, 5*time.Second)
 	q.Add(now, o)
 	c := q.Next(now)
@@ -282,8 +275,7 @@
 func TestCancelledOrderReturnsItsResults(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	o, got := order(now, 9, time.Second, 5*time.Second)
 	q.Add(now, o)
 	c := q.Next(now)
@@ -296,8 +288,7 @@
 func TestOrderWaitsForAnUpstreamNearItsInputs(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("near", "far"))
+	q := newQueue(spec, "near", "far")
 	busy, _ := order(now, 8, time.Second, 5*time.Second)
 	busy.Zone = "near"
 	q.Add(now, busy)
@@ -312,8 +303,7 @@
 func TestInputsCountAsReadOnceTheirCallsBegan(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	q.Next(now) // the queue begins
 	now = now.Add(2 * steadyAfter)
 	o, _ := order(now, 8, time.Second, 5*time.Second)
@@ -331,8 +321,7 @@
 func TestHandedBackOrdersHaveNotBegun(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(spec, "z")
 	a, gotA := order(now, 8, time.Second, 5*time.Second)
 	b, gotB := order(now, 8, 2*time.Second, 5*time.Second)
 	q.Add(now, a)
@@ -349,8 +338,7 @@
 	t.Helper()
 	now := time.Now()
 	start := now
-	q := NewQueue(spec)
-	q.SetUpstreams(upstreams("z", "z", "z", "z", "z"))
+	q := newQueue(spec, "z", "z", "z", "z", "z")
 	random := rand.New(rand.NewPCG(1, 2))
 	type running struct {
 		call *Call
@@ -412,8 +400,7 @@
 	now := time.Now()
 	roomy := spec
 	roomy.RoomBytes = 100_000
-	q := NewQueue(roomy)
-	q.SetUpstreams(upstreams("z"))
+	q := newQueue(roomy, "z")
 	for i := range 40 {
 		o, got := order(now, 8, time.Second, 5*time.Second)
 		q.Add(now, o)
--- a/plantainlane/batch/replay_test.go
+++ b/plantainlane/batch/replay_test.go
@@ -204,8 +204,7 @@
 
 // replayQueue returns the queue of a stage as owners run it.
 func replayQueue(s stageSpec, next func(service string) Waits) waitingLine {
-	q := NewQueue(s.spec)
-	q.SetUpstreams(upstreams(make([]string, s.count)...))
+	q := newQueue(s.spec, make([]string, s.count)...)
 	q.WaitsOf = next
 	return q
 }
--- a/plantainlane/exchange/body.go
+++ b/plantainlane/exchange/body.go
@@ -7,6 +7,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// ErrTooLarge reports a body over its bound.
+var ErrTooLarge = errors.New("exchange: body too large")
+
 // ReadBody reads the whole body of an answer. It returns an error for one that is cut off, and ErrTooLarge for
 // one of more than most bytes.
 func ReadBody(res *http.Response, most int64) ([]byte, error) {
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -161,6 +159,3 @@
 	}
 	return &Reply{Status: res.StatusCode, Header: res.Header, Body: body}, KeepFor(res), nil
 }
-
-// ErrTooLarge reports a body over its bound.
-var ErrTooLarge = errors.New("exchange: body too large")
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -51,14 +51,7 @@
 	result sendResult
 	err    error
 	// answer is the upstream's whole answer, if there is one.
-	answer *wholeAnswer
-}
-
-// wholeAnswer is an answer that was read to its end.
-type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	answer *exchange.Reply
 }
 
 var (
@@ -226,10 +219,14 @@
 	if q.route.Stream {
 		limit = now.Add(firstEventPatience)
 	}
-	if limit.After(q.deadline) {
-		return q.deadline
+	return earlier(limit, q.deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.After(b) {
+		return b
 	}
-	return limit
+	return a
 }
 
 // readHead reads the head of the answer to this request. Late answers to earlier requests are skipped.
@@ -279,7 +276,7 @@
 	if err != nil {
 		return sendOutcome{result: mayHaveRun, err: err}, false
 	}
-	answer := &wholeAnswer{status: res.StatusCode, header: res.Header, body: body}
+	answer := &exchange.Reply{Status: res.StatusCode, Header: res.Header, Body: body}
 	if !isSuccess {
 		return sendOutcome{result: failedAnswer, answer: answer, err: errors.Newf("status %d", res.StatusCode)}, true
 	}
@@ -288,18 +285,18 @@
 }
 
 // deliver passes a whole answer on.
-func (q *request) deliver(a *wholeAnswer) {
-	q.copyHead(a.header)
+func (q *request) deliver(a *exchange.Reply) {
+	q.copyHead(a.Header)
 	q.started = true
-	q.writer.WriteHeader(a.status)
+	q.writer.WriteHeader(a.Status)
 	outcome := "answered"
-	if a.status >= http.StatusBadRequest {
+	if a.Status >= http.StatusBadRequest {
 		outcome = "failed"
 	}
-	if _, err := q.writer.Write(a.body); err != nil {
+	if _, err := q.writer.Write(a.Body); err != nil {
 		outcome = "callerLost"
 	}
-	q.note(outcome, a.status, "")
+	q.note(outcome, a.Status, "")
 }
 
 // hopHeaders concern one connection only.
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -45,11 +45,7 @@
 	if q.route.Repeat != site.Resumable || q.runs+1 >= q.route.MaxAttempts {
 		return q.deadline
 	}
-	limit := now.Add(max(gapPatience*q.route.GapAim, minGapPatience))
-	if limit.After(q.deadline) {
-		return q.deadline
-	}
-	return limit
+	return earlier(now.Add(max(gapPatience*q.route.GapAim, minGapPatience)), q.deadline)
 }
 
 // passOn writes one event to the caller, after the head of the first upstream's answer.
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -212,11 +212,7 @@
 	if q.route.FirstWait == 0 {
 		return q.deadline
 	}
-	first := q.received.Add(q.route.FirstWait - firstMargin)
-	if first.After(q.deadline) {
-		return q.deadline
-	}
-	return first
+	return earlier(q.received.Add(q.route.FirstWait-firstMargin), q.deadline)
 }
 
 func (q *request) releaseStages() {
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -151,12 +151,11 @@
 
 // isLarge tells whether the results of a stage take much of their upstreams' room.
 func (x *stageRun) isLarge(stage int) bool {
-	s := &x.route.Stages[stage]
-	v := x.site.Services[s.Service]
-	if v == nil || v.Batch == nil || v.Batch.RoomBytes <= 0 {
+	b := x.batch(stage)
+	if b == nil || b.RoomBytes <= 0 {
 		return false
 	}
-	return float64(v.Batch.Size*s.Bytes) > largePart*float64(v.Batch.RoomBytes)
+	return float64(b.Size*x.route.Stages[stage].Bytes) > largePart*float64(b.RoomBytes)
 }
 
 // place returns the zone in which the pieces of a stage are best made, and the bytes that cross zones otherwise: near
@@ -219,7 +218,7 @@
 func (x *stageRun) after(stage int) (least time.Duration, services []string) {
 	least = runTime
 	for j := stage + 1; j < len(x.route.Stages); j++ {
-		if x.pieces(j) == 0 || !follows(x.route.Stages[j], stage) {
+		if x.pieces(j) == 0 || !slices.Contains(x.route.Stages[j].After, stage) {
 			continue
 		}
 		rest, next := x.after(j)
@@ -232,20 +231,20 @@
 
 // callTime is the usual time of a call with the pieces of a stage; 0 if it is not known.
 func (x *stageRun) callTime(stage int) time.Duration {
-	v := x.site.Services[x.route.Stages[stage].Service]
-	if v == nil || v.Batch == nil {
+	b := x.batch(stage)
+	if b == nil {
 		return 0
 	}
-	return v.Batch.CallTime + time.Duration(x.pieces(stage))*v.Batch.PieceTime
+	return b.CallTime + time.Duration(x.pieces(stage))*b.PieceTime
 }
 
-func follows(s site.Stage, stage int) bool {
-	for _, before := range s.After {
-		if before == stage {
-			return true
-		}
+// batch describes the calls of a stage's service; nil if they are not known.
+func (x *stageRun) batch(stage int) *site.Batch {
+	v := x.site.Services[x.route.Stages[stage].Service]
+	if v == nil {
+		return nil
 	}
-	return false
+	return v.Batch
 }
 
 // release gives up all results.
--- a/plantainlane/instance/eventlog.go
+++ b/plantainlane/instance/eventlog.go
@@ -7,6 +7,7 @@
 
 	"plantainlane/plantainlane/timeline"
 	"plantainlane/wire"
+	events "plantainlane/wire/timeline"
 )
 
 // eventLog keeps the events of the control goroutine on the time line, and logs what changes in what the instance
@@ -18,15 +19,6 @@
 // Record takes an event.
 func (l eventLog) Record(now time.Time, e wire.Event) {
 	l.ring.Record(now, e)
-	detail, upstream, revision := "", "", 0
-	if e.Detail != nil {
-		detail = *e.Detail
-	}
-	if e.Upstream != nil {
-		upstream = *e.Upstream
-	}
-	if e.Revision != nil {
-		revision = *e.Revision
-	}
-	klog.InfoS("control", "event", e.Kind, "detail", detail, "upstream", upstream, "revision", revision)
+	klog.InfoS("control", "event", e.Kind, "detail", events.Value(e.Detail), "upstream", events.Value(e.Upstream),
+		"revision", events.Value(e.Revision))
 }
--- a/plantainlane/site/site.go
+++ b/plantainlane/site/site.go
@@ -174,18 +174,6 @@
 	return s.keys[sha256.Sum256([]byte(key))]
 }
 
-// Batches returns the names of the services that make pieces, in order.
-func (s *Site) Batches() []string {
-	var out []string
-	for name, v := range s.Services {
-		if v.Batch != nil {
-			out = append(out, name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // Finals returns the stages of a route whose results the request itself needs: those that no other stage
 // follows.
 func (r *Route) Finals() []int {
--- a/wire/timeline/merge.go
+++ b/wire/timeline/merge.go
@@ -33,16 +33,17 @@
 
 func key(e wire.Event) eventKey {
 	return eventKey{
-		attempt:   value(e.Attempt),
-		detail:    value(e.Detail),
-		request:   value(e.Request),
-		upstream:  value(e.Upstream),
-		workspace: value(e.Workspace),
-		revision:  value(e.Revision),
+		attempt:   Value(e.Attempt),
+		detail:    Value(e.Detail),
+		request:   Value(e.Request),
+		upstream:  Value(e.Upstream),
+		workspace: Value(e.Workspace),
+		revision:  Value(e.Revision),
 	}
 }
 
-func value[T any](p *T) T {
+// Value returns what an optional field holds, or the zero value.
+func Value[T any](p *T) T {
 	if p == nil {
 		var zero T
 		return zero
@@ -52,11 +53,11 @@
 
 // Matches reports whether query asks for e. The query's limit is left to the caller.
 func Matches(query wire.TimelineQuery, e wire.Event) bool {
-	return (query.Request == "" || query.Request == value(e.Request)) &&
-		(query.Workspace == "" || query.Workspace == value(e.Workspace)) &&
-		(query.Upstream == "" || query.Upstream == value(e.Upstream)) &&
+	return (query.Request == "" || query.Request == Value(e.Request)) &&
+		(query.Workspace == "" || query.Workspace == Value(e.Workspace)) &&
+		(query.Upstream == "" || query.Upstream == Value(e.Upstream)) &&
 		(query.Instance == "" || query.Instance == e.Instance) &&
-		(query.Revision == 0 || query.Revision == value(e.Revision)) &&
+		(query.Revision == 0 || query.Revision == Value(e.Revision)) &&
 		e.Time.WallMs >= query.SinceMs
 }
 
--- a/wire/timeline/render.go
+++ b/wire/timeline/render.go
@@ -33,14 +33,14 @@
 			parts = append(parts, name+"="+v)
 		}
 	}
-	add("request", value(e.Request))
-	add("attempt", value(e.Attempt))
-	add("workspace", value(e.Workspace))
-	add("upstream", value(e.Upstream))
+	add("request", Value(e.Request))
+	add("attempt", Value(e.Attempt))
+	add("workspace", Value(e.Workspace))
+	add("upstream", Value(e.Upstream))
 	if e.Revision != nil {
 		add("revision", strconv.Itoa(*e.Revision))
 	}
-	if d := value(e.Detail); d != "" {
+	if d := Value(e.Detail); d != "" {
 		parts = append(parts, d)
 	}
 	return strings.Join(parts, " ")
