batch: log the owner's own load and the results made for nothing

The queue line couldn't tell an owner that is short of processor time from slow upstreams, nor results that expire from results in use. It now has the messages handled, the longest wait of one in the inbox, the time spent at work, results whose job had ended, and results that expired unreleased.

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -370,8 +370,5 @@
 
 // deliver puts a message into the inbox of an owner loop, unless the dispatcher's context ends first.
 func (d *Dispatcher) deliver(ow *owner, m message) {
-	select {
-	case ow.inbox <- m:
-	case <-d.ctx.Done():
-	}
+	ow.send(d.ctx, m)
 }
--- a/plantainlane/batch/memory.go
+++ b/plantainlane/batch/memory.go
@@ -5,8 +5,11 @@
 func (q *Queue) Release(handles []string) (unknown []string) {
 	for _, handle := range handles {
 		if u := q.holder(handle); u != nil {
+			h := u.held[handle]
+			h.unneeded = true
+			u.held[handle] = h
 			u.unneeded = append(u.unneeded, handle)
-			u.unneededBytes += u.held[handle].bytes
+			u.unneededBytes += h.bytes
 			continue
 		}
 		unknown = append(unknown, handle)
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -43,6 +43,13 @@
 // message is an input of an owner's main loop.
 type message interface{ isMessage() }
 
+// delivery is a message in an owner's inbox.
+type delivery struct {
+	message
+	// at is when the message was put into the inbox.
+	at time.Time
+}
+
 // added submits a job.
 type added struct{ job *Job }
 
@@ -82,7 +89,7 @@
 	queue    *Queue
 	executor Executor
 	source   Source
-	inbox    chan message
+	inbox    chan delivery
 	// publish sends the wait times of the queue to all members, or only to the eligible owners. It returns the period
 	// for publishing to all members.
 	publish func(w WaitTimes, toAll bool) (period time.Duration)
@@ -96,6 +103,16 @@
 	wasOwner bool
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
+	load     loopLoad
+}
+
+// loopLoad is the load of an owner's main loop since its state was last logged.
+type loopLoad struct {
+	// messages is the number of handled messages, longestWait the longest time that one of them was in the inbox.
+	messages    int
+	longestWait time.Duration
+	// busy is the time that the loop spent at work, waits for the processor included.
+	busy time.Duration
 }
 
 func newOwner(service string, executor Executor, source Source, publish func(w WaitTimes, toAll bool) (period time.Duration), waitTimesOf func(service string) WaitTimes, isOwner func() bool) *owner {
@@ -106,7 +123,7 @@
 		queue:    NewQueue(site.Batch{}),
 		executor: executor,
 		source:   source,
-		inbox:    make(chan message, ownerInbox),
+		inbox:    make(chan delivery, ownerInbox),
 	}
 	o.queue.WaitTimesOf = waitTimesOf
 	return o
@@ -117,12 +134,16 @@
 	ticker := time.NewTicker(ownerTick)
 	defer ticker.Stop()
 	for {
+		var started time.Time
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-o.inbox:
-			o.handle(ctx, m)
-		case <-ticker.C:
+			started = time.Now()
+			o.load.messages++
+			o.load.longestWait = max(o.load.longestWait, started.Sub(m.at))
+			o.handle(ctx, m.message)
+		case started = <-ticker.C:
 			if o.queue.Idle() && o.published.All < minPublishedWait {
 				continue
 			}
@@ -132,7 +153,17 @@
 		o.startCalls(ctx)
 		o.publishWaitTimes(time.Now())
 		o.logRejections()
-		o.logState(time.Now())
+		now := time.Now()
+		o.load.busy += now.Sub(started)
+		o.logState(now)
+	}
+}
+
+// send puts a message into the inbox, unless ctx ends first.
+func (o *owner) send(ctx context.Context, m message) {
+	select {
+	case o.inbox <- delivery{message: m, at: time.Now()}:
+	case <-ctx.Done():
 	}
 }
 
@@ -186,8 +217,10 @@
 	took, expected := c.meanTimes()
 	klog.InfoS("queue", "service", o.service, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
 		"callMs", took.Milliseconds(), "expectedMs", expected.Milliseconds(),
-		"noRoom", c.NoMemory, "failed", c.Failed, "gone", c.Gone, "late", c.Rejected, "roomUsed", used, "room", memory,
-		"upstreams", all, "busy", busy, "paused", restricted)
+		"noRoom", c.NoMemory, "failed", c.Failed, "gone", c.Gone, "late", c.Rejected, "unused", c.Unused, "expired", c.Expired, "roomUsed", used, "room", memory,
+		"upstreams", all, "busy", busy, "paused", restricted, "messages", o.load.messages,
+		"inboxMs", o.load.longestWait.Milliseconds(), "loopMs", o.load.busy.Milliseconds())
+	o.load = loopLoad{}
 }
 
 // refresh updates the queue's batch specification and upstreams from the source.
@@ -224,10 +257,7 @@
 // free tells an upstream to delete results, and reports them as freed to the owner's main loop.
 func (o *owner) free(ctx context.Context, upstream string, handles []string) {
 	o.executor.Free(ctx, handles)
-	select {
-	case o.inbox <- freed{upstream, handles}:
-	case <-ctx.Done():
-	}
+	o.send(ctx, freed{upstream, handles})
 }
 
 // startCalls starts all calls that can be sent now, each in its own goroutine.
@@ -252,8 +282,5 @@
 			"busy", busy, "took", time.Since(c.StartedAt), "err", err)
 		results = nil
 	}
-	select {
-	case o.inbox <- ended{call: c, results: results, busy: busy}:
-	case <-ctx.Done():
-	}
+	o.send(ctx, ended{call: c, results: results, busy: busy})
 }
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -272,6 +272,9 @@
 	for _, u := range q.upstreams {
 		for handle, h := range u.held {
 			if now.After(h.until) {
+				if !h.unneeded {
+					q.counts.Expired++
+				}
 				u.release(handle)
 			}
 		}
@@ -342,6 +345,7 @@
 		}
 		if item.Job.done {
 			if r.Handle != "" {
+				q.counts.Unused++
 				unused = append(unused, r.Handle)
 			}
 			continue
--- a/plantainlane/batch/rate.go
+++ b/plantainlane/batch/rate.go
@@ -92,6 +92,9 @@
 	NoMemory, Failed, Gone int
 	// Rejected counts the jobs that were rejected, when they were added or while they waited.
 	Rejected int
+	// Unused counts the results that arrived after their job had ended, Expired those that no one released before they
+	// expired at their upstream.
+	Unused, Expired int
 }
 
 // meanTimes returns the mean measured and the mean expected duration of the answered calls.
--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -34,6 +34,8 @@
 type heldResult struct {
 	bytes int
 	until time.Time
+	// unneeded is set once the result was released.
+	unneeded bool
 }
 
 // isFast reports whether an upstream accepts new calls and runs them at about its typical speed.
