--- /dev/null
+++ b/plantainlane/batch/owner_test.go
@@ -0,0 +1,93 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/site"
+)
+
+// grownStage is a stage as on a site with about 70 instances: its upstreams complete 1,600 pieces per second.
+var grownStage = site.Batch{
+	Slots: 1, MaxPieces: 48, CallTime: 240 * time.Millisecond, PieceTime: 4300 * time.Microsecond,
+	MemoryBytes: 5_300_000, KeepFor: 4 * time.Second,
+}
+
+// timedExecutor answers a call after the time that the batch specification states.
+type timedExecutor struct {
+	spec  site.Batch
+	calls atomic.Int64
+}
+
+func (e *timedExecutor) Execute(_ context.Context, c *Call) ([]Result, bool, error) {
+	time.Sleep(e.spec.CallTime + time.Duration(len(c.Items))*e.spec.PieceTime)
+	return completedResults(c, fmt.Sprint(c.Upstream.Address, "/", e.calls.Add(1))), false, nil
+}
+
+func (*timedExecutor) Free(context.Context, []string) { time.Sleep(5 * time.Millisecond) }
+
+// startOwner starts the owner of a queue with 15 upstreams. viewTime is how long it takes to read the upstreams, and
+// to determine the owner, from the control state.
+func startOwner(ctx context.Context, executor Executor, viewTime time.Duration) *owner {
+	zones := make([]string, 15)
+	source := func() (site.Batch, []Upstream, bool) {
+		time.Sleep(viewTime)
+		return grownStage, upstreams(zones...), true
+	}
+	isOwner := func() bool {
+		time.Sleep(viewTime)
+		return true
+	}
+	publish := func(WaitTimes, bool) time.Duration { return time.Second }
+	o := newOwner("encode", executor, source, publish, func(string) WaitTimes { return WaitTimes{} }, isOwner)
+	go o.run(ctx)
+	return o
+}
+
+// submitBurst submits jobs of one piece for three seconds and releases their results. It returns the number of jobs
+// and of those that were completed within the time that a call may wait and take.
+func submitBurst(ctx context.Context, o *owner, perSecond int) (submitted, onTime int) {
+	const inTime = time.Second
+	var completed atomic.Int64
+	for range 3 * perSecond {
+		added := time.Now()
+		j := &Job{
+			Request: "r", Pieces: 1, Bytes: 60_000, NextServices: []string{"later"},
+			Due: added.Add(inTime), Deadline: added.Add(10 * time.Second),
+		}
+		j.OnDone = func(out Outcome) {
+			if out.Reason == "" && time.Since(added) <= inTime {
+				completed.Add(1)
+			}
+			go o.send(ctx, released{out.Handles})
+		}
+		o.send(ctx, addedMessage(j))
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	time.Sleep(10 * time.Second)
+	return 3 * perSecond, int(completed.Load())
+}
+
+func addedMessage(j *Job) message { return added{j} }
+
+// TestOwnerKeepsUpWithBurstOnSlowProcessor guards against an owner that does the same work for each message: in a burst
+// it falls behind, and its upstreams idle although jobs wait.
+func TestOwnerKeepsUpWithBurstOnSlowProcessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		o := startOwner(ctx, &timedExecutor{spec: grownStage}, 250*time.Microsecond)
+		submitted, onTime := submitBurst(ctx, o, 1100)
+		t.Logf("%d of %d on time", onTime, submitted)
+		is.True(onTime >= submitted*99/100)
+		cancel()
+		synctest.Wait()
+	})
+}
