batch: decide once for all messages that wait, not after each one

Cause: after each message the owner read the 191 upstreams (twice for a job, 7 to 12 us a read on an idle core), listed all members, looked at every result held at any upstream and at every waiting job. The more jobs waited, the more a message cost, so that an owner that fell behind stayed behind. On a busy machine, where the same instructions take longer, it fell behind sooner.

Now all messages that wait are handled together and followed by one decision, at most one each 5 ms; upstreams and owner are read at most each 25 ms; results expire in the order in which they were made; wait times of later queues are read once for a decision and ranks computed once for a sort; one request at a time frees results of an upstream. What a message costs no longer depends on what the queue holds, but for the estimate of a new job.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -5,29 +5,38 @@
 	"time"
 )
 
-// isServedBefore reports whether job a is served before job b. Jobs that can still meet their latency target come
-// before those that can't.
+// rank is a job's place in the order in which jobs are served. Jobs that can still meet their latency target come
+// before those that can't, and jobs within each group are ordered by due.
 //
 // In a burst, serving by due time alone would make every request late, since the oldest jobs would always be served
 // just after their due time. Late jobs therefore get only the remaining capacity.
-func (q *Queue) isServedBefore(now time.Time, a, b *Job) bool {
-	return q.compare(now, a, b, (*Job).sortTime) < 0
+type rank struct {
+	late bool
+	due  time.Time
 }
 
-// compare orders jobs that can still meet their latency target before those that can't, and jobs within each group by
-// the time that the function sortTime returns.
-func (q *Queue) compare(now time.Time, a, b *Job, sortTime func(*Job) time.Time) int {
-	callTime := q.typicalCallTime()
-	lateA, lateB := a.isLate(now, callTime), b.isLate(now, callTime)
+// compare returns a negative number if a job with rank r is served before one with rank other.
+func (r rank) compare(other rank) int {
 	switch {
-	case lateA == lateB:
-		return sortTime(a).Compare(sortTime(b))
-	case lateB:
+	case r.late == other.late:
+		return r.due.Compare(other.due)
+	case other.late:
 		return -1
 	}
 	return 1
 }
 
+// rankedJob is a job with its rank at the time of a decision.
+type rankedJob struct {
+	*Job
+	rank
+}
+
+// sortJobs sorts jobs by rank. Jobs of the same rank keep their order.
+func sortJobs(jobs []rankedJob) {
+	slices.SortStableFunc(jobs, func(a, b rankedJob) int { return a.compare(b.rank) })
+}
+
 // updateDue recomputes effectiveDue and laterQueueLong of a job from the current wait times of the later queues of its
 // request.
 //
@@ -39,17 +48,25 @@
 		return
 	}
 	for _, service := range j.NextServices {
-		times := q.WaitTimesOf(service)
+		times := q.laterWait(service)
 		j.effectiveDue = j.effectiveDue.Add(-times.OnTime)
 		j.laterQueueLong = j.laterQueueLong || times.All > deferralWait
 	}
 }
 
+// laterWait returns the wait times of another service's queue, which are read once for each decision.
+func (q *Queue) laterWait(service string) WaitTimes {
+	times, ok := q.laterWaits[service]
+	if !ok {
+		times = q.WaitTimesOf(service)
+		q.laterWaits[service] = times
+	}
+	return times
+}
+
 // isDeferred reports whether a job must not be sent yet: it can't meet its latency target, and the queue of a later
 // stage is long.
-func (q *Queue) isDeferred(now time.Time, j *Job) bool {
-	return j.laterQueueLong && j.isLate(now, q.typicalCallTime())
-}
+func isDeferred(j rankedJob) bool { return j.laterQueueLong && j.late }
 
 // hasFreeUpstream reports whether at least one upstream can be sent a call.
 func (q *Queue) hasFreeUpstream(now time.Time) bool {
@@ -68,7 +85,7 @@
 
 // chooseUpstream returns the upstream for the next call, nil if no upstream is suitable. It prefers upstreams in the
 // preferred zone of the first job, then faster ones, then those with less result memory occupied.
-func (q *Queue) chooseUpstream(now time.Time, jobs []*Job) *Upstream {
+func (q *Queue) chooseUpstream(now time.Time, jobs []rankedJob) *Upstream {
 	var best *Upstream
 	for _, u := range q.upstreams {
 		if !q.isFree(now, u) {
@@ -104,27 +121,30 @@
 
 // allWaitForSameZone reports whether every job still waits for an upstream in its preferred zone instead of being sent
 // to u.
-func (q *Queue) allWaitForSameZone(now time.Time, u *Upstream, jobs []*Job) bool {
-	return !slices.ContainsFunc(jobs, func(j *Job) bool { return !q.waitsForSameZone(now, j, u) })
+func (q *Queue) allWaitForSameZone(now time.Time, u *Upstream, jobs []rankedJob) bool {
+	return !slices.ContainsFunc(jobs, func(j rankedJob) bool { return !q.waitsForSameZone(now, j.Job, u) })
 }
 
-// sendable updates the due times of all jobs and returns the jobs that have pieces to send now, sorted by compare.
-func (q *Queue) sendable(now time.Time) []*Job {
-	out := make([]*Job, 0, len(q.jobs))
+// sendable updates the due times of all jobs and returns the jobs that have pieces to send now, sorted by rank.
+func (q *Queue) sendable(now time.Time) []rankedJob {
+	out := make([]rankedJob, 0, len(q.jobs))
+	clear(q.laterWaits)
+	completion := now.Add(q.typicalCallTime())
 	for _, j := range q.jobs {
 		q.updateDue(j)
-		if j.unsent() > 0 && !q.isDeferred(now, j) {
-			out = append(out, j)
+		ranked := rankedJob{j, j.rank(completion)}
+		if j.unsent() > 0 && !isDeferred(ranked) {
+			out = append(out, ranked)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *Job) int { return q.compare(now, a, b, (*Job).sortTime) })
+	sortJobs(out)
 	return out
 }
 
 // hasMemory reports whether the free result memory of an upstream suffices for a call worth sending: for all waiting
 // pieces up to a full call, or for at least the fraction worthwhileFill of a full call. It returns true for every
 // upstream if MemoryBytes is 0, and for an upstream that holds no results.
-func (q *Queue) hasMemory(u *Upstream, jobs []*Job) bool {
+func (q *Queue) hasMemory(u *Upstream, jobs []rankedJob) bool {
 	if q.spec.MemoryBytes <= 0 || u.used == 0 {
 		return true
 	}
@@ -151,17 +171,16 @@
 	return q.waiting > q.fastUpstreams()*q.spec.MaxPieces
 }
 
-// fillCall removes the pieces of the next call from the waiting ones and returns them, in the order of compare. Jobs
-// whose preferred zone is the upstream's are sorted as if due sameZoneBonus earlier.
-func (q *Queue) fillCall(now time.Time, u *Upstream, jobs []*Job) []Item {
-	sortTime := func(j *Job) time.Time {
-		if j.Zone == u.Zone {
-			return j.sortTime().Add(-sameZoneBonus)
+// fillCall removes the pieces of the next call from the waiting ones and returns them, in the order of rank. Jobs whose
+// preferred zone is the upstream's are sorted as if due sameZoneBonus earlier.
+func (q *Queue) fillCall(now time.Time, u *Upstream, jobs []rankedJob) []Item {
+	jobs = slices.DeleteFunc(jobs, func(j rankedJob) bool { return q.waitsForSameZone(now, j.Job, u) })
+	for i := range jobs {
+		if jobs[i].Zone == u.Zone {
+			jobs[i].due = jobs[i].due.Add(-sameZoneBonus)
 		}
-		return j.sortTime()
 	}
-	slices.SortStableFunc(jobs, func(a, b *Job) int { return q.compare(now, a, b, sortTime) })
-	jobs = slices.DeleteFunc(jobs, func(j *Job) bool { return q.waitsForSameZone(now, j, u) })
+	sortJobs(jobs)
 	var items []Item
 	free := q.spec.MemoryBytes - u.used
 	for _, j := range jobs {
@@ -176,7 +195,7 @@
 		}
 		for range min(fits, j.unsent()) {
 			free -= j.Bytes
-			items = append(items, Item{Job: j, Piece: j.takePiece()})
+			items = append(items, Item{Job: j.Job, Piece: j.takePiece()})
 			q.waiting--
 		}
 		j.sentAt = now
--- a/plantainlane/batch/job.go
+++ b/plantainlane/batch/job.go
@@ -93,6 +93,11 @@
 	ReasonCancelled Reason = "cancelled"
 )
 
+// rank returns the job's place in the order in which jobs are served, if a call that is sent now ends at completion.
+func (j *Job) rank(completion time.Time) rank {
+	return rank{late: j.isLate(completion), due: j.sortTime()}
+}
+
 // sortTime returns the time by which jobs are sorted: effectiveDue, later for lower priorities. For a job with
 // HoldsMemory it is at least minDueDelay after the job was added. Such a job never counts as late (see isLate) and so
 // is never delayed for long; without this minimum, an overdue one would be served before the jobs that can still meet
@@ -128,14 +133,14 @@
 	j.OnDone(out)
 }
 
-// isLate reports whether the request can no longer meet its latency target if the job's call takes callTime. A job with
-// HoldsMemory never counts as late, since its inputs occupy memory until the job has run. Other jobs may wait so long
+// isLate reports whether the request can no longer meet its latency target if the job's call ends at completion. A job
+// with HoldsMemory never counts as late, since its inputs occupy memory until the job has run. Other jobs may wait so long
 // that their inputs expire and are computed again.
 //
 // Late requests enter the second of three queues at the end of a burst. If they didn't count as late there, they would
 // be served before requests that can still meet their latency target, and make those late in turn.
-func (j *Job) isLate(now time.Time, callTime time.Duration) bool {
-	return !j.HoldsMemory && now.Add(callTime).After(j.effectiveDue)
+func (j *Job) isLate(completion time.Time) bool {
+	return !j.HoldsMemory && completion.After(j.effectiveDue)
 }
 
 // completeBy returns the time by which the pieces must be completed; a job that can't meet it is rejected. For a job
--- a/plantainlane/batch/memory.go
+++ b/plantainlane/batch/memory.go
@@ -1,41 +1,92 @@
 package batch
 
+import (
+	"maps"
+	"time"
+)
+
+// heldResult is a result at an upstream. It counts as occupying memory until it is freed, at the latest at until.
+type heldResult struct {
+	upstream *Upstream
+	bytes    int
+	until    time.Time
+	// unneeded is set once the result was released.
+	unneeded bool
+}
+
+// heldResults holds the results at all upstreams.
+type heldResults struct {
+	byHandle map[string]heldResult
+	// oldestFirst holds the handles in the order in which they were added, among them some that are no longer held.
+	oldestFirst []string
+}
+
+// add adds a result to the accounting of its upstream's memory.
+func (r *heldResults) add(handle string, h heldResult) {
+	r.byHandle[handle] = h
+	r.oldestFirst = append(r.oldestFirst, handle)
+	h.upstream.used += h.bytes
+}
+
+// remove removes a result, if it is held, from the accounting of its upstream's memory.
+func (r *heldResults) remove(handle string) {
+	if h, ok := r.byHandle[handle]; ok {
+		h.upstream.used -= h.bytes
+		delete(r.byHandle, handle)
+	}
+}
+
+// expire removes the results that have expired at their upstreams, oldest first. It returns the number of those that
+// were never released.
+func (r *heldResults) expire(now time.Time) (neverReleased int) {
+	n := 0
+	for _, handle := range r.oldestFirst {
+		h, ok := r.byHandle[handle]
+		if ok && !now.After(h.until) {
+			break
+		}
+		if ok && !h.unneeded {
+			neverReleased++
+		}
+		r.remove(handle)
+		n++
+	}
+	r.oldestFirst = r.oldestFirst[n:]
+	return neverReleased
+}
+
+// removeUpstream removes all results at an upstream.
+func (r *heldResults) removeUpstream(u *Upstream) {
+	maps.DeleteFunc(r.byHandle, func(_ string, h heldResult) bool { return h.upstream == u })
+}
+
 // Release marks results as no longer needed. They count as occupying memory until they are freed, see Freeable. It
 // returns the handles unknown to the queue, such as those of results of a previous owner.
 func (q *Queue) Release(handles []string) (unknown []string) {
 	for _, handle := range handles {
-		if u := q.holder(handle); u != nil {
-			h := u.held[handle]
-			h.unneeded = true
-			u.held[handle] = h
-			u.unneeded = append(u.unneeded, handle)
-			u.unneededBytes += h.bytes
+		h, ok := q.held.byHandle[handle]
+		if !ok {
+			unknown = append(unknown, handle)
 			continue
 		}
-		unknown = append(unknown, handle)
+		h.unneeded = true
+		q.held.byHandle[handle] = h
+		h.upstream.unneeded = append(h.upstream.unneeded, handle)
+		h.upstream.unneededBytes += h.bytes
 	}
 	return unknown
 }
 
-// holder returns the upstream that holds a result; nil if it is unknown.
-func (q *Queue) holder(handle string) *Upstream {
-	for _, u := range q.upstreams {
-		if _, ok := u.held[handle]; ok {
-			return u
-		}
-	}
-	return nil
-}
-
 // Freeable returns the handles of unneeded results that should be freed now, by upstream ID. An upstream's unneeded
 // results are returned if its remaining memory doesn't suffice for a full call, or if they occupy at least
 // maxUnneededFraction of its memory, since a new owner of the queue wouldn't know that this memory is occupied. Other
 // unneeded results are left to expire. A result counts as occupying memory until it expires or Freed is called with its
-// handle.
+// handle. Until then, Freeable returns no further results of that upstream: while memory is scarce, there would be a
+// request to free results for each one that is released.
 func (q *Queue) Freeable() map[string][]string {
 	var out map[string][]string
 	for id, u := range q.upstreams {
-		if len(u.unneeded) == 0 {
+		if len(u.unneeded) == 0 || u.freeing {
 			continue
 		}
 		fitsFullCall := u.used+q.spec.MaxPieces*q.largestResult < q.spec.MemoryBytes
@@ -45,19 +96,18 @@
 		if out == nil {
 			out = make(map[string][]string)
 		}
-		out[id], u.unneeded, u.unneededBytes = u.unneeded, nil, 0
+		out[id], u.unneeded, u.unneededBytes, u.freeing = u.unneeded, nil, 0, true
 	}
 	return out
 }
 
 // Freed records that an upstream has freed results.
 func (q *Queue) Freed(upstream string, handles []string) {
-	u := q.upstreams[upstream]
-	if u == nil {
-		return
-	}
 	for _, handle := range handles {
-		u.release(handle)
+		q.held.remove(handle)
+	}
+	if u := q.upstreams[upstream]; u != nil {
+		u.freeing = false
 	}
 }
 
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -20,8 +20,12 @@
 }
 
 const (
-	// ownerTick is how often an owner checks for expired jobs and results when it receives no messages.
+	// ownerTick is how often an owner checks for expired jobs and results when it receives no messages, and how often it
+	// reads its upstreams and whether it owns the queue.
 	ownerTick = 25 * time.Millisecond
+	// decisionInterval is the least time between two decisions on the calls to start. It is short compared with a call,
+	// and long enough that the cost of the decisions doesn't grow with the number of messages.
+	decisionInterval = 5 * time.Millisecond
 	// reportPeriod is how often the state of a queue in use is logged.
 	reportPeriod = 2 * time.Second
 	// ownersPublishPeriod is how often the wait times of a long queue are published to the eligible owners.
@@ -101,6 +105,10 @@
 	// isOwner reports whether this instance should own the queue now. wasOwner is its last result.
 	isOwner  func() bool
 	wasOwner bool
+	// nextRefresh is when the upstreams are read again, and whether this instance owns the queue. nextDecision is when
+	// the next calls may be started.
+	nextRefresh  time.Time
+	nextDecision time.Time
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
 	load     loopLoad
@@ -129,36 +137,53 @@
 	return o
 }
 
-// run serves the queue until ctx ends.
+// run serves the queue until ctx ends. All messages that arrive until the next decision are handled together, since in
+// a burst an owner that decided after each message would fall behind.
 func (o *owner) run(ctx context.Context) {
 	ticker := time.NewTicker(ownerTick)
 	defer ticker.Stop()
 	for {
-		var started time.Time
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-o.inbox:
-			started = time.Now()
-			o.load.messages++
-			o.load.longestWait = max(o.load.longestWait, started.Sub(m.at))
-			o.handle(ctx, m.message)
-		case started = <-ticker.C:
+		case d := <-o.inbox:
+			time.Sleep(time.Until(o.nextDecision))
+			started := time.Now()
+			o.refresh(started)
+			o.handle(ctx, d)
+			o.handleWaiting(ctx)
+			o.decide(ctx, started)
+		case started := <-ticker.C:
 			if o.queue.Idle() && o.published.All < minPublishedWait {
 				continue
 			}
+			o.refresh(started)
+			o.decide(ctx, started)
 		}
-		o.refresh()
-		o.returnUnsent()
-		o.startCalls(ctx)
-		o.publishWaitTimes(time.Now())
-		o.logRejections()
-		now := time.Now()
-		o.load.busy += now.Sub(started)
-		o.logState(now)
 	}
 }
 
+// handleWaiting handles the messages that are in the inbox now.
+func (o *owner) handleWaiting(ctx context.Context) {
+	for range len(o.inbox) {
+		o.handle(ctx, <-o.inbox)
+	}
+}
+
+// decide starts the calls that can be sent now and publishes the state of the queue. started is when the work since the
+// last decision began.
+func (o *owner) decide(ctx context.Context, started time.Time) {
+	now := time.Now()
+	o.nextDecision = now.Add(decisionInterval)
+	o.startCalls(ctx, now)
+	o.freeUnneeded(ctx)
+	o.publishWaitTimes(now)
+	o.logRejections()
+	ended := time.Now()
+	o.load.busy += ended.Sub(started)
+	o.logState(ended)
+}
+
 // send puts a message into the inbox, unless ctx ends first.
 func (o *owner) send(ctx context.Context, m message) {
 	select {
@@ -223,20 +248,28 @@
 	o.load = loopLoad{}
 }
 
-// refresh updates the queue's batch specification and upstreams from the source.
-func (o *owner) refresh() {
+// refresh updates the queue's batch specification and upstreams from the source, and returns the queue's jobs if this
+// instance no longer owns it. It does so at most once per ownerTick.
+func (o *owner) refresh(now time.Time) {
+	if now.Before(o.nextRefresh) {
+		return
+	}
+	o.nextRefresh = now.Add(ownerTick)
 	spec, upstreams, ok := o.source()
 	if ok {
 		o.queue.SetSpec(spec)
 		o.queue.SetUpstreams(upstreams)
 	}
+	o.returnUnsent()
 }
 
-func (o *owner) handle(ctx context.Context, m message) {
+// handle handles a message from the inbox.
+func (o *owner) handle(ctx context.Context, d delivery) {
 	now := time.Now()
-	switch m := m.(type) {
+	o.load.messages++
+	o.load.longestWait = max(o.load.longestWait, now.Sub(d.at))
+	switch m := d.message.(type) {
 	case added:
-		o.refresh()
 		o.queue.Add(now, m.job)
 	case cancelled:
 		o.queue.Release(o.queue.Cancel(m.job))
@@ -249,6 +282,10 @@
 	case ended:
 		o.queue.Release(o.queue.Done(now, m.call, m.results, m.busy))
 	}
+}
+
+// freeUnneeded starts to free the results that should be freed now.
+func (o *owner) freeUnneeded(ctx context.Context) {
 	for upstream, handles := range o.queue.Freeable() {
 		go o.free(ctx, upstream, handles)
 	}
@@ -261,9 +298,9 @@
 }
 
 // startCalls starts all calls that can be sent now, each in its own goroutine.
-func (o *owner) startCalls(ctx context.Context) {
+func (o *owner) startCalls(ctx context.Context, now time.Time) {
 	for {
-		c := o.queue.Next(time.Now())
+		c := o.queue.Next(now)
 		if c == nil {
 			return
 		}
--- a/plantainlane/batch/owner_test.go
+++ b/plantainlane/batch/owner_test.go
@@ -56,26 +56,24 @@
 	const inTime = time.Second
 	var completed atomic.Int64
 	for range 3 * perSecond {
-		added := time.Now()
+		start := time.Now()
 		j := &Job{
 			Request: "r", Pieces: 1, Bytes: 60_000, NextServices: []string{"later"},
-			Due: added.Add(inTime), Deadline: added.Add(10 * time.Second),
+			Due: start.Add(inTime), Deadline: start.Add(10 * time.Second),
 		}
 		j.OnDone = func(out Outcome) {
-			if out.Reason == "" && time.Since(added) <= inTime {
+			if out.Reason == "" && time.Since(start) <= inTime {
 				completed.Add(1)
 			}
 			go o.send(ctx, released{out.Handles})
 		}
-		o.send(ctx, addedMessage(j))
+		o.send(ctx, added{j})
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	time.Sleep(10 * time.Second)
 	return 3 * perSecond, int(completed.Load())
 }
 
-func addedMessage(j *Job) message { return added{j} }
-
 // TestOwnerKeepsUpWithBurstOnSlowProcessor guards against an owner that does the same work for each message: in a burst
 // it falls behind, and its upstreams idle although jobs wait.
 func TestOwnerKeepsUpWithBurstOnSlowProcessor(t *testing.T) {
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -108,6 +108,7 @@
 	spec      site.Batch
 	jobs      []*Job
 	upstreams map[string]*Upstream
+	held      heldResults
 	// unsteadyAt is when an upstream was last slow or failing; initially the time of the first check.
 	unsteadyAt time.Time
 	// fastByZone counts the fast upstreams of each zone, as of the last SetUpstreams.
@@ -116,6 +117,10 @@
 	waiting int
 	// WaitTimesOf returns the wait times of another service's queue. If it is nil, all other queues count as empty.
 	WaitTimesOf func(service string) WaitTimes
+	// laterWaits holds the results of WaitTimesOf for the current decision, by service.
+	laterWaits map[string]WaitTimes
+	// expiredAt is the time of the last expire.
+	expiredAt time.Time
 	// typicalPieces is the moving average of pieces per call.
 	typicalPieces float64
 	// rate is the moving average of pieces completed per second while at least a full call waited; 0 while unknown.
@@ -134,7 +139,10 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(spec site.Batch) *Queue {
-	return &Queue{spec: spec, upstreams: make(map[string]*Upstream)}
+	return &Queue{
+		spec: spec, upstreams: make(map[string]*Upstream), laterWaits: make(map[string]WaitTimes),
+		held: heldResults{byHandle: make(map[string]heldResult)},
+	}
 }
 
 // SetSpec replaces the batch specification.
@@ -147,14 +155,19 @@
 	for _, u := range list {
 		seen[u.ID] = true
 		known := q.upstreams[u.ID]
-		if known == nil || known.Address != u.Address {
-			known = &Upstream{ID: u.ID, Address: u.Address, Zone: u.Zone, slowdown: 1, held: make(map[string]heldResult)}
+		if known != nil && known.Address != u.Address {
+			q.held.removeUpstream(known)
+			known = nil
+		}
+		if known == nil {
+			known = &Upstream{ID: u.ID, Address: u.Address, Zone: u.Zone, slowdown: 1}
 			q.upstreams[u.ID] = known
 		}
 		known.Leaving = u.Leaving
 	}
-	for id := range q.upstreams {
+	for id, u := range q.upstreams {
 		if !seen[id] {
+			q.held.removeUpstream(u)
 			delete(q.upstreams, id)
 		}
 	}
@@ -171,6 +184,7 @@
 
 // Add adds a job to the queue, or rejects it immediately if it can't be completed in time.
 func (q *Queue) Add(now time.Time, j *Job) {
+	clear(q.laterWaits)
 	q.updateDue(j)
 	if estimate := q.estimate(now, j); now.Add(estimate).After(j.completeBy(now)) {
 		q.reject(now, j, estimate)
@@ -260,8 +274,12 @@
 }
 
 // expire rejects the waiting jobs that can no longer be completed in time, drops the results that have expired at their
-// upstreams, and calls notifyInputsRead.
+// upstreams, and calls notifyInputsRead. Calls at the same time do nothing.
 func (q *Queue) expire(now time.Time) {
+	if now.Equal(q.expiredAt) {
+		return
+	}
+	q.expiredAt = now
 	for _, j := range slices.Clone(q.jobs) {
 		if now.Add(q.spec.CallTime).After(j.completeBy(now)) && j.unsent() > 0 {
 			q.remove(j)
@@ -269,16 +287,7 @@
 		}
 	}
 	q.notifyInputsRead(now)
-	for _, u := range q.upstreams {
-		for handle, h := range u.held {
-			if now.After(h.until) {
-				if !h.unneeded {
-					q.counts.Expired++
-				}
-				u.release(handle)
-			}
-		}
-	}
+	q.counts.Expired += q.held.expire(now)
 }
 
 // notifyInputsRead calls OnInputsRead of the jobs whose pieces were all sent at least readTime ago, once the queue is
@@ -341,7 +350,7 @@
 		}
 		if r.Handle != "" {
 			q.completedSince++
-			u.hold(r.Handle, item.Job.Bytes, now.Add(q.spec.KeepFor+keepSlack))
+			q.held.add(r.Handle, heldResult{upstream: u, bytes: item.Job.Bytes, until: now.Add(q.spec.KeepFor + keepSlack)})
 		}
 		if item.Job.done {
 			if r.Handle != "" {
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -429,3 +429,44 @@
 		is.True(float64(used) <= maxUnneededFraction*float64(memory))
 	}
 }
+
+// TestWaitTimesAreReadOncePerDecision guards against decisions whose cost grows with the number of waiting jobs more
+// than it must: the wait times of a later queue are the same for all of them.
+func TestWaitTimesAreReadOncePerDecision(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQueue(spec, "z", "z", "z")
+	for range 500 {
+		j, _ := newJob(now, 2, 30*time.Second, 300*time.Second)
+		j.NextServices = []string{"later", "last"}
+		q.Add(now, j)
+	}
+	reads := 0
+	q.WaitTimesOf = func(string) WaitTimes {
+		reads++
+		return WaitTimes{}
+	}
+	is.True(q.Next(now.Add(time.Millisecond)) != nil)
+	is.Equal(reads, 2)
+}
+
+// TestOneRequestFreesResultsOfAnUpstream guards against a request to free results for each message to the owner while
+// the result memory of an upstream is nearly exhausted.
+func TestOneRequestFreesResultsOfAnUpstream(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	small := spec
+	small.MemoryBytes = 10_000
+	q := newQueue(small, "z")
+	j, outcome := newJob(now, 8, time.Second, 5*time.Second)
+	q.Add(now, j)
+	c := q.Next(now)
+	q.Done(now, c, completedResults(c, "h"), false)
+	q.Release(outcome.Handles[:2])
+	is.Equal(len(q.Freeable()["w0"]), 2)
+	q.Release(outcome.Handles[2:4])
+	q.Release(outcome.Handles[4:6])
+	is.Equal(len(q.Freeable()), 0) // the first request has not been answered
+	q.Freed("w0", outcome.Handles[:2])
+	is.Equal(len(q.Freeable()["w0"]), 4)
+}
--- a/plantainlane/batch/rate.go
+++ b/plantainlane/batch/rate.go
@@ -8,8 +8,10 @@
 // served before it, plus its own call.
 func (q *Queue) estimate(now time.Time, j *Job) time.Duration {
 	ahead := 0
+	completion := now.Add(q.typicalCallTime())
+	own := j.rank(completion)
 	for _, other := range q.jobs {
-		if q.isServedBefore(now, other, j) {
+		if other.rank(completion).compare(own) < 0 {
 			ahead += other.unsent()
 		}
 	}
@@ -70,9 +72,9 @@
 
 // WaitTimes returns the current wait times of the queue.
 func (q *Queue) WaitTimes(now time.Time) WaitTimes {
-	onTime, callTime := 0, q.typicalCallTime()
+	onTime, completion := 0, now.Add(q.typicalCallTime())
 	for _, j := range q.jobs {
-		if !j.isLate(now, callTime) {
+		if !j.isLate(completion) {
 			onTime += j.unsent()
 		}
 	}
--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -16,12 +16,12 @@
 	calls int
 	// used is the memory that results occupy, in bytes.
 	used int
-	// held holds the results at the upstream, by handle.
-	held map[string]heldResult
 	// unneeded holds the handles of results that are no longer needed and that Freeable hasn't returned yet; some of
 	// them may have expired. unneededBytes is their total size.
 	unneeded      []string
 	unneededBytes int
+	// freeing is set from the time that Freeable returned handles until Freed is called.
+	freeing bool
 	// slowdown is the moving average of the measured over the expected time of calls, each at least 1. It starts at 1.
 	slowdown float64
 	// failures is the number of consecutive failed calls.
@@ -30,14 +30,6 @@
 	notBefore time.Time
 }
 
-// heldResult is a result at an upstream. It counts as occupying memory until it is freed, at the latest at until.
-type heldResult struct {
-	bytes int
-	until time.Time
-	// unneeded is set once the result was released.
-	unneeded bool
-}
-
 // isFast reports whether an upstream accepts new calls and runs them at about its typical speed.
 func (u *Upstream) isFast() bool { return !u.Leaving && u.slowdown < slowdownLimit }
 
@@ -72,15 +64,3 @@
 		u.slowdown += slowdownWeight * (ratio - u.slowdown)
 	}
 }
-
-// hold adds a result to the accounting of the upstream's memory, until it is released or the time until.
-func (u *Upstream) hold(handle string, bytes int, until time.Time) {
-	u.held[handle] = heldResult{bytes: bytes, until: until}
-	u.used += bytes
-}
-
-// release removes a result from the accounting of the upstream's memory.
-func (u *Upstream) release(handle string) {
-	u.used -= u.held[handle].bytes
-	delete(u.held, handle)
-}
