batch: don't measure upstreams over a time in which the owner stood still

Cause: the duration of a call ended when the owner handled the answer, so that it contained the time in which the owner's process stood still, and, when it is short of processor time, the wait in its inbox. The slower the owner, the fewer upstreams it used.

The pause is logged as "queue stalled". TestThawedOwnerDoesNotTakeUpstreamsForSlow failed before.

--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -37,6 +37,9 @@
 	maxPublishPeriod       = time.Second
 	// minPublishedWait is the wait time below which a queue's wait times aren't published.
 	minPublishedWait = 50 * time.Millisecond
+	// stallTime is the time without work from which an owner that should have worked each ownerTick counts as stalled: its
+	// process was frozen or got no processor time.
+	stallTime = 10 * ownerTick
 	// ownerInbox is the number of messages that an owner's inbox can hold.
 	ownerInbox = 1024
 	// A call times out after callTimeoutFactor times its expected time plus callTimeoutSlack.
@@ -109,6 +112,8 @@
 	// the next calls may be started.
 	nextRefresh  time.Time
 	nextDecision time.Time
+	// awakeAt is when the main loop last handled a message or a tick.
+	awakeAt time.Time
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
 	load     loopLoad
@@ -153,7 +158,9 @@
 			o.handle(ctx, d)
 			o.handleWaiting(ctx)
 			o.decide(ctx, started)
-		case started := <-ticker.C:
+		case <-ticker.C:
+			started := time.Now()
+			o.detectStall(started)
 			if o.queue.Idle() && o.published.All < minPublishedWait {
 				continue
 			}
@@ -163,6 +170,15 @@
 	}
 }
 
+// detectStall tells the queue if the main loop didn't run for stallTime.
+func (o *owner) detectStall(now time.Time) {
+	if pause := now.Sub(o.awakeAt); !o.awakeAt.IsZero() && pause > stallTime {
+		klog.InfoS("queue stalled", "service", o.service, "ms", pause.Milliseconds())
+		o.queue.Resume(now)
+	}
+	o.awakeAt = now
+}
+
 // handleWaiting handles the messages that are in the inbox now.
 func (o *owner) handleWaiting(ctx context.Context) {
 	for range len(o.inbox) {
@@ -266,6 +282,7 @@
 // handle handles a message from the inbox.
 func (o *owner) handle(ctx context.Context, d delivery) {
 	now := time.Now()
+	o.detectStall(now)
 	o.load.messages++
 	o.load.longestWait = max(o.load.longestWait, now.Sub(d.at))
 	switch m := d.message.(type) {
@@ -280,7 +297,7 @@
 	case freed:
 		o.queue.Freed(m.upstream, m.handles)
 	case ended:
-		o.queue.Release(o.queue.Done(now, m.call, m.results, m.busy))
+		o.queue.Release(o.queue.Done(d.at, m.call, m.results, m.busy))
 	}
 }
 
--- a/plantainlane/batch/owner_test.go
+++ b/plantainlane/batch/owner_test.go
@@ -32,16 +32,16 @@
 
 func (*timedExecutor) Free(context.Context, []string) { time.Sleep(5 * time.Millisecond) }
 
-// startOwner starts the owner of a queue with 15 upstreams. viewTime is how long it takes to read the upstreams, and
-// to determine the owner, from the control state.
-func startOwner(ctx context.Context, executor Executor, viewTime time.Duration) *owner {
+// startOwner starts the owner of a queue with 15 upstreams. It calls read before it reads the upstreams from the control
+// state, and before it determines the owner from it.
+func startOwner(ctx context.Context, executor Executor, read func()) *owner {
 	zones := make([]string, 15)
 	source := func() (site.Batch, []Upstream, bool) {
-		time.Sleep(viewTime)
+		read()
 		return grownStage, upstreams(zones...), true
 	}
 	isOwner := func() bool {
-		time.Sleep(viewTime)
+		read()
 		return true
 	}
 	publish := func(WaitTimes, bool) time.Duration { return time.Second }
@@ -81,7 +81,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		o := startOwner(ctx, &timedExecutor{spec: grownStage}, 250*time.Microsecond)
+		o := startOwner(ctx, &timedExecutor{spec: grownStage}, func() { time.Sleep(250 * time.Microsecond) })
 		submitted, onTime := submitBurst(ctx, o, 1100)
 		t.Logf("%d of %d on time", onTime, submitted)
 		is.True(onTime >= submitted*99/100)
@@ -89,3 +89,49 @@
 		synctest.Wait()
 	})
 }
+
+// freeze is a time in which the process of an owner doesn't run.
+type freeze struct{ from, until time.Time }
+
+// wait returns at the end of the freeze, immediately if the process runs.
+func (f freeze) wait() {
+	if now := time.Now(); now.After(f.from) && now.Before(f.until) {
+		time.Sleep(f.until.Sub(now))
+	}
+}
+
+// frozenExecutor returns the answers that are received during the freeze when it ends.
+type frozenExecutor struct {
+	timedExecutor
+	freeze freeze
+}
+
+func (e *frozenExecutor) Execute(ctx context.Context, c *Call) ([]Result, bool, error) {
+	results, busy, err := e.timedExecutor.Execute(ctx, c)
+	e.freeze.wait()
+	return results, busy, err
+}
+
+// TestThawedOwnerDoesNotTakeUpstreamsForSlow guards against an owner that was frozen and takes the time for which it
+// stood still for the upstreams' time: it then sends calls to a few of them only, though jobs wait.
+func TestThawedOwnerDoesNotTakeUpstreamsForSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f := freeze{from: time.Now().Add(time.Second), until: time.Now().Add(6 * time.Second)}
+		o := startOwner(ctx, &frozenExecutor{timedExecutor: timedExecutor{spec: grownStage}, freeze: f}, f.wait)
+		for range 400 {
+			j, _ := newJob(time.Now(), 1, time.Minute, 2*time.Minute)
+			o.send(ctx, added{j})
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		for _, u := range o.queue.upstreams {
+			is.True(u.isFast())
+			is.Equal(u.failures, 0)
+		}
+	})
+}
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -119,6 +119,8 @@
 	WaitTimesOf func(service string) WaitTimes
 	// laterWaits holds the results of WaitTimesOf for the current decision, by service.
 	laterWaits map[string]WaitTimes
+	// resumedAt is when the owner of the queue last continued after it had stood still.
+	resumedAt time.Time
 	// expiredAt is the time of the last expire.
 	expiredAt time.Time
 	// typicalPieces is the moving average of pieces per call.
@@ -325,15 +327,22 @@
 // Idle reports whether the queue holds no jobs.
 func (q *Queue) Idle() bool { return len(q.jobs) == 0 }
 
+// Resume records that the owner of the queue stood still until now. The times and the failures of the calls in flight
+// then say nothing about their upstreams.
+func (q *Queue) Resume(now time.Time) { q.resumedAt = now }
+
 // Done handles the end of a call. The results are in the order of the call's items; nil means that the call failed.
 // busy is set if the upstream refused the call because it is at capacity. Done returns the handles of results whose
 // jobs have already ended.
 func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
 	u := c.Upstream
 	u.calls--
-	if results == nil {
+	isMeasured := !c.StartedAt.Before(q.resumedAt)
+	switch {
+	case !isMeasured:
+	case results == nil:
 		u.recordFailure(now, busy)
-	} else {
+	default:
 		took, expected := now.Sub(c.StartedAt), q.callTime(len(c.Items))
 		u.recordSuccess(took, expected)
 		q.counts.Answered++
@@ -359,14 +368,15 @@
 			}
 			continue
 		}
-		q.handleResult(item, r, u.Zone, busy)
+		q.handleResult(item, r, u.Zone, isMeasured && !busy)
 	}
 	return unused
 }
 
 // handleResult handles the result of one piece. A piece that was not completed is sent again, unless the upstream lacks
-// an input, reports ReasonDeadline, or too many pieces of the job have failed.
-func (q *Queue) handleResult(item Item, r Result, zone string, busy bool) {
+// an input, reports ReasonDeadline, or too many pieces of the job have failed. A failure counts only if countsFailure is
+// set.
+func (q *Queue) handleResult(item Item, r Result, zone string, countsFailure bool) {
 	j := item.Job
 	switch {
 	case r.Handle != "":
@@ -386,7 +396,7 @@
 	}
 	if r.Reason == ReasonNoMemory {
 		q.counts.NoMemory++
-	} else if !busy {
+	} else if countsFailure {
 		q.counts.Failed++
 		j.failures++
 	}
