batch: send releases again when the owner of a queue changes

Cause: a release of results is one message to the owner. Until the loss of the owner is detected, releases go to it and are lost; the results stay until they expire, four seconds after they were made, unknown to the next owner.

Each instance now keeps its releases of the last four seconds and sends them again when it sees that the owner has changed; the new owner frees those that it doesn't know, with one request at a time for all.

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"plantainlane/wire"
 )
@@ -54,6 +55,8 @@
 	lastFrameCall int
 	// waitTimes holds the last published wait times of the queues, by service.
 	waitTimes map[string]publishedWait
+	// recent holds the newest releases of results, by service.
+	recent map[string]*recentReleases
 	// remote holds the jobs that other instances submitted to this one and that haven't ended.
 	remote map[remoteKey]remoteJob
 }
@@ -93,6 +96,7 @@
 		pending:   make(map[int]pendingJob),
 		remote:    make(map[remoteKey]remoteJob),
 		waitTimes: make(map[string]publishedWait),
+		recent:    make(map[string]*recentReleases),
 	}
 }
 
@@ -118,11 +122,35 @@
 	return eligible
 }
 
+// ownerOf returns the ID of the current owner of a service's queue, "" if there is none. If the owner has changed since
+// the last call, it sends the newest releases again to the new one: the previous owner may have been lost before it
+// freed the results, which would then occupy the upstreams' memory until they expire.
+func (d *Dispatcher) ownerOf(service string) string {
+	to := Owner(service, d.peers.Members())
+	if again := d.releases(service).changeOwner(time.Now(), to); len(again) > 0 {
+		klog.InfoS("releases sent again", "service", service, "owner", to, "results", len(again))
+		d.sendRelease(to, service, again)
+	}
+	return to
+}
+
+// releases returns the newest releases of results of a service.
+func (d *Dispatcher) releases(service string) *recentReleases {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.recent[service]
+	if r == nil {
+		r = &recentReleases{}
+		d.recent[service] = r
+	}
+	return r
+}
+
 // Run submits a job to the owner of the service's queue and waits until the job has ended or ctx is done. If the owner
 // is lost or no longer owns the queue, Run submits the job to the new owner, up to maxSubmissions times in all.
 func (d *Dispatcher) Run(ctx context.Context, service string, j Job) Outcome {
 	for range maxSubmissions {
-		to := Owner(service, d.peers.Members())
+		to := d.ownerOf(service)
 		out := d.runAt(ctx, to, service, j)
 		if out.Reason != ReasonNoOwner || ctx.Err() != nil {
 			return out
@@ -199,9 +227,15 @@
 }
 
 // Release tells the owner of a service's queue that results are no longer needed. The message may be lost; the results
-// then expire at their upstreams.
+// then expire at their upstreams, or are freed by the next owner, see resendReleases.
 func (d *Dispatcher) Release(service string, handles []string) {
-	to := Owner(service, d.peers.Members())
+	to := d.ownerOf(service)
+	d.releases(service).add(time.Now(), handles)
+	d.sendRelease(to, service, handles)
+}
+
+// sendRelease sends released handles to an owner, which may be this instance. It does nothing if there is no owner.
+func (d *Dispatcher) sendRelease(to, service string, handles []string) {
 	switch to {
 	case "":
 	case d.self:
--- a/plantainlane/batch/memory.go
+++ b/plantainlane/batch/memory.go
@@ -60,7 +60,7 @@
 	maps.DeleteFunc(r.byHandle, func(_ string, h heldResult) bool { return h.upstream == u })
 }
 
-// Release marks results as no longer needed. They count as occupying memory until they are freed, see Freeable. It
+// Release marks results as no longer needed; it may be called again with the same ones. They count as occupying memory until they are freed, see Freeable. It
 // returns the handles unknown to the queue, such as those of results of a previous owner.
 func (q *Queue) Release(handles []string) (unknown []string) {
 	for _, handle := range handles {
@@ -69,6 +69,9 @@
 			unknown = append(unknown, handle)
 			continue
 		}
+		if h.unneeded {
+			continue
+		}
 		h.unneeded = true
 		q.held.byHandle[handle] = h
 		h.upstream.unneeded = append(h.upstream.unneeded, handle)
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -79,11 +79,15 @@
 	handles  []string
 }
 
-func (added) isMessage()     {}
-func (freed) isMessage()     {}
-func (cancelled) isMessage() {}
-func (released) isMessage()  {}
-func (ended) isMessage()     {}
+// unknownFreed reports that the upstreams were asked to free results that the queue doesn't know.
+type unknownFreed struct{}
+
+func (added) isMessage()        {}
+func (freed) isMessage()        {}
+func (unknownFreed) isMessage() {}
+func (cancelled) isMessage()    {}
+func (released) isMessage()     {}
+func (ended) isMessage()        {}
 
 // Source returns the current batch specification and upstreams of a service; ok is false while they are unknown. It is
 // called only from the owner's main loop.
@@ -114,6 +118,10 @@
 	nextDecision time.Time
 	// awakeAt is when the main loop last handled a message or a tick.
 	awakeAt time.Time
+	// unknown holds the handles of released results that the queue doesn't know, such as those of a previous owner.
+	// freeingUnknown is set while the upstreams are asked to free earlier ones.
+	unknown        []string
+	freeingUnknown bool
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
 	load     loopLoad
@@ -291,9 +299,9 @@
 	case cancelled:
 		o.queue.Release(o.queue.Cancel(m.job))
 	case released:
-		if unknown := o.queue.Release(m.handles); len(unknown) > 0 {
-			go o.executor.Free(ctx, unknown)
-		}
+		o.unknown = append(o.unknown, o.queue.Release(m.handles)...)
+	case unknownFreed:
+		o.freeingUnknown = false
 	case freed:
 		o.queue.Freed(m.upstream, m.handles)
 	case ended:
@@ -303,11 +311,21 @@
 
 // freeUnneeded starts to free the results that should be freed now.
 func (o *owner) freeUnneeded(ctx context.Context) {
+	if len(o.unknown) > 0 && !o.freeingUnknown {
+		go o.freeUnknown(ctx, o.unknown)
+		o.unknown, o.freeingUnknown = nil, true
+	}
 	for upstream, handles := range o.queue.Freeable() {
 		go o.free(ctx, upstream, handles)
 	}
 }
 
+// freeUnknown tells the upstreams to delete results that the queue doesn't know.
+func (o *owner) freeUnknown(ctx context.Context, handles []string) {
+	o.executor.Free(ctx, handles)
+	o.send(ctx, unknownFreed{})
+}
+
 // free tells an upstream to delete results, and reports them as freed to the owner's main loop.
 func (o *owner) free(ctx context.Context, upstream string, handles []string) {
 	o.executor.Free(ctx, handles)
