batch: a new owner measures the upstreams' free memory before it sends calls

An owner now asks each upstream for its free memory when it takes over a queue and when it continues after it stood still, sends it no call until the answer (0.1 s at most), and asks again each 0.5 s while results that it doesn't know can live. Between measurements the unknown part falls as such results expire.

--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -17,6 +17,8 @@
 	Execute(ctx context.Context, c *Call) (results []Result, busy bool, err error)
 	// Free tells the upstreams that hold the results to delete them.
 	Free(ctx context.Context, handles []string)
+	// FreeMemory asks an upstream for its free result memory, in bytes.
+	FreeMemory(ctx context.Context, u *Upstream) (int, error)
 }
 
 const (
@@ -82,7 +84,15 @@
 // unknownFreed reports that the upstreams were asked to free results that the queue doesn't know.
 type unknownFreed struct{}
 
+// measured reports the free result memory of an upstream. It has no answer if err is set.
+type measured struct {
+	upstream *Upstream
+	free     int
+	err      error
+}
+
 func (added) isMessage()        {}
+func (measured) isMessage()     {}
 func (freed) isMessage()        {}
 func (unknownFreed) isMessage() {}
 func (cancelled) isMessage()    {}
@@ -122,6 +132,10 @@
 	// freeingUnknown is set while the upstreams are asked to free earlier ones.
 	unknown        []string
 	freeingUnknown bool
+	// measureUntil is when the results of a previous owner have expired, and nextMeasure when the free memory of the
+	// upstreams is measured next until then.
+	measureUntil time.Time
+	nextMeasure  time.Time
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
 	load     loopLoad
@@ -183,6 +197,7 @@
 	if pause := now.Sub(o.awakeAt); !o.awakeAt.IsZero() && pause > stallTime {
 		klog.InfoS("queue stalled", "service", o.service, "ms", pause.Milliseconds())
 		o.queue.Resume(now)
+		o.takeOver(now)
 	}
 	o.awakeAt = now
 }
@@ -199,6 +214,7 @@
 func (o *owner) decide(ctx context.Context, started time.Time) {
 	now := time.Now()
 	o.nextDecision = now.Add(decisionInterval)
+	o.measureMemory(ctx, now)
 	o.startCalls(ctx, now)
 	o.freeUnneeded(ctx)
 	o.publishWaitTimes(now)
@@ -235,10 +251,13 @@
 	o.nextPublish = now.Add(ownersPublishPeriod)
 }
 
-// returnUnsent ends the jobs that have no sent pieces once this instance no longer owns the queue, so that their
-// callers submit them to the new owner.
-func (o *owner) returnUnsent() {
+// updateOwnership returns the unsent jobs once this instance no longer owns the queue, so that their callers submit them
+// to the new owner, and begins to measure the memory of the upstreams once this instance owns the queue.
+func (o *owner) updateOwnership(now time.Time) {
 	isOwner := o.isOwner()
+	if !o.wasOwner && isOwner {
+		o.takeOver(now)
+	}
 	if o.wasOwner && !isOwner {
 		n := o.queue.ReturnUnsent()
 		klog.InfoS("queue handed on", "service", o.service, "orders", n)
@@ -284,7 +303,7 @@
 		o.queue.SetSpec(spec)
 		o.queue.SetUpstreams(upstreams)
 	}
-	o.returnUnsent()
+	o.updateOwnership(now)
 }
 
 // handle handles a message from the inbox.
@@ -302,6 +321,8 @@
 		o.unknown = append(o.unknown, o.queue.Release(m.handles)...)
 	case unknownFreed:
 		o.freeingUnknown = false
+	case measured:
+		o.recordMemory(now, m)
 	case freed:
 		o.queue.Freed(m.upstream, m.handles)
 	case ended:
--- a/plantainlane/batch/owner_test.go
+++ b/plantainlane/batch/owner_test.go
@@ -30,6 +30,11 @@
 	return completedResults(c, fmt.Sprint(c.Upstream.Address, "/", e.calls.Add(1))), false, nil
 }
 
+// FreeMemory returns that nothing occupies the memory.
+func (e *timedExecutor) FreeMemory(context.Context, *Upstream) (int, error) {
+	return e.spec.MemoryBytes, nil
+}
+
 func (*timedExecutor) Free(context.Context, []string) { time.Sleep(5 * time.Millisecond) }
 
 // startOwner starts the owner of a queue with 15 upstreams. It calls read before it reads the upstreams from the control
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -268,6 +268,7 @@
 		return nil
 	}
 	u.calls++
+	u.sending += bytesOf(items)
 	q.typicalPieces += piecesWeight * (float64(len(items)) - q.typicalPieces)
 	q.counts.Calls++
 	q.counts.Pieces += len(items)
@@ -282,6 +283,7 @@
 		return
 	}
 	q.expiredAt = now
+	q.updateUnknown(now)
 	for _, j := range slices.Clone(q.jobs) {
 		if now.Add(q.spec.CallTime).After(j.completeBy(now)) && j.unsent() > 0 {
 			q.remove(j)
@@ -337,6 +339,7 @@
 func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
 	u := c.Upstream
 	u.calls--
+	u.sending -= bytesOf(c.Items)
 	isMeasured := !c.StartedAt.Before(q.resumedAt)
 	switch {
 	case !isMeasured:
