--- a/plantainlane/batch/memory.go
+++ b/plantainlane/batch/memory.go
@@ -126,11 +126,13 @@
 	return 2*noMemory > len(results)
 }
 
-// Memory returns the bytes that results occupy at all upstreams, the unknown ones included, and the total result memory in bytes.
-func (q *Queue) Memory() (used, all int) {
+// Memory returns the bytes that results occupy at all upstreams, those of them that are occupied by unknown results,
+// and the total result memory in bytes.
+func (q *Queue) Memory() (used, unknown, all int) {
 	for _, u := range q.upstreams {
 		used += u.occupied()
+		unknown += u.unknown
 		all += q.spec.MemoryBytes
 	}
-	return used, all
+	return used, unknown, all
 }
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -425,7 +425,7 @@
 		for id, handles := range q.Freeable() {
 			q.Freed(id, handles)
 		}
-		used, memory := q.Memory()
+		used, _, memory := q.Memory()
 		is.True(float64(used) <= maxUnneededFraction*float64(memory))
 	}
 }
