batch: measure a slow upstream again after two seconds

Cause: an upstream that counts as slow gets calls only while more than a call for each fast upstream waits, and only calls measure its speed. While one counts as slow the queue also isn't steady, so that inputs are held until the answers that need them arrive.

A slow upstream that wasn't used for two seconds is now used again, as the last choice, until it is measured. TestSlowUpstreamIsMeasuredAgain failed before.

--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -66,6 +66,10 @@
 	maxPause   = 3 * time.Second
 	// slowdownLimit is the slowdown from which an upstream is sent calls only while the queue is backlogged.
 	slowdownLimit = 2.0
+	// slowdownValid is how long an upstream counts as slow without being measured again. It then counts as having the
+	// slowdown retriedSlowdown, just below slowdownLimit, until the next measurement.
+	slowdownValid   = 2 * time.Second
+	retriedSlowdown = 1.9
 	// noMemoryPause is how long an upstream is paused after it lacked memory. It then holds results that are unknown to
 	// this queue, such as those of a previous owner.
 	noMemoryPause = 150 * time.Millisecond
@@ -268,6 +272,7 @@
 		return nil
 	}
 	u.calls++
+	u.usedAt = now
 	u.sending += bytesOf(items)
 	q.typicalPieces += piecesWeight * (float64(len(items)) - q.typicalPieces)
 	q.counts.Calls++
@@ -284,6 +289,9 @@
 	}
 	q.expiredAt = now
 	q.updateUnknown(now)
+	for _, u := range q.upstreams {
+		u.retrySlow(now)
+	}
 	for _, j := range slices.Clone(q.jobs) {
 		if now.Add(q.spec.CallTime).After(j.completeBy(now)) && j.unsent() > 0 {
 			q.remove(j)
@@ -339,6 +347,7 @@
 func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
 	u := c.Upstream
 	u.calls--
+	u.usedAt = now
 	u.sending -= bytesOf(c.Items)
 	isMeasured := !c.StartedAt.Before(q.resumedAt)
 	switch {
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -470,3 +470,28 @@
 	q.Freed("w0", outcome.Handles[:2])
 	is.Equal(len(q.Freeable()["w0"]), 4)
 }
+
+// TestSlowUpstreamIsMeasuredAgain guards against an upstream that was slow once and is never used again, because its
+// speed is measured only by calls.
+func TestSlowUpstreamIsMeasuredAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQueue(spec, "z", "z")
+	add := func() {
+		j, _ := newJob(now, 2, time.Second, 100*time.Second)
+		q.Add(now, j)
+	}
+	add()
+	slow := q.Next(now)
+	now = now.Add(5 * time.Second) // the call took over ten times as long as expected
+	q.Done(now, slow, completedResults(slow, "a"), false)
+	add()
+	is.True(q.Next(now).Upstream != slow.Upstream)
+	add()
+	is.True(q.Next(now) == nil)
+	retry := q.Next(now.Add(slowdownValid))
+	is.Equal(retry.Upstream, slow.Upstream)
+	q.Done(retry.ExpectedAt, retry, completedResults(retry, "b"), false)
+	is.True(slow.Upstream.isFast())
+	is.True(q.isSteady(retry.ExpectedAt.Add(2 * steadyAfter)))
+}
--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -33,6 +33,8 @@
 	freeing bool
 	// slowdown is the moving average of the measured over the expected time of calls, each at least 1. It starts at 1.
 	slowdown float64
+	// usedAt is when the last call was sent or ended.
+	usedAt time.Time
 	// failures is the number of consecutive failed calls.
 	failures int
 	// notBefore is when a pause after a failure or a lack of memory ends.
@@ -68,6 +70,14 @@
 	u.notBefore = now.Add(pause)
 }
 
+// retrySlow lets a slow upstream that was not used for slowdownValid run calls again, so that its speed is measured. It
+// is still the last choice.
+func (u *Upstream) retrySlow(now time.Time) {
+	if u.slowdown >= slowdownLimit && u.calls == 0 && now.Sub(u.usedAt) >= slowdownValid {
+		u.slowdown = retriedSlowdown
+	}
+}
+
 // recordSuccess resets the consecutive failures and updates slowdown from the measured and the expected time of a call.
 func (u *Upstream) recordSuccess(took, expected time.Duration) {
 	u.failures = 0
