batch: read the upstreams' free memory as bounds, and learn from refused calls

Reports now count as what they are, a lower and an upper bound.

A refusal says more: if an upstream lacked memory for most of a call's results, what neither the known results nor the new ones occupied held results of others. That is remembered and falls to nothing within the time to live of results.

TestCoarseMeasurementKeepsQueueRunning and TestRefusedCallShowsUnknownResults failed before.

--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -67,8 +67,8 @@
 }
 
 // FreeMemory returns that nothing occupies the memory.
-func (e *fakeExecutor) FreeMemory(context.Context, *Upstream) (int, error) {
-	return spec.MemoryBytes, nil
+func (e *fakeExecutor) FreeMemory(context.Context, *Upstream) (low, high int, err error) {
+	return spec.MemoryBytes, spec.MemoryBytes, nil
 }
 
 func (e *fakeExecutor) Free(_ context.Context, handles []string) {
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -17,8 +17,8 @@
 	Execute(ctx context.Context, c *Call) (results []Result, busy bool, err error)
 	// Free tells the upstreams that hold the results to delete them.
 	Free(ctx context.Context, handles []string)
-	// FreeMemory asks an upstream for its free result memory, in bytes.
-	FreeMemory(ctx context.Context, u *Upstream) (int, error)
+	// FreeMemory asks an upstream for its free result memory. It returns the bounds between which it is, in bytes.
+	FreeMemory(ctx context.Context, u *Upstream) (low, high int, err error)
 }
 
 const (
@@ -84,11 +84,11 @@
 // unknownFreed reports that the upstreams were asked to free results that the queue doesn't know.
 type unknownFreed struct{}
 
-// measured reports the free result memory of an upstream. It has no answer if err is set.
+// measured reports the bounds of the free result memory of an upstream. They aren't known if err is set.
 type measured struct {
-	upstream *Upstream
-	free     int
-	err      error
+	upstream  *Upstream
+	low, high int
+	err       error
 }
 
 func (added) isMessage()        {}
--- a/plantainlane/batch/owner_test.go
+++ b/plantainlane/batch/owner_test.go
@@ -31,8 +31,8 @@
 }
 
 // FreeMemory returns that nothing occupies the memory.
-func (e *timedExecutor) FreeMemory(context.Context, *Upstream) (int, error) {
-	return e.spec.MemoryBytes, nil
+func (e *timedExecutor) FreeMemory(context.Context, *Upstream) (low, high int, err error) {
+	return e.spec.MemoryBytes, e.spec.MemoryBytes, nil
 }
 
 func (*timedExecutor) Free(context.Context, []string) { time.Sleep(5 * time.Millisecond) }
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -31,6 +31,8 @@
 	StartedAt time.Time
 	// ExpectedAt is when the answer is expected, given the number of pieces and the upstream's slowdown.
 	ExpectedAt time.Time
+	// usedBefore is the memory that known results occupied at the upstream when the call was sent, in bytes.
+	usedBefore int
 }
 
 // Result is the result of one piece in a call.
@@ -278,7 +280,7 @@
 	q.counts.Calls++
 	q.counts.Pieces += len(items)
 	expected := time.Duration(float64(q.callTime(len(items))) * u.slowdown)
-	return &Call{Upstream: u, Items: items, StartedAt: now, ExpectedAt: now.Add(expected)}
+	return &Call{Upstream: u, Items: items, StartedAt: now, ExpectedAt: now.Add(expected), usedBefore: u.used}
 }
 
 // expire rejects the waiting jobs that can no longer be completed in time, drops the results that have expired at their
@@ -363,6 +365,7 @@
 	}
 	if isOutOfMemory(results) {
 		u.notBefore = now.Add(noMemoryPause)
+		q.learnFromRefusal(now, c, results)
 	}
 	for i, item := range c.Items {
 		r := Result{Reason: ReasonFailed}
--- a/plantainlane/batch/takeover.go
+++ b/plantainlane/batch/takeover.go
@@ -37,8 +37,8 @@
 func (o *owner) measure(ctx context.Context, u *Upstream) {
 	callCtx, cancel := context.WithTimeout(ctx, measureTimeout)
 	defer cancel()
-	free, err := o.executor.FreeMemory(callCtx, u)
-	o.send(ctx, measured{upstream: u, free: free, err: err})
+	low, high, err := o.executor.FreeMemory(callCtx, u)
+	o.send(ctx, measured{upstream: u, low: low, high: high, err: err})
 }
 
 // recordMemory records a measurement.
@@ -47,7 +47,7 @@
 		klog.V(1).InfoS("free memory not known", "service", o.service, "upstream", m.upstream.ID, "err", m.err)
 		return
 	}
-	o.queue.SetFreeMemory(now, m.upstream.ID, m.free)
+	o.queue.SetFreeMemory(now, m.upstream.ID, m.low, m.high)
 }
 
 // HoldCalls lets the queue send no calls until a time, or until the free memory of their upstream is set.
@@ -57,15 +57,33 @@
 	}
 }
 
-// SetFreeMemory sets the free result memory of an upstream, in bytes. What neither the known results nor those of the
-// calls in flight occupy of the rest is occupied by unknown results.
-func (q *Queue) SetFreeMemory(now time.Time, upstream string, free int) {
+// SetFreeMemory sets the bounds of an upstream's free result memory, in bytes. What neither the known results nor those
+// of the calls in flight occupy of the rest is occupied by unknown results.
+func (q *Queue) SetFreeMemory(now time.Time, upstream string, low, high int) {
 	u := q.upstreams[upstream]
 	if u == nil {
 		return
 	}
 	u.heldUntil = time.Time{}
-	u.measuredAt, u.measuredUnknown = now, max(q.spec.MemoryBytes-free-u.used-u.sending, 0)
+	rest := q.spec.MemoryBytes - u.used - u.sending
+	u.setUnknown(now, min(max(u.unknown, rest-high), rest-low))
+}
+
+// learnFromRefusal estimates the memory that unknown results occupied when an upstream ran a call and lacked memory for
+// most of its results: all that neither the known results, when the call was sent, nor the new ones occupied.
+func (q *Queue) learnFromRefusal(now time.Time, c *Call, results []Result) {
+	completed := 0
+	for i, r := range results {
+		if r.Handle != "" {
+			completed += c.Items[i].Job.Bytes
+		}
+	}
+	c.Upstream.setUnknown(now, q.spec.MemoryBytes-c.usedBefore-completed)
+}
+
+// setUnknown sets the memory that unknown results occupy.
+func (u *Upstream) setUnknown(now time.Time, bytes int) {
+	u.measuredAt, u.measuredUnknown = now, max(bytes, 0)
 	u.unknown = u.measuredUnknown
 }
 
--- a/plantainlane/batch/takeover_test.go
+++ b/plantainlane/batch/takeover_test.go
@@ -31,12 +31,12 @@
 	return results, false, nil
 }
 
-func (e *fullExecutor) FreeMemory(context.Context, *Upstream) (int, error) {
+func (e *fullExecutor) FreeMemory(context.Context, *Upstream) (low, high int, err error) {
 	time.Sleep(2 * time.Millisecond)
 	if time.Now().After(e.fullUntil) {
-		return e.spec.MemoryBytes, nil
+		return e.spec.MemoryBytes, e.spec.MemoryBytes, nil
 	}
-	return 0, nil
+	return 0, 0, nil
 }
 
 // TestNewOwnerSendsNoCallsToFullUpstreams guards against a new owner that takes all memory for free though the results
@@ -70,7 +70,7 @@
 	small := spec
 	small.MemoryBytes = 16_000
 	q := newQueue(small, "z")
-	q.SetFreeMemory(now, "w0", 0)
+	q.SetFreeMemory(now, "w0", 0, 0)
 	j, _ := newJob(now, 8, time.Second, 10*time.Second)
 	q.Add(now, j)
 	is.True(q.Next(now) == nil)
@@ -93,6 +93,43 @@
 	q.Done(now, c, completedResults(c, "h"), false)
 	q.Add(now, second)
 	is.True(q.Next(now) != nil)
-	q.SetFreeMemory(now, "w0", 10_000)
+	q.SetFreeMemory(now, "w0", 10_000, 10_000)
 	is.Equal(q.upstreams["w0"].unknown, 6_000)
 }
+
+// TestCoarseMeasurementKeepsQueueRunning guards against upstreams that report their memory in units larger than it: an
+// owner that took the report for exact would send them no calls.
+func TestCoarseMeasurementKeepsQueueRunning(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	small := spec
+	small.MemoryBytes = 660_000
+	q := newQueue(small, "z")
+	q.SetFreeMemory(now, "w0", 0, 1_000_000)
+	j, _ := newJob(now, 8, time.Second, 10*time.Second)
+	q.Add(now, j)
+	is.Equal(len(q.Next(now).Items), 8)
+}
+
+// TestRefusedCallShowsUnknownResults guards against an owner that sends full calls again and again to an upstream which
+// refused most of one for lack of memory.
+func TestRefusedCallShowsUnknownResults(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	small := spec
+	small.MemoryBytes = 16_000
+	q := newQueue(small, "z")
+	j, _ := newJob(now, 8, time.Second, 10*time.Second)
+	q.Add(now, j)
+	c := q.Next(now)
+	results := make([]Result, 8)
+	for i := range results {
+		results[i].Reason = ReasonNoMemory
+	}
+	results[0] = Result{Handle: "h"}
+	now = now.Add(spec.CallTime)
+	q.Done(now, c, results, false)
+	is.Equal(q.upstreams["w0"].unknown, 15_000) // the memory was full
+	is.True(q.Next(now.Add(2*noMemoryPause)) == nil)
+	is.Equal(len(q.Next(now.Add(spec.KeepFor/2)).Items), 7)
+}
