Revert the measurement of free memory by a new owner, and what built on it

The memory, not the calls, limits this service. So an owner again sends full calls and upstreams take what fits.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -80,7 +80,7 @@
 
 // isFree reports whether an upstream can be sent a call: it isn't leaving, has an unused slot and isn't paused.
 func (q *Queue) isFree(now time.Time, u *Upstream) bool {
-	return !u.Leaving && u.calls < max(q.spec.Slots, 1) && !now.Before(u.notBefore) && !now.Before(u.heldUntil)
+	return !u.Leaving && u.calls < max(q.spec.Slots, 1) && !now.Before(u.notBefore)
 }
 
 // chooseUpstream returns the upstream for the next call, nil if no upstream is suitable. It prefers upstreams in the
@@ -145,10 +145,10 @@
 // pieces up to a full call, or for at least the fraction worthwhileFill of a full call. It returns true for every
 // upstream if MemoryBytes is 0, and for an upstream that holds no results.
 func (q *Queue) hasMemory(u *Upstream, jobs []rankedJob) bool {
-	if q.spec.MemoryBytes <= 0 || u.occupied() == 0 {
+	if q.spec.MemoryBytes <= 0 || u.used == 0 {
 		return true
 	}
-	free, fits, needed := q.spec.MemoryBytes-u.occupied(), 0, 0
+	free, fits, needed := q.spec.MemoryBytes-u.used, 0, 0
 	for _, j := range jobs {
 		n := j.unsent()
 		if needed+n > q.spec.MaxPieces {
@@ -182,7 +182,7 @@
 	}
 	sortJobs(jobs)
 	var items []Item
-	free := q.spec.MemoryBytes - u.occupied()
+	free := q.spec.MemoryBytes - u.used
 	for _, j := range jobs {
 		fits := q.spec.MaxPieces - len(items)
 		if q.spec.MemoryBytes > 0 && j.Bytes > 0 {
--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -66,11 +66,6 @@
 	return completedResults(c, c.Items[0].Job.Request), false, nil
 }
 
-// FreeMemory returns that nothing occupies the memory.
-func (e *fakeExecutor) FreeMemory(context.Context, *Upstream) (low, high int, err error) {
-	return spec.MemoryBytes, spec.MemoryBytes, nil
-}
-
 func (e *fakeExecutor) Free(_ context.Context, handles []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/plantainlane/batch/memory.go
+++ b/plantainlane/batch/memory.go
@@ -92,7 +92,7 @@
 		if len(u.unneeded) == 0 || u.freeing {
 			continue
 		}
-		fitsFullCall := u.occupied()+q.spec.MaxPieces*q.largestResult < q.spec.MemoryBytes
+		fitsFullCall := u.used+q.spec.MaxPieces*q.largestResult < q.spec.MemoryBytes
 		if fitsFullCall && float64(u.unneededBytes) < maxUnneededFraction*float64(q.spec.MemoryBytes) {
 			continue
 		}
@@ -126,13 +126,11 @@
 	return 2*noMemory > len(results)
 }
 
-// Memory returns the bytes that results occupy at all upstreams, those of them that are occupied by unknown results,
-// and the total result memory in bytes.
-func (q *Queue) Memory() (used, unknown, all int) {
+// Memory returns the bytes that results occupy at all upstreams, and the total result memory in bytes.
+func (q *Queue) Memory() (used, all int) {
 	for _, u := range q.upstreams {
-		used += u.occupied()
-		unknown += u.unknown
+		used += u.used
 		all += q.spec.MemoryBytes
 	}
-	return used, unknown, all
+	return used, all
 }
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -17,8 +17,6 @@
 	Execute(ctx context.Context, c *Call) (results []Result, busy bool, err error)
 	// Free tells the upstreams that hold the results to delete them.
 	Free(ctx context.Context, handles []string)
-	// FreeMemory asks an upstream for its free result memory. It returns the bounds between which it is, in bytes.
-	FreeMemory(ctx context.Context, u *Upstream) (low, high int, err error)
 }
 
 const (
@@ -84,15 +82,7 @@
 // unknownFreed reports that the upstreams were asked to free results that the queue doesn't know.
 type unknownFreed struct{}
 
-// measured reports the bounds of the free result memory of an upstream. They aren't known if err is set.
-type measured struct {
-	upstream  *Upstream
-	low, high int
-	err       error
-}
-
 func (added) isMessage()        {}
-func (measured) isMessage()     {}
 func (freed) isMessage()        {}
 func (unknownFreed) isMessage() {}
 func (cancelled) isMessage()    {}
@@ -132,10 +122,6 @@
 	// freeingUnknown is set while the upstreams are asked to free earlier ones.
 	unknown        []string
 	freeingUnknown bool
-	// measureUntil is when the results of a previous owner have expired, and nextMeasure when the free memory of the
-	// upstreams is measured next until then.
-	measureUntil time.Time
-	nextMeasure  time.Time
 	// reportAt is when the state of the queue is logged next.
 	reportAt time.Time
 	load     loopLoad
@@ -197,7 +183,6 @@
 	if pause := now.Sub(o.awakeAt); !o.awakeAt.IsZero() && pause > stallTime {
 		klog.InfoS("queue stalled", "service", o.service, "ms", pause.Milliseconds())
 		o.queue.Resume(now)
-		o.takeOver(now)
 	}
 	o.awakeAt = now
 }
@@ -214,7 +199,6 @@
 func (o *owner) decide(ctx context.Context, started time.Time) {
 	now := time.Now()
 	o.nextDecision = now.Add(decisionInterval)
-	o.measureMemory(ctx, now)
 	o.startCalls(ctx, now)
 	o.freeUnneeded(ctx)
 	o.publishWaitTimes(now)
@@ -251,13 +235,10 @@
 	o.nextPublish = now.Add(ownersPublishPeriod)
 }
 
-// updateOwnership returns the unsent jobs once this instance no longer owns the queue, so that their callers submit them
-// to the new owner, and begins to measure the memory of the upstreams once this instance owns the queue.
-func (o *owner) updateOwnership(now time.Time) {
+// returnUnsent ends the jobs that have no sent pieces once this instance no longer owns the queue, so that their
+// callers submit them to the new owner.
+func (o *owner) returnUnsent() {
 	isOwner := o.isOwner()
-	if !o.wasOwner && isOwner {
-		o.takeOver(now)
-	}
 	if o.wasOwner && !isOwner {
 		n := o.queue.ReturnUnsent()
 		klog.InfoS("queue handed on", "service", o.service, "orders", n)
@@ -280,12 +261,12 @@
 	}
 	o.reportAt = now.Add(reportPeriod)
 	c := o.queue.TakeCounts()
-	used, unknown, memory := o.queue.Memory()
+	used, memory := o.queue.Memory()
 	all, busy, restricted := o.queue.Upstreams(now)
 	took, expected := c.meanTimes()
 	klog.InfoS("queue", "service", o.service, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
 		"callMs", took.Milliseconds(), "expectedMs", expected.Milliseconds(),
-		"noRoom", c.NoMemory, "failed", c.Failed, "gone", c.Gone, "late", c.Rejected, "unused", c.Unused, "expired", c.Expired, "roomUsed", used, "unknownRoom", unknown, "room", memory,
+		"noRoom", c.NoMemory, "failed", c.Failed, "gone", c.Gone, "late", c.Rejected, "unused", c.Unused, "expired", c.Expired, "roomUsed", used, "room", memory,
 		"upstreams", all, "busy", busy, "paused", restricted, "messages", o.load.messages,
 		"inboxMs", o.load.longestWait.Milliseconds(), "loopMs", o.load.busy.Milliseconds())
 	o.load = loopLoad{}
@@ -303,7 +284,7 @@
 		o.queue.SetSpec(spec)
 		o.queue.SetUpstreams(upstreams)
 	}
-	o.updateOwnership(now)
+	o.returnUnsent()
 }
 
 // handle handles a message from the inbox.
@@ -321,8 +302,6 @@
 		o.unknown = append(o.unknown, o.queue.Release(m.handles)...)
 	case unknownFreed:
 		o.freeingUnknown = false
-	case measured:
-		o.recordMemory(now, m)
 	case freed:
 		o.queue.Freed(m.upstream, m.handles)
 	case ended:
--- a/plantainlane/batch/owner_test.go
+++ b/plantainlane/batch/owner_test.go
@@ -30,11 +30,6 @@
 	return completedResults(c, fmt.Sprint(c.Upstream.Address, "/", e.calls.Add(1))), false, nil
 }
 
-// FreeMemory returns that nothing occupies the memory.
-func (e *timedExecutor) FreeMemory(context.Context, *Upstream) (low, high int, err error) {
-	return e.spec.MemoryBytes, e.spec.MemoryBytes, nil
-}
-
 func (*timedExecutor) Free(context.Context, []string) { time.Sleep(5 * time.Millisecond) }
 
 // startOwner starts the owner of a queue with 15 upstreams. It calls read before it reads the upstreams from the control
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -31,8 +31,6 @@
 	StartedAt time.Time
 	// ExpectedAt is when the answer is expected, given the number of pieces and the upstream's slowdown.
 	ExpectedAt time.Time
-	// usedBefore is the memory that known results occupied at the upstream when the call was sent, in bytes.
-	usedBefore int
 }
 
 // Result is the result of one piece in a call.
@@ -275,12 +273,11 @@
 	}
 	u.calls++
 	u.usedAt = now
-	u.sending += bytesOf(items)
 	q.typicalPieces += piecesWeight * (float64(len(items)) - q.typicalPieces)
 	q.counts.Calls++
 	q.counts.Pieces += len(items)
 	expected := time.Duration(float64(q.callTime(len(items))) * u.slowdown)
-	return &Call{Upstream: u, Items: items, StartedAt: now, ExpectedAt: now.Add(expected), usedBefore: u.used}
+	return &Call{Upstream: u, Items: items, StartedAt: now, ExpectedAt: now.Add(expected)}
 }
 
 // expire rejects the waiting jobs that can no longer be completed in time, drops the results that have expired at their
@@ -290,7 +287,6 @@
 		return
 	}
 	q.expiredAt = now
-	q.updateUnknown(now)
 	for _, u := range q.upstreams {
 		u.retrySlow(now)
 	}
@@ -350,7 +346,6 @@
 	u := c.Upstream
 	u.calls--
 	u.usedAt = now
-	u.sending -= bytesOf(c.Items)
 	isMeasured := !c.StartedAt.Before(q.resumedAt)
 	switch {
 	case !isMeasured:
@@ -365,7 +360,6 @@
 	}
 	if isOutOfMemory(results) {
 		u.notBefore = now.Add(noMemoryPause)
-		q.learnFromRefusal(now, c, results)
 	}
 	for i, item := range c.Items {
 		r := Result{Reason: ReasonFailed}
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -425,7 +425,7 @@
 		for id, handles := range q.Freeable() {
 			q.Freed(id, handles)
 		}
-		used, _, memory := q.Memory()
+		used, memory := q.Memory()
 		is.True(float64(used) <= maxUnneededFraction*float64(memory))
 	}
 }
--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -14,17 +14,8 @@
 
 	// calls is the number of calls in flight.
 	calls int
-	// used is the memory that the known results occupy, in bytes.
+	// used is the memory that results occupy, in bytes.
 	used int
-	// unknown is the memory that other results occupy, such as those of a previous owner, in bytes. It was measuredUnknown
-	// at measuredAt, the zero time if it was never measured, and falls to 0 within the time to live of results.
-	unknown         int
-	measuredUnknown int
-	measuredAt      time.Time
-	// heldUntil is until when no calls are sent because the upstream's free memory is being measured.
-	heldUntil time.Time
-	// sending is the approximate size of the results of the calls in flight, in bytes.
-	sending int
 	// unneeded holds the handles of results that are no longer needed and that Freeable hasn't returned yet; some of
 	// them may have expired. unneededBytes is their total size.
 	unneeded      []string
@@ -53,12 +44,9 @@
 	if d := u.slowdown - other.slowdown; max(d, -d) > similarSlowdown {
 		return d < 0
 	}
-	return u.occupied() < other.occupied() || u.occupied() == other.occupied() && u.ID < other.ID
+	return u.used < other.used || u.used == other.used && u.ID < other.ID
 }
 
-// occupied returns the memory that all results at the upstream occupy, in bytes.
-func (u *Upstream) occupied() int { return u.used + u.unknown }
-
 // recordFailure pauses the upstream after a failed call. The pause doubles with each consecutive failure up to
 // maxPause; for a call refused at capacity it is always firstPause.
 func (u *Upstream) recordFailure(now time.Time, busy bool) {
