--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -163,8 +163,8 @@
 			time.Sleep(time.Until(o.nextDecision))
 			started := time.Now()
 			o.refresh(started)
-			o.handle(ctx, d)
-			o.handleWaiting(ctx)
+			o.handle(d)
+			o.handleWaiting()
 			o.decide(ctx, started)
 		case <-ticker.C:
 			started := time.Now()
@@ -188,9 +188,9 @@
 }
 
 // handleWaiting handles the messages that are in the inbox now.
-func (o *owner) handleWaiting(ctx context.Context) {
+func (o *owner) handleWaiting() {
 	for range len(o.inbox) {
-		o.handle(ctx, <-o.inbox)
+		o.handle(<-o.inbox)
 	}
 }
 
@@ -288,7 +288,7 @@
 }
 
 // handle handles a message from the inbox.
-func (o *owner) handle(ctx context.Context, d delivery) {
+func (o *owner) handle(d delivery) {
 	now := time.Now()
 	o.detectStall(now)
 	o.load.messages++
