--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -266,7 +266,8 @@
 	took, expected := c.meanTimes()
 	klog.InfoS("queue", "service", o.service, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
 		"callMs", took.Milliseconds(), "expectedMs", expected.Milliseconds(),
-		"noRoom", c.NoMemory, "failed", c.Failed, "gone", c.Gone, "late", c.Rejected, "unused", c.Unused, "expired", c.Expired, "roomUsed", used, "room", memory,
+		"noRoom", c.NoMemory, "failed", c.Failed, "gone", c.Gone, "late", c.Rejected,
+		"unused", c.Unused, "expired", c.Expired, "roomUsed", used, "room", memory,
 		"upstreams", all, "busy", busy, "paused", restricted, "messages", o.load.messages,
 		"inboxMs", o.load.longestWait.Milliseconds(), "loopMs", o.load.busy.Milliseconds())
 	o.load = loopLoad{}
