forward: ignore reports on inputs of requests that have ended

"index out of range [1] with length 0" in consumeResults, called by the owner of a queue that reported a job's inputs as read.

Cause: the request had ended and released its results, while the message that cancels its job was still in the owner's inbox. A report of an earlier run of the stages also counted for the next one and released results that it needed.

Each attempt to run the stages has a number, and reports on another attempt than the current one are ignored. Results are released without the lock, since an owner on the same instance that reports on inputs waits for it.

--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -48,8 +48,11 @@
 	deadline time.Time
 	priority int
 
-	// mu guards consumers, and the release of handles while stages are running.
+	// mu guards attempt and consumers, and the release of handles while stages are running.
 	mu sync.Mutex
+	// attempt is the number of times that the stages were started or their results released. Reports on inputs of earlier
+	// attempts are ignored.
+	attempt int
 	// handles of the results of each stage; nil once released.
 	handles [][]string
 	// completedMs is when each stage was completed, in milliseconds since the request was received; 0 if it was not.
@@ -86,6 +89,19 @@
 
 // runOnce runs all stages, each as soon as the stages that it depends on are completed.
 func (x *stageRun) runOnce(ctx context.Context) error {
+	attempt := x.start()
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range x.route.Stages {
+		g.Go(func() error { return x.runStage(ctx, i, attempt) })
+	}
+	return g.Wait()
+}
+
+// start prepares a new attempt to run the stages and returns its number.
+func (x *stageRun) start() (attempt int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.attempt++
 	n := len(x.route.Stages)
 	x.handles = make([][]string, n)
 	x.ready = make([]chan struct{}, n)
@@ -94,11 +110,7 @@
 	for i := range x.ready {
 		x.ready[i] = make(chan struct{})
 	}
-	g, ctx := errgroup.WithContext(ctx)
-	for i := range x.route.Stages {
-		g.Go(func() error { return x.runStage(ctx, i) })
-	}
-	return g.Wait()
+	return x.attempt
 }
 
 // pieces returns the number of pieces of a stage; 0 if the request skips the stage.
@@ -110,7 +122,7 @@
 }
 
 // runStage waits for the stages that stage i depends on, then runs its pieces.
-func (x *stageRun) runStage(ctx context.Context, i int) error {
+func (x *stageRun) runStage(ctx context.Context, i, attempt int) error {
 	stage := &x.route.Stages[i]
 	if x.pieces(i) == 0 {
 		close(x.ready[i])
@@ -136,7 +148,7 @@
 	job.Due = x.received.Add(time.Duration(targetFraction*float64(x.route.TargetLatency)) - remaining)
 	job.Deadline = x.deadline.Add(-remaining)
 	job.NextServices = next
-	consumeInputs := sync.OnceFunc(func() { x.consumeResults(stage.After) })
+	consumeInputs := sync.OnceFunc(func() { x.consumeResults(stage.After, attempt) })
 	if len(stage.After) > 0 {
 		job.OnInputsRead = func() {
 			if x.isBacklogged(stage.After) {
@@ -194,17 +206,30 @@
 }
 
 // consumeResults records that one more stage no longer needs the results of the stages in deps. It releases the
-// results that no other stage needs.
-func (x *stageRun) consumeResults(deps []int) {
+// results that no other stage needs. It does nothing after the end of the attempt, since the owner of a queue may report
+// that inputs were read when the request has already ended or runs its stages again.
+func (x *stageRun) consumeResults(deps []int, attempt int) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, i := range deps {
-		x.consumers[i]--
-		if x.consumers[i] == 0 && len(x.handles[i]) > 0 {
-			x.dispatcher.Release(x.route.Stages[i].Service, x.handles[i])
-			x.handles[i] = nil
+	unneeded := make([][]string, len(deps))
+	if attempt == x.attempt {
+		for n, i := range deps {
+			x.consumers[i]--
+			if x.consumers[i] == 0 {
+				unneeded[n], x.handles[i] = x.handles[i], nil
+			}
 		}
 	}
+	x.mu.Unlock()
+	for n, i := range deps {
+		x.releaseResults(i, unneeded[n])
+	}
+}
+
+// releaseResults releases results of a stage. The caller must not hold x.mu, as the queue's owner may be waiting for it.
+func (x *stageRun) releaseResults(stage int, handles []string) {
+	if len(handles) > 0 {
+		x.dispatcher.Release(x.route.Stages[stage].Service, handles)
+	}
 }
 
 // countConsumers sets the number of stages that need the results of each stage. Skipped stages don't count.
@@ -264,10 +289,12 @@
 
 // release releases all results that are left. No stage may be running.
 func (x *stageRun) release() {
-	for i, handles := range x.handles {
-		if len(handles) > 0 {
-			x.dispatcher.Release(x.route.Stages[i].Service, handles)
-		}
-	}
+	x.mu.Lock()
+	x.attempt++
+	unneeded := x.handles
 	x.handles = nil
+	x.mu.Unlock()
+	for i, handles := range unneeded {
+		x.releaseResults(i, handles)
+	}
 }
