batch: an owner doesn't wait for its own inbox

A report that inputs were read is called in the owner's main loop; for a request of the same instance it releases results, often to a queue of the same instance, and blocks while that inbox is full. An owner whose inbox is full would stand still for good, and with it all requests that need its service.

The report now runs beside the loop. TestOwnerDoesNotWaitForItself hung before.

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -197,6 +197,10 @@
 // submitLocal adds a job to a queue of this instance. The returned function cancels the job.
 func (d *Dispatcher) submitLocal(service string, j *Job, reply chan Outcome) (cancel func()) {
 	j.OnDone = func(out Outcome) { reply <- out }
+	if inputsRead := j.OnInputsRead; inputsRead != nil {
+		// The owner calls it, and would wait for itself if it released results to an inbox that is full.
+		j.OnInputsRead = func() { go inputsRead() }
+	}
 	ow := d.owner(service)
 	d.deliver(ow, added{j})
 	return func() { d.deliver(ow, cancelled{j}) }
--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -204,3 +205,22 @@
 	}
 	is.True(Owner("encode", []Member{members[0], members[2]}) != "") // without eligible members, any member owns the queue
 }
+
+// TestOwnerDoesNotWaitForItself guards against the owner of a queue that stands still: a report that inputs were read
+// releases results to its own inbox, which may be full.
+func TestOwnerDoesNotWaitForItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newDispatchers(t, &timedExecutor{spec: spec}, "a")
+		d := n.dispatchers["a"]
+		is.Equal(d.Run(context.Background(), "encode", testJob("first")).Reason, Reason(""))
+		time.Sleep(2 * steadyAfter) // the queue is steady
+		j := testJob("second")
+		j.OnInputsRead = func() {
+			for range 2 * ownerInbox {
+				d.Release("encode", []string{"released"})
+			}
+		}
+		is.Equal(d.Run(context.Background(), "encode", j).Reason, Reason(""))
+	})
+}
