--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -231,7 +231,7 @@
 }
 
 // Release tells the owner of a service's queue that results are no longer needed. The message may be lost; the results
-// then expire at their upstreams, or are freed by the next owner, see resendReleases.
+// then expire at their upstreams, or are freed by the next owner, see ownerOf.
 func (d *Dispatcher) Release(service string, handles []string) {
 	to := d.ownerOf(service)
 	d.releases(service).add(time.Now(), handles)
--- a/plantainlane/batch/job.go
+++ b/plantainlane/batch/job.go
@@ -134,8 +134,8 @@
 }
 
 // isLate reports whether the request can no longer meet its latency target if the job's call ends at completion. A job
-// with HoldsMemory never counts as late, since its inputs occupy memory until the job has run. Other jobs may wait so long
-// that their inputs expire and are computed again.
+// with HoldsMemory never counts as late, since its inputs occupy memory until the job has run. Other jobs may wait so
+// long that their inputs expire and are computed again.
 //
 // Late requests enter the second of three queues at the end of a burst. If they didn't count as late there, they would
 // be served before requests that can still meet their latency target, and make those late in turn.
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -48,11 +48,11 @@
 	deadline time.Time
 	priority int
 
-	// mu guards attempt and consumers, and the release of handles while stages are running.
+	// mu guards generation and consumers, and the release of handles while stages are running.
 	mu sync.Mutex
-	// attempt is the number of times that the stages were started or their results released. Reports on inputs of earlier
-	// attempts are ignored.
-	attempt int
+	// generation counts the starts of the stages and the releases of all results. Reports on inputs that belong to an
+	// earlier generation are ignored.
+	generation int
 	// handles of the results of each stage; nil once released.
 	handles [][]string
 	// completedMs is when each stage was completed, in milliseconds since the request was received; 0 if it was not.
@@ -89,19 +89,19 @@
 
 // runOnce runs all stages, each as soon as the stages that it depends on are completed.
 func (x *stageRun) runOnce(ctx context.Context) error {
-	attempt := x.start()
+	generation := x.start()
 	g, ctx := errgroup.WithContext(ctx)
 	for i := range x.route.Stages {
-		g.Go(func() error { return x.runStage(ctx, i, attempt) })
+		g.Go(func() error { return x.runStage(ctx, i, generation) })
 	}
 	return g.Wait()
 }
 
-// start prepares a new attempt to run the stages and returns its number.
-func (x *stageRun) start() (attempt int) {
+// start prepares the stages to be run, and returns the new generation.
+func (x *stageRun) start() (generation int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.attempt++
+	x.generation++
 	n := len(x.route.Stages)
 	x.handles = make([][]string, n)
 	x.ready = make([]chan struct{}, n)
@@ -110,7 +110,7 @@
 	for i := range x.ready {
 		x.ready[i] = make(chan struct{})
 	}
-	return x.attempt
+	return x.generation
 }
 
 // pieces returns the number of pieces of a stage; 0 if the request skips the stage.
@@ -122,7 +122,7 @@
 }
 
 // runStage waits for the stages that stage i depends on, then runs its pieces.
-func (x *stageRun) runStage(ctx context.Context, i, attempt int) error {
+func (x *stageRun) runStage(ctx context.Context, i, generation int) error {
 	stage := &x.route.Stages[i]
 	if x.pieces(i) == 0 {
 		close(x.ready[i])
@@ -148,7 +148,7 @@
 	job.Due = x.received.Add(time.Duration(targetFraction*float64(x.route.TargetLatency)) - remaining)
 	job.Deadline = x.deadline.Add(-remaining)
 	job.NextServices = next
-	consumeInputs := sync.OnceFunc(func() { x.consumeResults(stage.After, attempt) })
+	consumeInputs := sync.OnceFunc(func() { x.consumeResults(stage.After, generation) })
 	if len(stage.After) > 0 {
 		job.OnInputsRead = func() {
 			if x.isBacklogged(stage.After) {
@@ -206,12 +206,12 @@
 }
 
 // consumeResults records that one more stage no longer needs the results of the stages in deps. It releases the
-// results that no other stage needs. It does nothing after the end of the attempt, since the owner of a queue may report
+// results that no other stage needs. It does nothing for an earlier generation, since the owner of a queue may report
 // that inputs were read when the request has already ended or runs its stages again.
-func (x *stageRun) consumeResults(deps []int, attempt int) {
+func (x *stageRun) consumeResults(deps []int, generation int) {
 	x.mu.Lock()
 	unneeded := make([][]string, len(deps))
-	if attempt == x.attempt {
+	if generation == x.generation {
 		for n, i := range deps {
 			x.consumers[i]--
 			if x.consumers[i] == 0 {
@@ -290,7 +290,7 @@
 // release releases all results that are left. No stage may be running.
 func (x *stageRun) release() {
 	x.mu.Lock()
-	x.attempt++
+	x.generation++
 	unneeded := x.handles
 	x.handles = nil
 	x.mu.Unlock()
