--- a/plantainlane/batch/memory.go
+++ b/plantainlane/batch/memory.go
@@ -60,8 +60,9 @@
 	maps.DeleteFunc(r.byHandle, func(_ string, h heldResult) bool { return h.upstream == u })
 }
 
-// Release marks results as no longer needed; it may be called again with the same ones. They count as occupying memory until they are freed, see Freeable. It
-// returns the handles unknown to the queue, such as those of results of a previous owner.
+// Release marks results as no longer needed; it may be called again with the same ones. They count as occupying memory
+// until they are freed, see Freeable. It returns the handles unknown to the queue, such as those of results of a
+// previous owner.
 func (q *Queue) Release(handles []string) (unknown []string) {
 	for _, handle := range handles {
 		h, ok := q.held.byHandle[handle]
