--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -135,34 +135,30 @@
 // TestNewOwnerFreesResultsReleasedToLostOwner guards against results that were released to an owner which was lost
 // before it freed them: they would fill the upstreams' memory, unknown to the next owner.
 func TestNewOwnerFreesResultsReleasedToLostOwner(t *testing.T) {
-	is := is.New(t)
-	executor := &fakeExecutor{}
-	n := newDispatchers(t, executor, "a", "b", "c")
-	owner := Owner("encode", memberPeers{n, "a"}.Members())
-	caller := "a"
-	if owner == "a" {
-		caller = "b"
-	}
-	d := n.dispatchers[caller]
-	is.Equal(d.Run(context.Background(), "encode", testJob("first")).Reason, Reason(""))
-	n.mu.Lock()
-	n.dispatchers[owner] = nil // the owner doesn't run, but still counts as reachable
-	n.mu.Unlock()
-	d.Release("encode", []string{"released/0", "released/1"})
-	n.mu.Lock()
-	n.unreachable[owner] = true
-	n.mu.Unlock()
-	is.Equal(d.Run(context.Background(), "encode", testJob("second")).Reason, Reason(""))
-	for range 100 {
-		executor.mu.Lock()
-		freed := len(executor.freed)
-		executor.mu.Unlock()
-		if freed == 2 {
-			return
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		executor := &fakeExecutor{}
+		n := newDispatchers(t, executor, "a", "b", "c")
+		owner := Owner("encode", memberPeers{n, "a"}.Members())
+		caller := "a"
+		if owner == "a" {
+			caller = "b"
 		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	t.Fatal("the released results were not freed")
+		d := n.dispatchers[caller]
+		is.Equal(d.Run(context.Background(), "encode", testJob("first")).Reason, Reason(""))
+		n.mu.Lock()
+		n.dispatchers[owner] = nil // the owner doesn't run, but still counts as reachable
+		n.mu.Unlock()
+		d.Release("encode", []string{"released/0", "released/1"})
+		n.mu.Lock()
+		n.unreachable[owner] = true
+		n.mu.Unlock()
+		is.Equal(d.Run(context.Background(), "encode", testJob("second")).Reason, Reason(""))
+		time.Sleep(time.Second)
+		executor.mu.Lock()
+		defer executor.mu.Unlock()
+		is.Equal(executor.freed, []string{"released/0", "released/1"})
+	})
 }
 
 func TestEndedContextCancelsJob(t *testing.T) {
