--- a/plantainlane/consensus/election.go
+++ b/plantainlane/consensus/election.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"plantainlane/wire"
@@ -19,6 +21,36 @@
 	kindTimeoutNow     = "timeoutNow"
 )
 
+// Election is an election or pre-vote in which a replica got no quorum in time.
+type Election struct {
+	// Term is the term of the election, or the one that it would have had.
+	Term int
+	// Granted holds the IDs of the voters that granted their vote or pre-vote, Voters those of all voters. Both are
+	// sorted.
+	Granted, Voters []string
+}
+
+// TakeLostElection returns the newest election that this replica did not win since the last call; nil for none.
+func (n *Node) TakeLostElection() *Election {
+	e := n.lostElection
+	n.lostElection = nil
+	return e
+}
+
+// recordLostElection records the election in progress, if there is one, as lost.
+func (n *Node) recordLostElection() {
+	if n.role != PreCandidate && n.role != Candidate {
+		return
+	}
+	term := n.hardState.Term
+	if n.role == PreCandidate {
+		term++
+	}
+	n.lostElection = &Election{
+		Term: term, Granted: slices.Sorted(maps.Keys(n.votes)), Voters: slices.Sorted(slices.Values(n.replicas().Voters)),
+	}
+}
+
 // resetElection sets the time of the next election to between one and two election timeouts from now. It is
 // random so that replicas rarely start elections at the same time.
 func (n *Node) resetElection(now time.Time) {
@@ -43,6 +75,7 @@
 // preCampaign asks the voters whether they would grant a vote, without raising the term, so that a replica that
 // can't win, for example behind a partition, doesn't depose the leader with a higher term.
 func (n *Node) preCampaign(now time.Time) {
+	n.recordLostElection()
 	n.role, n.leader = PreCandidate, ""
 	n.votes = map[string]bool{n.cfg.ID: true}
 	n.resetElection(now)
--- a/plantainlane/consensus/node.go
+++ b/plantainlane/consensus/node.go
@@ -60,6 +60,9 @@
 	electionAt time.Time
 	// votes holds the IDs of the replicas that granted their vote or pre-vote.
 	votes map[string]bool
+	// lostElection is the newest election that this replica did not win and that TakeLostElection hasn't returned; nil
+	// for none.
+	lostElection *Election
 	// incoming is the snapshot that is being received, or nil.
 	incoming *incomingSnapshot
 
--- a/plantainlane/control/log.go
+++ b/plantainlane/control/log.go
@@ -47,6 +47,8 @@
 	Messages []wire.ConsensusMessage
 	// Restored is a snapshot that replaces the whole state before Committed is applied; nil for none.
 	Restored *wire.Snapshot
+	// LostElection is the newest election that this replica did not win; nil for none.
+	LostElection *consensus.Election
 	// Committed holds newly committed entries, in order. Each entry is returned once.
 	Committed []wire.LogEntry
 }
--- a/plantainlane/control/membership.go
+++ b/plantainlane/control/membership.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"plantainlane/plantainlane/consensus"
 	"plantainlane/wire"
 )
@@ -46,9 +49,15 @@
 		since, known := c.leaderState.unresponsiveSince[s.ID]
 		if !known {
 			since = c.now
+			c.record(wire.Event{Kind: "replicaUnresponsive", Detail: &s.ID})
 		}
 		unresponsive[s.ID] = since
 	}
+	for id := range c.leaderState.unresponsiveSince {
+		if _, still := unresponsive[id]; !still {
+			c.record(wire.Event{Kind: "replicaResponds", Detail: &id})
+		}
+	}
 	c.leaderState.unresponsiveSince = unresponsive
 }
 
@@ -99,8 +108,29 @@
 	return row.info.Replica == id && !row.info.Draining
 }
 
+// membershipText returns the voters and learners of a membership as a text for the time line.
+func membershipText(set wire.ReplicaSet) string {
+	return "voters " + strings.Join(set.Voters, ", ") + "; learners " + strings.Join(set.Learners, ", ")
+}
+
 // recordMembership adds a proposed membership to the time line.
 func (c *Core) recordMembership(set wire.ReplicaSet) {
-	detail := "voters " + strings.Join(set.Voters, ", ") + "; learners " + strings.Join(set.Learners, ", ")
+	detail := membershipText(set)
 	c.record(wire.Event{Kind: "membershipProposed", Detail: &detail})
 }
+
+// recordCommittedMembership adds a committed membership to the time line.
+func (c *Core) recordCommittedMembership(e wire.LogEntry) {
+	var set wire.ReplicaSet
+	if err := wire.Decode(e.Data, &set); err != nil {
+		panic(errors.Wrapf(err, "membership in log entry %d", e.Index))
+	}
+	detail := membershipText(set)
+	c.record(wire.Event{Kind: "membershipCommitted", Detail: &detail})
+}
+
+// recordLostElection adds an election that this replica did not win to the time line.
+func (c *Core) recordLostElection(e consensus.Election) {
+	detail := "term " + strconv.Itoa(e.Term) + ": votes of " + strings.Join(e.Granted, ", ") + "; voters " + strings.Join(e.Voters, ", ")
+	c.record(wire.Event{Kind: "electionLost", Detail: &detail})
+}
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -28,6 +28,9 @@
 		m := out.Messages[i]
 		c.send(InstanceOf(m.To), wire.Frame{Consensus: &m})
 	}
+	if out.LostElection != nil {
+		c.recordLostElection(*out.LostElection)
+	}
 	if out.Restored != nil {
 		c.restore(*out.Restored)
 	}
@@ -63,6 +66,8 @@
 	}
 	c.state, c.appliedIndex, c.snapshotIndex = restored, s.Index, s.Index
 	c.applyConfig(restored.Config)
+	detail := membershipText(s.Replicas)
+	c.record(wire.Event{Kind: "snapshotRestored", Revision: &restored.Config.Revision, Detail: &detail})
 }
 
 // applyEntry applies a committed entry to the state, and answers its proposal on the leader. It panics if the entry
@@ -70,6 +75,9 @@
 func (c *Core) applyEntry(e wire.LogEntry) {
 	c.appliedIndex = e.Index
 	c.bytesSinceSnapshot += len(e.Data)
+	if e.Kind == consensus.KindMembership {
+		c.recordCommittedMembership(e)
+	}
 	if e.Kind != consensus.KindCommand {
 		return
 	}
--- a/plantainlane/replica/replica.go
+++ b/plantainlane/replica/replica.go
@@ -119,6 +119,7 @@
 		out.Messages = append(out.Messages, ready.Messages...)
 		out.Committed = append(out.Committed, ready.Committed...)
 	}
+	out.LostElection = r.node.TakeLostElection()
 	return out
 }
 
