--- a/plantainlane/consensus/leader.go
+++ b/plantainlane/consensus/leader.go
@@ -200,7 +200,7 @@
 		p := n.leadership.progress[id]
 		out = append(out, ReplicaStatus{
 			ID: id, Voter: voter, Match: p.match, CaughtUp: id == n.cfg.ID || n.isCaughtUp(id, now),
-			Answered: id == n.cfg.ID || now.Sub(n.roundStartedAt(p.answeredRound)) < n.cfg.ElectionTimeout,
+			Answered: id == n.cfg.ID || p.answeredRound > 0 && now.Sub(n.roundStartedAt(p.answeredRound)) < n.cfg.ElectionTimeout,
 		})
 	}
 	for _, id := range set.Voters {
--- a/plantainlane/control/membership.go
+++ b/plantainlane/control/membership.go
@@ -69,9 +69,10 @@
 	for _, s := range statuses {
 		known[s.ID] = true
 		row := c.leaderState.rows[InstanceOf(s.ID)]
+		superseded := row != nil && row.info.Replica != "" && row.info.Replica != s.ID
 		out = append(out, candidate{
-			replica: s.ID, voter: s.Voter, learner: !s.Voter, caughtUp: s.CaughtUp, responsive: s.Answered,
-			zone: zoneOf(row), usable: c.isUsable(s.ID, row),
+			replica: s.ID, voter: s.Voter, learner: !s.Voter, caughtUp: s.CaughtUp, responsive: s.Answered && !superseded,
+			zone: zoneOf(row), usable: c.isUsable(s.ID, row), superseded: superseded,
 		})
 	}
 	_, log := c.log.Identity()
--- a/plantainlane/control/placement.go
+++ b/plantainlane/control/placement.go
@@ -25,8 +25,13 @@
 	caughtUp bool
 	// responsive is set if the replica currently answers the leader, whether it is draining or not.
 	responsive bool
+	// superseded is set if the replica's instance holds another replica, so that this one is gone for good.
+	superseded bool
 }
 
+// isLost reports whether a voter is to be removed before its successor is promoted.
+func (c candidate) isLost() bool { return c.superseded || !c.responsive && !c.usable }
+
 // rank orders the candidates for placeVoters: usable voters, usable learners, other usable replicas, the rest.
 func (c candidate) rank() int {
 	switch {
@@ -100,7 +105,7 @@
 		return s
 	}
 	ready := filter(missing, func(id string) bool { return byID[id].caughtUp })
-	lost := filter(extra, func(id string) bool { return !byID[id].responsive && !byID[id].usable })
+	lost := filter(extra, func(id string) bool { return byID[id].isLost() })
 	step := voterStep(set, missing, extra, ready, lost, leaderReplica)
 	responsive := filter(step.set.Voters, func(id string) bool { return byID[id].responsive })
 	if step.change && len(responsive) <= len(step.set.Voters)/2 {
