--- a/plantainlane/consensus/append.go
+++ b/plantainlane/consensus/append.go
@@ -82,7 +82,7 @@
 		n.ready.hardStateChanged = true
 	}
 	n.becomeFollower(m.Term, m.From, now)
-	n.leaderSeenAt = now
+	n.leaderSeenAt, n.lastLeader = now, m.From
 	return true
 }
 
--- a/plantainlane/consensus/leader.go
+++ b/plantainlane/consensus/leader.go
@@ -186,6 +186,9 @@
 	// Answered reports whether the replica answered a round that began within the last election timeout. It is
 	// always true for the leader itself.
 	Answered bool
+	// SilentSince is when the leader, as a follower, received the last message of a replica that led before and hasn't
+	// answered since; zero for other replicas.
+	SilentSince time.Time
 }
 
 // ReplicaStatuses returns the state of all voters, then all learners, as known by the leader. It returns nil if
@@ -198,9 +201,14 @@
 	set := n.replicas()
 	add := func(id string, voter bool) {
 		p := n.leadership.progress[id]
+		var silentSince time.Time
+		if id == n.lastLeader && p.answeredRound == 0 {
+			silentSince = n.leaderSeenAt
+		}
 		out = append(out, ReplicaStatus{
 			ID: id, Voter: voter, Match: p.match, CaughtUp: id == n.cfg.ID || n.isCaughtUp(id, now),
-			Answered: id == n.cfg.ID || p.answeredRound > 0 && now.Sub(n.roundStartedAt(p.answeredRound)) < n.cfg.ElectionTimeout,
+			SilentSince: silentSince,
+			Answered:    id == n.cfg.ID || p.answeredRound > 0 && now.Sub(n.roundStartedAt(p.answeredRound)) < n.cfg.ElectionTimeout,
 		})
 	}
 	for _, id := range set.Voters {
--- a/plantainlane/consensus/node.go
+++ b/plantainlane/consensus/node.go
@@ -56,6 +56,8 @@
 	applied int
 	// leaderSeenAt is when the last message from a leader was received, or when the replica started.
 	leaderSeenAt time.Time
+	// lastLeader is the ID of the leader that sent that message; empty if there was none since the start.
+	lastLeader string
 	// electionAt is when the replica starts an election unless a leader contacts it first.
 	electionAt time.Time
 	// votes holds the IDs of the replicas that granted their vote or pre-vote.
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -19,8 +19,10 @@
 	appliedRevision int
 	// leaseUntil is when every lease that the instance may hold has expired, including leases from a previous leader.
 	leaseUntil time.Time
-	// lastSeen is when the instance last requested a lease.
+	// lastSeen is when the instance last requested a lease, or when this leadership or its registration began.
 	lastSeen time.Time
+	// contacted is set once the instance has requested a lease from this leader.
+	contacted bool
 	// version is the leader's row version at which info last changed.
 	version int
 	// pushedRevision is the revision of the last push to the instance; 0 if that push is known to be lost. Nothing more
@@ -146,7 +148,7 @@
 	if row == nil || row.info.Incarnation != r.Info.Incarnation {
 		return nil
 	}
-	row.lastSeen = now
+	row.lastSeen, row.contacted = now, true
 	row.appliedRevision = max(row.appliedRevision, r.AppliedRevision)
 	if r.LostRevision > 0 && r.LostRevision >= row.pushedRevision {
 		row.pushedRevision = 0
--- a/plantainlane/control/membership.go
+++ b/plantainlane/control/membership.go
@@ -39,30 +39,31 @@
 }
 
 // recordUnresponsive keeps the time since which each unresponsive replica has not answered, and forgets replicas that
-// answer again.
+// answer again. The previous leader has been silent since before this leadership.
 func (c *Core) recordUnresponsive(statuses []consensus.ReplicaStatus) {
 	unresponsive := make(map[string]time.Time)
 	for _, s := range statuses {
+		since, known := c.leaderState.unresponsiveSince[s.ID]
 		if s.Answered {
+			if known {
+				c.record(wire.Event{Kind: "replicaResponds", Detail: &s.ID})
+			}
 			continue
 		}
-		since, known := c.leaderState.unresponsiveSince[s.ID]
 		if !known {
 			since = c.now
+			if !s.SilentSince.IsZero() {
+				since = s.SilentSince
+			}
 			c.record(wire.Event{Kind: "replicaUnresponsive", Detail: &s.ID})
 		}
 		unresponsive[s.ID] = since
 	}
-	for id := range c.leaderState.unresponsiveSince {
-		if _, still := unresponsive[id]; !still {
-			c.record(wire.Event{Kind: "replicaResponds", Detail: &id})
-		}
-	}
 	c.leaderState.unresponsiveSince = unresponsive
 }
 
 // candidates returns the current replicas and all spare replicas. A spare replica belongs to this log or to none, and
-// to an instance that isn't silent.
+// to an instance that has requested a lease within ReplaceAfter.
 func (c *Core) candidates(statuses []consensus.ReplicaStatus) []candidate {
 	var out []candidate
 	known := map[string]bool{}
@@ -79,7 +80,8 @@
 	for _, row := range c.leaderState.rows {
 		id := row.info.Replica
 		joinable := row.info.ReplicaLog == "" || row.info.ReplicaLog == log
-		if id == "" || known[id] || !joinable || row.info.Silent {
+		recent := row.contacted && c.now.Sub(row.lastSeen) < c.timing.ReplaceAfter
+		if id == "" || known[id] || !joinable || row.info.Silent || !recent {
 			continue
 		}
 		out = append(out, candidate{replica: id, zone: row.info.Zone, usable: c.isUsable(id, row)})
@@ -100,7 +102,9 @@
 // the replica responds.
 func (c *Core) isUsable(id string, row *leaseRow) bool {
 	since, unresponsive := c.leaderState.unresponsiveSince[id]
-	if unresponsive && c.now.Sub(since) >= c.timing.ReplaceAfter {
+	// A new leader gives every replica half of the time to answer.
+	hadTime := c.now.Sub(c.leaderState.since) >= c.timing.ReplaceAfter/2
+	if unresponsive && hadTime && c.now.Sub(since) >= c.timing.ReplaceAfter {
 		return false
 	}
 	if row == nil {
--- a/plantainlane/control/placement.go
+++ b/plantainlane/control/placement.go
@@ -82,6 +82,25 @@
 	return chosen
 }
 
+// placeLearners returns the replicas that are to be learners beside the target voters: voters that don't vote yet, and up
+// to half of the number of voters as standbys, which get the log beforehand so that a lost voter can be replaced without
+// delay. Among usable replicas, it prefers current voters and learners.
+func placeLearners(candidates []candidate, target, missing []string) []string {
+	candidates = slices.Clone(candidates)
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.replica, b.replica))
+	})
+	learners := slices.Clone(missing)
+	standbys := len(target) / 2
+	for _, c := range candidates {
+		if standbys > 0 && c.usable && !c.voter && !slices.Contains(target, c.replica) {
+			standbys--
+			learners = append(learners, c.replica)
+		}
+	}
+	return learners
+}
+
 // membershipStep is one step from a membership towards the target voters.
 type membershipStep struct {
 	// set is the next membership, if change is true.
@@ -101,7 +120,7 @@
 		byID[c.replica] = c
 	}
 	missing, extra := without(target, set.Voters), without(set.Voters, target)
-	if s := learnerStep(set, missing); s.change {
+	if s := learnerStep(set, placeLearners(candidates, target, missing)); s.change {
 		return s
 	}
 	ready := filter(missing, func(id string) bool { return byID[id].caughtUp })
@@ -135,12 +154,12 @@
 	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return !matches(id) })
 }
 
-// learnerStep returns the step that makes the missing voters learners and removes all other learners.
-func learnerStep(set wire.ReplicaSet, missing []string) membershipStep {
-	if len(without(missing, set.Learners)) == 0 && len(without(set.Learners, missing)) == 0 {
+// learnerStep returns the step that makes exactly the given replicas learners.
+func learnerStep(set wire.ReplicaSet, learners []string) membershipStep {
+	if len(without(learners, set.Learners)) == 0 && len(without(set.Learners, learners)) == 0 {
 		return membershipStep{}
 	}
-	return membershipStep{change: true, set: wire.ReplicaSet{Voters: set.Voters, Learners: missing}}
+	return membershipStep{change: true, set: wire.ReplicaSet{Voters: set.Voters, Learners: learners}}
 }
 
 // promoteStep returns the step that makes a learner a voter.
--- a/plantainlane/control/timing.go
+++ b/plantainlane/control/timing.go
@@ -33,7 +33,8 @@
 	ServeBehind time.Duration
 	// GrantInterval is the period of requests for shares of the contracts.
 	GrantInterval time.Duration
-	// ReplaceAfter is how long a voter may be unresponsive before a spare replica replaces it.
+	// ReplaceAfter is how long a voter may be unresponsive before a replica that has caught up replaces it. A voter that
+	// returns later becomes a learner with the log that it has.
 	ReplaceAfter time.Duration
 	// SnapshotEvery is the number of log entries after which a snapshot is taken.
 	SnapshotEvery int
@@ -58,7 +59,7 @@
 		ServeBehind:    time.Second,
 		GrantInterval:  time.Second,
 		DigestInterval: time.Second,
-		ReplaceAfter:   15 * time.Second,
+		ReplaceAfter:   2 * time.Second,
 		SnapshotEvery:  4096,
 		SnapshotBytes:  4 << 20,
 	}
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -45,6 +45,9 @@
 	// unusedPeerTimeout is how long a connection that carries nothing but heartbeats is kept, if this instance opened
 	// the connection and the other instance isn't a neighbor.
 	unusedPeerTimeout = 30 * time.Second
+	// replaceTimeouts is the number of election timeouts for which a voter may be unresponsive before it is replaced. An
+	// unresponsive leader is replaced after one to two.
+	replaceTimeouts = 2
 	// heartbeatsPerTimeout is the number of heartbeat rounds that the leader of the control log starts within an
 	// election timeout.
 	heartbeatsPerTimeout = 5
@@ -172,6 +175,7 @@
 	t := control.DefaultTiming()
 	t.Tick = time.Duration(x.settings.Control.Tick)
 	t.Lease = time.Duration(x.settings.Control.Lease)
+	t.ReplaceAfter = replaceTimeouts * time.Duration(x.settings.Control.ElectionTimeout)
 	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout) / 2
 	t.ServeBehind = time.Duration(x.settings.Control.ServeBehind)
 	t.AcceptCommitted = x.settings.Control.Acceptance == settings.AcceptCommitted
--- a/plantainlane/replica/cluster_test.go
+++ b/plantainlane/replica/cluster_test.go
@@ -244,11 +244,16 @@
 	go loop.Run(ctx)
 	for _, o := range m.cluster.members {
 		if o != m {
-			loop.Deliver(ctx, control.PeerConnected{Info: o.info})
+			m.connect(o)
 		}
 	}
 }
 
+// connect tells the process of an instance that it has a connection to another one.
+func (m *member) connect(o *member) {
+	m.running.Load().Deliver(context.Background(), control.PeerConnected{Info: o.info})
+}
+
 func (m *member) isUp() bool { return m.running.Load() != nil }
 
 // crash stops the process; batches that aren't synced are lost.
