--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -24,6 +25,9 @@
 // ErrRepeatedAnswer reports a second copy of the answer to an earlier request on the connection.
 var ErrRepeatedAnswer = errors.New("exchange: repeated answer to an earlier request")
 
+// ErrHeadTooLarge reports an answer with more than maxHeadBytes before its body.
+var ErrHeadTooLarge = errors.New("exchange: head of the answer too large")
+
 // maxTokens is the number of answers of a connection whose second copies are recognized.
 const maxTokens = 8
 
@@ -39,6 +43,9 @@
 	keepAliveCount    = 3
 	// maxIdleTime is how long a connection may be idle if the upstream announces no shorter time.
 	maxIdleTime = time.Minute
+	// maxHeadBytes is the maximum size of the status lines and headers of one answer, informational ones included, up to
+	// one buffer.
+	maxHeadBytes = 64 << 10
 	// maxInformational is the number of informational (1xx) answers to one request at which Read fails.
 	maxInformational = 5
 )
@@ -47,6 +54,7 @@
 // Close.
 type Conn struct {
 	raw    *net.TCPConn
+	head   *headLimiter
 	reader *bufio.Reader
 	// address is the host and port of the upstream.
 	address string
@@ -76,9 +84,37 @@
 		_ = c.Close()
 		return nil, errors.Mark(errors.Newf("expected a TCP connection, got %T", c), ErrNotSent)
 	}
-	return &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	head := &headLimiter{source: raw}
+	return &Conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), address: address}, nil
+}
+
+// headLimiter reads from a connection, and only a limited number of bytes while it is limited.
+type headLimiter struct {
+	source  io.Reader
+	limited bool
+	// left is the number of bytes that may still be read while limited is set.
+	left int
 }
 
+// Read reads from the connection. It returns ErrHeadTooLarge once the limit is reached.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.source.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// limit allows up to n bytes to be read until release.
+func (l *headLimiter) limit(n int) { l.limited, l.left = true, n }
+
+// release ends the limit.
+func (l *headLimiter) release() { l.limited = false }
+
 // setUserTimeout sets the TCP user timeout of a socket before it connects.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var optionErr error
@@ -177,8 +213,11 @@
 }
 
 // Read reads the status and headers of the next final answer, and skips the informational (1xx) answers before it. The
-// caller must read the body from the answer. method is the method of the request.
+// caller must read the body from the answer, or close the connection: closing the body would read all of it, which may
+// have no end. method is the method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes.
 func (c *Conn) Read(method string) (*http.Response, error) {
+	c.head.limit(maxHeadBytes)
+	defer c.head.release()
 	for range maxInformational {
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/plantainlane/exchange/exchange_test.go
+++ b/plantainlane/exchange/exchange_test.go
@@ -208,9 +208,10 @@
 			_, _ = b.Write(answer)
 			b.Close()
 		}()
-		c := &Conn{reader: bufio.NewReader(a)}
+		head := &headLimiter{source: a}
+		c := &Conn{head: head, reader: bufio.NewReader(head)}
 		if res, err := c.Read(http.MethodPost); err == nil {
-			_, _ = ReadBody(res, 1<<16)
+			_, _ = NewMemory().ReadBody(res, 1<<16)
 			KeepFor(res)
 		}
 		a.Close()
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -20,6 +20,8 @@
 type Pool struct {
 	// IdleLimit is the maximum time for which an idle connection is kept.
 	IdleLimit time.Duration
+	// Memory is for the answers that are being collected.
+	Memory *Memory
 
 	mu sync.Mutex
 	// idle holds the idle connections by address. The one that was returned last comes last.
@@ -30,7 +32,7 @@
 
 // NewPool returns an empty pool that keeps idle connections for up to idleLimit.
 func NewPool(idleLimit time.Duration) *Pool {
-	return &Pool{IdleLimit: idleLimit, idle: make(map[string][]*Conn)}
+	return &Pool{IdleLimit: idleLimit, idle: make(map[string][]*Conn), Memory: NewMemory()}
 }
 
 // Get returns a connection to an address: the most recently used idle connection that is still open and has been idle
@@ -140,7 +142,7 @@
 
 // RoundTrip sends a request and reads the whole answer. It is for requests that may run more than once: it may use a
 // connection that has been idle for up to IdleLimit, and the upstream may close such a connection while the request is
-// sent. RoundTrip returns ErrTooLarge for a body of more than maxBody bytes, and the whole answer besides the error if
+// sent. RoundTrip returns the errors of ReadBody for a body of more than maxBody bytes, and the whole answer besides the error if
 // r.Accept returns one or the answer is a repeated one. If ctx ends, RoundTrip closes the connection, so that the request
 // fails.
 func (p *Pool) RoundTrip(ctx context.Context, address string, r *Request, maxBody int64) (*Reply, error) {
@@ -149,7 +151,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, c.Close)
-	reply, keepFor, err := roundTripOn(c, r, maxBody)
+	reply, keepFor, err := p.roundTripOn(c, r, maxBody)
 	if !stop() || err != nil {
 		c.Close()
 		return reply, err
@@ -160,7 +162,7 @@
 
 // roundTripOn sends a request on a connection and reads the whole answer. It also returns how long the connection may
 // be idle afterwards.
-func roundTripOn(c *Conn, r *Request, maxBody int64) (*Reply, time.Duration, error) {
+func (p *Pool) roundTripOn(c *Conn, r *Request, maxBody int64) (*Reply, time.Duration, error) {
 	if err := c.Write(r); err != nil {
 		return nil, 0, err
 	}
@@ -168,7 +170,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	body, err := ReadBody(res, maxBody)
+	body, err := p.Memory.ReadBody(res, maxBody)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -213,7 +213,6 @@
 	if err != nil {
 		return sendOutcome{result: mayHaveRun, err: err}, 0
 	}
-	defer res.Body.Close()
 	q.server.Client.ObserveHeader(t.Address, sentAt, res.Header, answer.ID != "" && !answer.Misdirected)
 	if answer.Load != nil {
 		t.Reported(*answer.Load)
@@ -256,7 +255,7 @@
 		if answer.ID == "" || answer.ID == q.call.ID {
 			return res, answer, nil
 		}
-		if _, err := exchange.ReadBody(res, maxBodyBytes); err != nil {
+		if _, err := q.server.Client.Pool.Memory.ReadBody(res, maxSkippedBytes); err != nil {
 			return nil, Answer{}, err
 		}
 	}
@@ -280,7 +279,7 @@
 	case q.headSent:
 		return sendOutcome{result: mayHaveRun, err: errors.Newf("expected the rest of the stream, got status %d", res.StatusCode)}, false
 	}
-	body, err := exchange.ReadBody(res, maxBodyBytes)
+	body, err := q.server.Client.Pool.Memory.ReadBody(res, maxBodyBytes)
 	if err != nil {
 		return sendOutcome{result: mayHaveRun, err: err}, false
 	}
@@ -298,7 +297,7 @@
 	if a.ID == "" && c.Reused {
 		return sendOutcome{result: mayHaveRun, err: errUnsigned}, false
 	}
-	_, err := exchange.ReadBody(res, maxBodyBytes)
+	_, err := q.server.Client.Pool.Memory.ReadBody(res, maxSkippedBytes)
 	out = sendOutcome{result: notRun, err: errors.Wrapf(errRefused, "status %d", res.StatusCode)}
 	if a.InputsGone {
 		out.result = inputsGone
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -17,8 +17,9 @@
 // open after the last forwarded event, so that another upstream can resume the stream. The result complete is true if
 // the stream was read to its end.
 func (q *request) forwardStream(c *exchange.Conn, t route.Target, res *http.Response) (out sendOutcome, complete bool) {
-	defer res.Body.Close()
-	reader := newEventReader(res.Body)
+	memory := q.server.Client.Pool.Memory.Reserve()
+	defer memory.Release()
+	reader := newEventReader(res.Body, memory)
 	first := true
 	for {
 		e, err := reader.next()
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -63,6 +63,8 @@
 	firstEventMargin = 200 * time.Millisecond
 	// maxBodyBytes bounds the body of an answer that is read whole before it is forwarded.
 	maxBodyBytes = 16 << 20
+	// maxSkippedBytes bounds the body of an answer that is read only to use the connection again.
+	maxSkippedBytes = 64 << 10
 	// shortRetryAfter is the least time after which callers of a busy service may retry.
 	shortRetryAfter = 150 * time.Millisecond
 	// longRetryAfter is the time after which callers may retry while the instance has no configuration.
--- a/plantainlane/forward/server_test.go
+++ b/plantainlane/forward/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"plantainlane/plantainlane/batch"
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/site"
 	"plantainlane/wire"
 )
@@ -354,7 +355,7 @@
 	f.Add("\n\n\n")
 	f.Add("id:")
 	f.Fuzz(func(t *testing.T, text string) {
-		r := newEventReader(strings.NewReader(text))
+		r := newEventReader(strings.NewReader(text), exchange.NewMemory().Reserve())
 		returned := ""
 		for {
 			e, err := r.next()
--- a/plantainlane/forward/stream.go
+++ b/plantainlane/forward/stream.go
@@ -23,19 +23,30 @@
 
 // eventReader splits a stream into complete events, so that no part of a truncated event is forwarded.
 type eventReader struct {
-	in *bufio.Reader
+	in     *bufio.Reader
+	memory memory
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{in: bufio.NewReaderSize(r, 4<<10)}
+// memory is what the events of all streams share.
+type memory interface {
+	// Grow reserves memory for an event of size bytes. It returns an error if there is none.
+	Grow(size int) error
+}
+
+func newEventReader(r io.Reader, m memory) *eventReader {
+	return &eventReader{in: bufio.NewReaderSize(r, 4<<10), memory: m}
 }
 
 // next returns the next event. It returns io.EOF if the stream ended after a complete event, io.ErrUnexpectedEOF if the
-// stream ended within an event, and errEventTooLarge for an event of more than maxEventBytes.
+// stream ended within an event, errEventTooLarge for an event of more than maxEventBytes, and the error of the memory if
+// it has none for the event.
 func (r *eventReader) next() (event, error) {
 	var e event
 	for {
 		line, err := r.in.ReadSlice('\n')
+		if err := r.memory.Grow(len(e.bytes) + len(line)); err != nil {
+			return event{}, err
+		}
 		e.bytes = append(e.bytes, line...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(e.bytes) < maxEventBytes {
 			continue
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -40,6 +40,8 @@
 const (
 	// maxIdleConnections is the maximum number of idle connections to each upstream.
 	maxIdleConnections = 256
+	// maxEngineHeadBytes is the maximum size of the headers of an engine's answer.
+	maxEngineHeadBytes = 64 << 10
 	// redialInterval is the pause between two attempts to connect to another instance.
 	redialInterval = 500 * time.Millisecond
 	// unusedPeerTimeout is how long a connection that carries nothing but heartbeats is kept, if this instance opened
@@ -98,7 +100,9 @@
 		clock:    &wiretimeline.Clock{},
 		ledger:   cost.New(),
 		answers:  caller.NewAnswers(),
-		fleet:    engine.NewFleet(now, &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdleTimeout}}),
+		fleet: engine.NewFleet(now, &http.Client{Transport: &http.Transport{
+			IdleConnTimeout: engineIdleTimeout, MaxResponseHeaderBytes: maxEngineHeadBytes,
+		}}),
 		self: wire.InstanceInfo{
 			ID:              s.Instance.ID,
 			Incarnation:     int(now.UnixMilli()),
--- a/plantainlane/peer/net.go
+++ b/plantainlane/peer/net.go
@@ -23,6 +23,9 @@
 // was lost or an attempt to open one failed.
 const assumedUnreachableFor = 3 * time.Second
 
+// maxHeadBytes is the maximum size of the headers of another instance's answer to a handshake.
+const maxHeadBytes = 16 << 10
+
 // maxPending is the number of frames to one instance that may wait for a connection to be opened.
 const maxPending = 64
 
@@ -95,7 +98,7 @@
 		timing:           t,
 		handler:          h,
 		clock:            c,
-		client:           &http.Client{},
+		client:           &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}},
 		conns:            make(map[string][]*conn),
 		instances:        make(map[string]wire.InstanceInfo),
 		pending:          make(map[string][]wire.Frame),
--- a/plantainlane/upstream/client.go
+++ b/plantainlane/upstream/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/quota"
 )
 
@@ -33,6 +34,8 @@
 	unpooled *http.Client
 	// limits obtains the permits of the calls.
 	limits *quota.Client
+	// memory is for the answers that are being collected.
+	memory *exchange.Memory
 }
 
 // NewClient returns a client that keeps up to maxIdle idle connections to each upstream, and obtains a permit from the
@@ -48,6 +51,7 @@
 		pooled:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
 		unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
 		limits:   &quota.Client{Gate: g, Read: limitOf},
+		memory:   exchange.NewMemory(),
 	}
 }
 
@@ -62,16 +66,16 @@
 		return Answer{}, err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(silence.reader(res.Body), maxAnswerBytes+1))
+	body, err := c.memory.ReadAll(silence.reader(res.Body), maxAnswerBytes)
 	a := Answer{Output: body}
 	a.Cost, a.Reported = costOf(res.Header)
 	switch {
+	case errors.Is(err, exchange.ErrTooLarge) || errors.Is(err, exchange.ErrNoMemory):
+		return a, errors.Mark(errors.Wrap(err, "read answer"), ErrFailed)
 	case err != nil && ctx.Err() != nil:
 		return a, errors.Wrap(context.Cause(ctx), "read answer")
 	case err != nil:
 		return a, errors.Mark(errors.Wrap(err, "read answer"), ErrTruncated)
-	case len(body) > maxAnswerBytes:
-		return a, errors.Wrapf(ErrFailed, "answer of more than %d bytes", maxAnswerBytes)
 	}
 	return a, nil
 }
--- a/plantainlane/upstream/transport.go
+++ b/plantainlane/upstream/transport.go
@@ -14,13 +14,16 @@
 	idleTimeout = 5 * time.Second
 	// dialTimeout is the maximum time for opening a connection.
 	dialTimeout = time.Second
+	// maxHeadBytes is the maximum size of the headers of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // newTransport returns a transport whose connections count the bytes that they write.
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
