--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -268,8 +268,6 @@
 		c.appendProposal(origin{f.From, f.Call}, f.Propose.Command)
 	case f.ProposeAnswer != nil:
 		c.finishProposal(f.Call, *f.ProposeAnswer)
-	case f.UpstreamLimits != nil:
-		c.handleUpstreamLimits(*f.UpstreamLimits)
 	case f.Upstreams != nil:
 		c.handleUpstreamDelta(f.From, *f.Upstreams)
 	case f.Digest != nil:
--- a/plantainlane/control/grants_test.go
+++ b/plantainlane/control/grants_test.go
@@ -19,6 +19,8 @@
 	cores    map[string]*Core
 	limiters map[string]*limit.Limiter
 	now      time.Time
+	// isLost, if set, reports whether a frame from an instance is lost.
+	isLost func(from string, o Outbound) bool
 }
 
 // newGrantCluster returns a cluster of connected instances whose first instance leads. The contract is committed.
@@ -53,7 +55,7 @@
 // step steps one core, and the receivers of the frames that it sends.
 func (s *grantCluster) step(id string, inputs ...Input) {
 	for _, o := range s.cores[id].Step(s.now, inputs...) {
-		if s.cores[o.To] != nil {
+		if s.cores[o.To] != nil && (s.isLost == nil || !s.isLost(id, o)) {
 			s.step(o.To, FrameReceived{Frame: o.Frame})
 		}
 	}
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -59,9 +59,11 @@
 	if c.leader == "" && len(c.peers) == 0 {
 		return
 	}
+	sequence := c.lease.recordRequest(c.now, c.timing.LeaseInterval)
 	req := wire.LeaseRequest{
 		Info:             c.self,
-		Sequence:         c.lease.recordRequest(c.now, c.timing.LeaseInterval),
+		Sequence:         sequence,
+		Limits:           c.quotas.unconfirmedLimits(c.now, sequence),
 		AppliedRevision:  c.config.Revision,
 		InstancesVersion: c.instances.version,
 		InstancesTerm:    c.instances.term,
@@ -121,6 +123,7 @@
 	}
 	c.mergeInstances(a)
 	c.quotas.learn(c.now, a)
+	c.quotas.confirm(a.Sequence)
 	c.learnRevision(a.Revision)
 	c.learnPushed(a.PushedRevision)
 	sent, ok := c.lease.sent[a.Sequence]
@@ -149,6 +152,7 @@
 		return
 	}
 	a.Leader, a.Term, a.Revision = c.self.ID, c.leaderState.term, c.state.Config.Revision
+	c.leaderState.quotas.Report(c.now, r.Limits)
 	row := c.leaderState.recordContact(r, c.now)
 	if row == nil {
 		c.registerInstance(r.Info)
--- a/plantainlane/control/quotas.go
+++ b/plantainlane/control/quotas.go
@@ -16,8 +16,11 @@
 // instances heard.
 type quotas struct {
 	gate *quota.Gate
-	// reportedTerm is the term whose leader was sent all known limits.
+	// reportedTerm is the term whose leader is told all known limits.
 	reportedTerm int
+	// unconfirmed holds, by the address of the upstream, the sequence of the first lease request that told the leader the
+	// newest change of its limit; 0 until one has. The answer to that request or a later one confirms the change.
+	unconfirmed map[string]int
 	// version is the version of the limits learned from the leader of term.
 	version, term int
 }
@@ -28,8 +31,8 @@
 	return func(c *Core) { c.quotas.gate = g }
 }
 
-// runQuotas reports changed limits to the leader. A new leader is sent all known limits. On the leader, it logs the
-// counts of permits.
+// runQuotas makes a lease request due if limits have changed, since lease requests report them. A new leader is told all
+// known limits. On the leader, it logs the counts of permits.
 func (c *Core) runQuotas() {
 	if c.leaderState != nil {
 		for _, n := range c.leaderState.quotas.TakeCounts(c.now) {
@@ -40,20 +43,49 @@
 	if q.gate == nil || c.leader == "" {
 		return
 	}
-	limits := q.gate.TakeChanged(c.now)
+	changed := q.gate.TakeChanged(c.now)
 	if q.reportedTerm != c.term {
 		q.reportedTerm = c.term
-		limits = q.gate.All(c.now)
+		changed = q.gate.All(c.now)
+		clear(q.unconfirmed)
 	}
-	if len(limits) > 0 {
-		c.send(c.leader, wire.Frame{UpstreamLimits: &wire.UpstreamLimits{Limits: limits}})
+	if len(changed) == 0 {
+		return
+	}
+	if q.unconfirmed == nil {
+		q.unconfirmed = make(map[string]int)
+	}
+	for _, l := range changed {
+		q.unconfirmed[l.Address] = 0
 	}
+	c.lease.requestNow()
 }
 
-// handleUpstreamLimits records limits that an instance reports to this leader.
-func (c *Core) handleUpstreamLimits(l wire.UpstreamLimits) {
-	if c.leaderState != nil {
-		c.leaderState.quotas.Report(c.now, l.Limits)
+// unconfirmedLimits returns the limits for the lease request with a sequence.
+func (q *quotas) unconfirmedLimits(now time.Time, sequence int) []wire.UpstreamLimit {
+	out := []wire.UpstreamLimit{}
+	if len(q.unconfirmed) == 0 {
+		return out
+	}
+	for _, l := range q.gate.All(now) {
+		first, ok := q.unconfirmed[l.Address]
+		if !ok {
+			continue
+		}
+		if first == 0 {
+			q.unconfirmed[l.Address] = sequence
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// confirm records that the leader has answered the lease request with a sequence.
+func (q *quotas) confirm(sequence int) {
+	for address, first := range q.unconfirmed {
+		if first != 0 && first <= sequence {
+			delete(q.unconfirmed, address)
+		}
 	}
 }
 
--- a/plantainlane/control/quotas_test.go
+++ b/plantainlane/control/quotas_test.go
@@ -62,6 +62,30 @@
 	is.True(knows(gates["c"], s.now, "u")) // the restarted instance lacks the limit
 }
 
+// TestLostReportOfLimit guards against a limit, or its end, that other instances don't learn because one frame of the
+// instance that heard it was lost, whichever it was.
+func TestLostReportOfLimit(t *testing.T) {
+	for lost := range 8 {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			is := is.New(t)
+			s, gates := newQuotaCluster("a", "b", "c")
+			s.run(2 * time.Second)
+			for _, limited := range []bool{true, false} {
+				n := 0
+				s.isLost = func(from string, o Outbound) bool {
+					if from == "b" && o.To == "a" || from == "a" && o.To == "b" {
+						n++
+					}
+					return n == lost+1
+				}
+				gates["b"].Observe("u", quota.Statement{Limited: limited, PerSecond: 2, SentAt: s.now.Add(-time.Millisecond), HeardAt: s.now})
+				s.run(6 * time.Second) // a report of an end counts as 2 s older than it says
+				is.Equal(knows(gates["c"], s.now, "u"), limited)
+			}
+		})
+	}
+}
+
 // TestPermitsOfOneLeader guards against permits of an instance that doesn't lead or isn't confirmed by a quorum, and
 // against permits above the limit for several instances.
 func TestPermitsOfOneLeader(t *testing.T) {
--- a/wire/types.go
+++ b/wire/types.go
@@ -814,9 +814,6 @@
 	// Query for events of the time line.
 	TimelineQuery *TimelineQuery `json:"timelineQuery,omitempty,omitzero" cbor:"timelineQuery,omitempty"`
 
-	// Changed limits of upstreams, for the leader.
-	UpstreamLimits *UpstreamLimits `json:"upstreamLimits,omitempty,omitzero" cbor:"upstreamLimits,omitempty"`
-
 	// Changes of upstreams.
 	Upstreams *UpstreamDelta `json:"upstreams,omitempty,omitzero" cbor:"upstreams,omitempty"`
 }
@@ -1114,6 +1111,10 @@
 	// it has none.
 	InstancesVersion int `json:"instancesVersion" cbor:"instancesVersion"`
 
+	// Limits of upstreams that the sender heard and that the leader hasn't confirmed
+	// by the answer to a request.
+	Limits []UpstreamLimit `json:"limits" cbor:"limits"`
+
 	// Version of the limits of upstreams that the sender has from the leader of
 	// instancesTerm; 0 if it has none.
 	LimitsVersion int `json:"limitsVersion" cbor:"limitsVersion"`
@@ -1801,12 +1802,6 @@
 	SentAgoMs int `json:"sentAgoMs" cbor:"sentAgoMs"`
 }
 
-// UpstreamLimits reports changed limits of upstreams to the leader.
-type UpstreamLimits struct {
-	// Limits as this instance heard them.
-	Limits []UpstreamLimit `json:"limits" cbor:"limits"`
-}
-
 // UpstreamLoad is the load that an upstream reports.
 type UpstreamLoad struct {
 	// Number of free KV cache blocks of an engine.
