--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -69,6 +69,8 @@
 	leaderState *leaderState
 	orders      orders
 	draining    bool
+	// drainOrders holds the orders to drain that were given here, by the ID of the instance to drain.
+	drainOrders map[string]drainOrder
 	// expiredUpstreams holds the IDs of upstreams that expired since the last call of TakeUpstreams.
 	expiredUpstreams []string
 	// nextDigest is when the digest of the roster is sent to a peer next.
@@ -123,17 +125,18 @@
 // New returns the control state of an instance that has just started.
 func New(self wire.InstanceInfo, opts ...Option) *Core {
 	c := &Core{
-		timing:     DefaultTiming(),
-		voterCount: DefaultVoters,
-		self:       self,
-		random:     rand.New(rand.NewPCG(uint64(self.Incarnation), 0)),
-		changeSets: make(map[int]*wire.ChangeSet),
-		peers:      make(map[string]wire.InstanceInfo),
-		roster:     roster.New(),
-		instances:  instanceRows{rows: table.Table[wire.InstanceInfo]{}},
-		proposals:  newProposals(self.Incarnation),
-		queries:    newQueries(self.Incarnation),
-		dirty:      true,
+		timing:      DefaultTiming(),
+		voterCount:  DefaultVoters,
+		self:        self,
+		random:      rand.New(rand.NewPCG(uint64(self.Incarnation), 0)),
+		changeSets:  make(map[int]*wire.ChangeSet),
+		drainOrders: make(map[string]drainOrder),
+		peers:       make(map[string]wire.InstanceInfo),
+		roster:      roster.New(),
+		instances:   instanceRows{rows: table.Table[wire.InstanceInfo]{}},
+		proposals:   newProposals(self.Incarnation),
+		queries:     newQueries(self.Incarnation),
+		dirty:       true,
 	}
 	for _, o := range opts {
 		o(c)
@@ -152,6 +155,7 @@
 	c.runReplication()
 	c.runLeadership()
 	c.runInstances()
+	c.runDrainOrders()
 	c.runMembership()
 	c.runLeaseRequests()
 	c.runConfig()
--- a/plantainlane/control/instance.go
+++ b/plantainlane/control/instance.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,16 +35,22 @@
 }
 
 // mergeInstances adds the rows of a leader's lease answer to the table of instances. An answer of the same term with an
-// older version than the table's is ignored.
+// older version than the table's is ignored, and one that says nothing about the rows.
 func (c *Core) mergeInstances(a wire.LeaseAnswer) {
+	if a.InstancesVersion == 0 {
+		return
+	}
 	if a.Term != c.instances.term {
 		c.instances.term = a.Term
 		c.instances.version = 0
 	}
-	if a.InstancesVersion < c.instances.version || len(a.Instances) == 0 {
+	if a.InstancesVersion < c.instances.version {
 		return
 	}
 	c.instances.version = a.InstancesVersion
+	if len(a.Instances) == 0 {
+		return
+	}
 	for _, i := range a.Instances {
 		c.instances.rows = c.instances.rows.With(i.ID, i)
 	}
@@ -123,10 +130,33 @@
 		in.Reply <- errors.Wrap(ErrUnknownInstance, in.Instance)
 		return
 	}
-	c.send(in.Instance, wire.Frame{Drain: &wire.DrainOrder{Instance: in.Instance}})
+	c.drainOrders[in.Instance] = drainOrder{until: c.now.Add(c.timing.AcceptWait)}
 	in.Reply <- nil
 }
 
+// drainOrder is an order to another instance to drain, which is sent until that instance is known to drain, at most until
+// the time until.
+type drainOrder struct {
+	until, nextSend time.Time
+}
+
+// runDrainOrders sends the orders to drain that are due.
+func (c *Core) runDrainOrders() {
+	for id, o := range c.drainOrders {
+		row, known := c.instances.rows.Get(id)
+		if !known || row.Draining || c.now.After(o.until) {
+			delete(c.drainOrders, id)
+			continue
+		}
+		if c.now.Before(o.nextSend) {
+			continue
+		}
+		o.nextSend = c.now.Add(c.timing.ProposalRetry)
+		c.drainOrders[id] = o
+		c.send(id, wire.Frame{Drain: &wire.DrainOrder{Instance: id}})
+	}
+}
+
 // startDrain marks this instance as draining, and makes a lease request due immediately, since lease requests report
 // the mark to the leader.
 func (c *Core) startDrain() {
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"plantainlane/plantainlane/limit"
@@ -39,6 +37,10 @@
 	rows map[string]*leaseRow
 	// version counts the changes of rows, so that an instance is sent only the rows that changed.
 	version int
+	// digest is that of all rows.
+	digest rowDigest
+	// rowBudget bounds the rows that are sent.
+	rowBudget rowBudget
 	// acceptedRevision is the newest revision known to be in force everywhere.
 	acceptedRevision int
 	// origins holds the origins of proposals that aren't committed yet, by log index.
@@ -117,7 +119,8 @@
 	c.record(wire.Event{Kind: "leadershipLost"})
 }
 
-// syncRows adds and removes rows so that there is one for each registered instance. An instance from which this leader
+// syncRows adds and removes rows so that there is one for each registered instance. A new row is as this instance knows it
+// from the previous leader, if it does. An instance from which this leader
 // has not received a lease request may hold a lease from a previous leader, which expires at the latest one lease
 // length after the start of this leadership.
 func (c *Core) syncRows() {
@@ -126,17 +129,18 @@
 		if row != nil && row.info.Incarnation >= info.Incarnation {
 			continue
 		}
-		c.leaderState.version++
-		added := &leaseRow{info: info, leaseUntil: c.leaderState.since.Add(c.timing.Lease), lastSeen: c.now, version: c.leaderState.version}
+		if known, ok := c.instances.rows.Get(id); ok && known.Incarnation == info.Incarnation {
+			info = known
+		}
+		added := &leaseRow{info: info, leaseUntil: c.leaderState.since.Add(c.timing.Lease), lastSeen: c.now}
 		if row != nil && row.leaseUntil.After(added.leaseUntil) {
 			added.leaseUntil = row.leaseUntil
 		}
-		c.leaderState.rows[id] = added
+		c.leaderState.putRow(added)
 	}
 	for id := range c.leaderState.rows {
 		if !c.state.Instances.Has(id) {
-			delete(c.leaderState.rows, id)
-			c.leaderState.version++
+			c.leaderState.deleteRow(id)
 		}
 	}
 }
@@ -158,30 +162,6 @@
 	return row
 }
 
-// updateRow replaces the description in a row, under a new version if the description changed.
-func (l *leaderState) updateRow(row *leaseRow, info wire.InstanceInfo) {
-	if row.info == info {
-		return
-	}
-	l.version++
-	row.info, row.version = info, l.version
-}
-
-// rowsSince returns the instance rows that changed since a version, and the current version. If the given version
-// is from another term, all rows are returned.
-func (l *leaderState) rowsSince(term, version int) ([]wire.InstanceInfo, int) {
-	if term != l.term {
-		version = 0
-	}
-	var out []wire.InstanceInfo
-	for _, id := range slices.Sorted(maps.Keys(l.rows)) {
-		if row := l.rows[id]; row.version > version {
-			out = append(out, row.info)
-		}
-	}
-	return out, l.version
-}
-
 // runAcceptance answers changes that are in force everywhere: every registered instance has applied the change or no
 // longer holds a lease. It answers changes that have waited for AcceptWait as pending.
 func (c *Core) runAcceptance() {
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -68,6 +68,7 @@
 		InstancesVersion: c.instances.version,
 		InstancesTerm:    c.instances.term,
 		LimitsVersion:    c.quotas.limitsVersion(c.instances.term),
+		InstancesDigest:  c.instances.digest(c.term),
 		LostRevision:     c.freshness.lost,
 	}
 	if c.leader == "" {
@@ -159,7 +160,7 @@
 		c.send(from, wire.Frame{LeaseAnswer: &a})
 		return
 	}
-	a.Instances, a.InstancesVersion = c.leaderState.rowsSince(r.InstancesTerm, r.InstancesVersion)
+	a.Instances, a.InstancesVersion = c.leaderState.rowsFor(c.now, r)
 	limitsVersion := 0
 	if r.InstancesTerm == c.leaderState.term {
 		limitsVersion = r.LimitsVersion
--- a/wire/types.go
+++ b/wire/types.go
@@ -1067,7 +1067,8 @@
 	// Instance rows that changed since the request's instancesVersion.
 	Instances []InstanceInfo `json:"instances" cbor:"instances"`
 
-	// Version of the instance rows including these.
+	// Version of the instance rows including these; 0 if the answer says nothing
+	// about the rows.
 	InstancesVersion int `json:"instancesVersion" cbor:"instancesVersion"`
 
 	// Instance ID of the leader, to which requests must be sent.
@@ -1104,6 +1105,10 @@
 	// Description of the requesting instance.
 	Info InstanceInfo `json:"info" cbor:"info"`
 
+	// Hash of the sender's instance rows in each bucket of instance IDs, for a leader
+	// whose term isn't instancesTerm; otherwise empty.
+	InstancesDigest []int `json:"instancesDigest" cbor:"instancesDigest"`
+
 	// Term that instancesVersion and limitsVersion belong to.
 	InstancesTerm int `json:"instancesTerm" cbor:"instancesTerm"`
 
