--- a/plantainlane/consensus/leader.go
+++ b/plantainlane/consensus/leader.go
@@ -10,6 +10,9 @@
 type leaderState struct {
 	// progress holds the replication state of every voter and learner, by replica ID.
 	progress map[string]*progress
+	// previous is the ID of the leader before this one, until it answers a round or is no replica any more; otherwise
+	// empty.
+	previous string
 	// firstIndex is the index of the leader's first entry in its term, a no-op.
 	firstIndex int
 	// rounds holds the rounds that began within the last election timeout, ascending. It is never empty.
@@ -37,7 +40,7 @@
 // are committed only together with an entry of the leader's own term.
 func (n *Node) becomeLeader(now time.Time) {
 	n.role, n.leader, n.votes = Leader, n.cfg.ID, nil
-	n.leadership = leaderState{progress: map[string]*progress{}}
+	n.leadership = leaderState{progress: map[string]*progress{}, previous: n.lastLeader}
 	n.syncProgress()
 	n.leadership.firstIndex = n.appendEntry(KindNoop, nil)
 	n.leadership.confirmedRound = round{startedAt: now}
@@ -59,6 +62,9 @@
 		}
 	}
 	n.leadership.progress = current
+	if current[n.leadership.previous] == nil {
+		n.leadership.previous = ""
+	}
 }
 
 // others returns the IDs of all replicas except this one, in the order of the membership.
@@ -186,8 +192,8 @@
 	// Answered reports whether the replica answered a round that began within the last election timeout. It is
 	// always true for the leader itself.
 	Answered bool
-	// SilentSince is when the leader, as a follower, received the last message of a replica that led before and hasn't
-	// answered since; zero for other replicas.
+	// SilentSince is when the leader, as a follower, received the last message of the leader before it, if that replica
+	// has been a member since and hasn't answered; zero for other replicas.
 	SilentSince time.Time
 }
 
@@ -202,7 +208,7 @@
 	add := func(id string, voter bool) {
 		p := n.leadership.progress[id]
 		var silentSince time.Time
-		if id == n.lastLeader && p.answeredRound == 0 {
+		if id == n.leadership.previous && p.answeredRound == 0 {
 			silentSince = n.leaderSeenAt
 		}
 		out = append(out, ReplicaStatus{
--- a/plantainlane/replica/replace_test.go
+++ b/plantainlane/replica/replace_test.go
@@ -138,6 +138,9 @@
 			c.run(nextLossAfter)
 			_, status := c.leader().replica.inspect()
 			is.Equal(status.Replicas.Learners, []string{cut.disk.replicaID})
+			c.run(nextLossAfter)
+			_, later := c.leader().replica.inspect()
+			is.Equal(later.Last, status.Last) // the membership changes again and again
 		}
 	})
 }
