--- a/plantainlane/control/instance.go
+++ b/plantainlane/control/instance.go
@@ -57,8 +57,8 @@
 	c.dirty = true
 }
 
-// runInstances marks instances as silent from which the leader received no lease request for SilentAfter, and
-// removes silent instances whose lease expired more than ForgetAfter ago. Only the leader does so.
+// runInstances marks instances as silent from which the leader received no lease request for SilentAfter, contacts silent
+// instances in each LeaseInterval, and removes silent instances whose lease expired more than ForgetAfter ago. Only the leader does so.
 func (c *Core) runInstances() {
 	if c.leaderState == nil {
 		return
@@ -70,6 +70,11 @@
 			c.leaderState.updateRow(row, info)
 			c.record(wire.Event{Kind: "instanceSilent", Detail: &info.ID})
 		}
+		if row.info.Silent && !c.now.Before(row.nextContact) {
+			// After a restart the instance may know no other one.
+			row.nextContact = c.now.Add(c.timing.LeaseInterval)
+			c.sendLeadership(row.info.ID)
+		}
 		if row.info.Silent && c.now.Sub(row.leaseUntil) > c.timing.ForgetAfter {
 			info := row.info
 			c.appendWithoutReply(wire.Command{Forget: &info})
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -21,6 +21,8 @@
 	lastSeen time.Time
 	// contacted is set once the instance has requested a lease from this leader.
 	contacted bool
+	// nextContact is when the leader contacts the instance next while it is silent.
+	nextContact time.Time
 	// version is the leader's row version at which info last changed.
 	version int
 	// pushedRevision is the revision of the last push to the instance; 0 if that push is known to be lost. Nothing more
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -98,7 +98,6 @@
 // announceLeadership sends all connected and registered instances the ID and address of this new leader, so that they
 // immediately renew their leases here.
 func (c *Core) announceLeadership() {
-	a := wire.LeaseAnswer{Leader: c.self.ID, Term: c.leaderState.term, LeaderAddress: c.self.PeerAddress}
 	ids := make(map[string]bool)
 	for id := range c.peers {
 		ids[id] = true
@@ -108,10 +107,16 @@
 	}
 	delete(ids, c.self.ID)
 	for _, id := range slices.Sorted(maps.Keys(ids)) {
-		c.send(id, wire.Frame{LeaseAnswer: &a})
+		c.sendLeadership(id)
 	}
 }
 
+// sendLeadership sends an instance the ID and address of this leader.
+func (c *Core) sendLeadership(to string) {
+	a := wire.LeaseAnswer{Leader: c.self.ID, Term: c.leaderState.term, LeaderAddress: c.self.PeerAddress}
+	c.send(to, wire.Frame{LeaseAnswer: &a})
+}
+
 // handleLeaseAnswer updates the known leader from an answer of any instance. An answer of the leader
 // itself also updates the table of instances and the lease.
 func (c *Core) handleLeaseAnswer(from string, a wire.LeaseAnswer) {
--- a/plantainlane/control/rows_test.go
+++ b/plantainlane/control/rows_test.go
@@ -154,3 +154,16 @@
 	s.run(3 * time.Second)
 	is.Equal(len(s.cores["i001"].drainOrders), 0)
 }
+
+// TestRestartedInstanceFindsNobody guards against an instance that restarts after the leader took it for silent, and that
+// no other instance contacts. It may know none itself, if its disk is lost and the peers that its settings name are gone.
+func TestRestartedInstanceFindsNobody(t *testing.T) {
+	is := is.New(t)
+	s, _ := newRowCluster(4)
+	s.run(2 * time.Second)
+	delete(s.cores, "i003")
+	s.run(6 * time.Second)
+	s.cores["i003"] = New(wire.InstanceInfo{ID: "i003", Incarnation: 2})
+	s.run(3 * time.Second)
+	is.True(s.cores["i003"].lease.until.After(s.now))
+}
