--- a/plantainlane/exchange/body.go
+++ b/plantainlane/exchange/body.go
@@ -89,10 +89,10 @@
 	}
 }
 
-// ReadBody reads the whole body of an answer. It returns an error if the body is truncated, and the errors of ReadAll.
-// After an error the connection must be closed. The body isn't closed, as this would read the rest of it, which may have
-// no end.
+// ReadBody reads the whole body of an answer and closes it. It returns an error if the body is truncated, and the errors
+// of ReadAll. After an error the connection must be closed.
 func (m *Memory) ReadBody(res *http.Response, maxBytes int64) ([]byte, error) {
+	defer res.Body.Close()
 	if res.ContentLength > maxBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, maximum %d bytes", res.ContentLength, maxBytes)
 	}
--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -212,9 +212,15 @@
 	return append(b, r.Body...)
 }
 
+// unreadBody is a body whose Close leaves the rest unread, which may have no end.
+type unreadBody struct{ io.Reader }
+
+// Close does nothing.
+func (unreadBody) Close() error { return nil }
+
 // Read reads the status and headers of the next final answer, and skips the informational (1xx) answers before it. The
-// caller must read the body from the answer, or close the connection: closing the body would read all of it, which may
-// have no end. method is the method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes.
+// caller must read the whole body from the answer, or close the connection; closing the body does nothing. method is the
+// method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes.
 func (c *Conn) Read(method string) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	defer c.head.release()
@@ -223,6 +229,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
+		res.Body = unreadBody{res.Body}
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
 		}
--- a/plantainlane/exchange/exchange_test.go
+++ b/plantainlane/exchange/exchange_test.go
@@ -213,6 +213,7 @@
 		if res, err := c.Read(http.MethodPost); err == nil {
 			_, _ = NewMemory().ReadBody(res, 1<<16)
 			KeepFor(res)
+			_ = res.Body.Close()
 		}
 		a.Close()
 	})
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -170,6 +170,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	defer res.Body.Close()
 	body, err := p.Memory.ReadBody(res, maxBody)
 	if err != nil {
 		return nil, 0, err
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -213,6 +213,7 @@
 	if err != nil {
 		return sendOutcome{result: mayHaveRun, err: err}, 0
 	}
+	defer res.Body.Close()
 	q.server.Client.ObserveHeader(t.Address, sentAt, res.Header, answer.ID != "" && !answer.Misdirected)
 	if answer.Load != nil {
 		t.Reported(*answer.Load)
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -17,6 +17,7 @@
 // open after the last forwarded event, so that another upstream can resume the stream. The result complete is true if
 // the stream was read to its end.
 func (q *request) forwardStream(c *exchange.Conn, t route.Target, res *http.Response) (out sendOutcome, complete bool) {
+	defer res.Body.Close()
 	memory := q.server.Client.Pool.Memory.Reserve()
 	defer memory.Release()
 	reader := newEventReader(res.Body, memory)
