--- a/plantainlane/quota/allocator.go
+++ b/plantainlane/quota/allocator.go
@@ -19,7 +19,7 @@
 	maxInterval = 10 * time.Second
 	// maxSpread is the longest time over which the queries of refused instances are spread, and maxSpreadIntervals the
 	// same in intervals between permits.
-	maxSpread          = 4 * time.Second
+	maxSpread          = 12 * time.Second
 	maxSpreadIntervals = 1 << 12
 	// The number of queries refused for each permit is kept between minRefused and maxRefused.
 	minRefused = 1
