--- a/plantainlane/control/rows_test.go
+++ b/plantainlane/control/rows_test.go
@@ -167,3 +167,22 @@
 	s.run(3 * time.Second)
 	is.True(s.cores["i003"].lease.until.After(s.now))
 }
+
+// TestNewLeaderPushesWholeConfiguration guards against a new leader that pushes the whole configuration to all instances,
+// which have it.
+func TestNewLeaderPushesWholeConfiguration(t *testing.T) {
+	is := is.New(t)
+	s, _ := newRowCluster(20)
+	s.run(2 * time.Second)
+	pushes := 0
+	s.isLost = func(_ string, o Outbound) bool {
+		if o.Frame.Config != nil {
+			pushes++
+		}
+		return false
+	}
+	s.changeLeader(t, "i000", "i001", 2)
+	s.run(3 * time.Second)
+	is.Equal(s.cores["i001"].config.Revision, 1)
+	is.Equal(pushes, 0)
+}
