--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -23,6 +23,8 @@
 type Peers interface {
 	// Send sends a frame to an instance. It doesn't block; the frame may be lost.
 	Send(to string, f wire.Frame)
+	// Losses returns a number that grows when frames to or from an instance may have been lost.
+	Losses(id string) int
 	// Members returns the reachable instances that submit jobs and may own queues, including this one.
 	Members() []Member
 }
@@ -180,12 +182,15 @@
 		return Outcome{Reason: ReasonNoOwner}
 	}
 	reply := make(chan Outcome, 1)
+	losses := d.peers.Losses(to)
+	send := func() {}
 	var cancel func()
 	if to == d.self {
 		cancel = d.submitLocal(service, &j, reply)
 	} else {
-		cancel = d.submitRemote(to, service, &j, reply)
+		send, cancel = d.submitRemote(to, service, &j, reply)
 	}
+	send()
 	ticker := time.NewTicker(memberCheckPeriod)
 	defer ticker.Stop()
 	for {
@@ -200,6 +205,11 @@
 				cancel()
 				return Outcome{Reason: ReasonNoOwner}
 			}
+			if n := d.peers.Losses(to); n != losses {
+				// The order or the answer may be lost. The owner ignores an order that it has.
+				losses = n
+				send()
+			}
 		}
 	}
 }
@@ -220,28 +230,33 @@
 	return func() { d.deliver(ow, cancelled{j}) }
 }
 
-// submitRemote sends a job to another instance. The returned function cancels the job.
-func (d *Dispatcher) submitRemote(to, service string, j *Job, reply chan Outcome) (cancel func()) {
+// submitRemote submits a job to another instance. Each call of send sends it; cancel cancels it.
+func (d *Dispatcher) submitRemote(to, service string, j *Job, reply chan Outcome) (send, cancel func()) {
 	d.mu.Lock()
 	d.lastFrameCall++
 	call := d.lastFrameCall
 	d.pending[call] = pendingJob{reply, j.OnInputsRead}
 	d.mu.Unlock()
-	now := time.Now()
-	d.peers.Send(to, wire.Frame{Call: call, PieceOrder: &wire.PieceOrder{
-		Service: service, Request: j.Request, Stage: j.Stage, Pieces: j.Pieces, Key: j.Key,
-		Inputs: append([]string{}, j.Inputs...), Next: append([]string{}, j.NextServices...),
-		Zone: j.Zone, CrossBytes: j.CrossBytes, HoldsRoom: j.HoldsMemory, Bytes: j.Bytes, Priority: j.Priority,
-		DueMs:  int(j.Due.Sub(now) / time.Millisecond),
-		LeftMs: int(j.Deadline.Sub(now) / time.Millisecond),
-	}})
-	return func() {
+	send = func() { d.peers.Send(to, wire.Frame{Call: call, PieceOrder: pieceOrder(service, j, time.Now())}) }
+	cancel = func() {
 		d.mu.Lock()
 		delete(d.pending, call)
 		d.mu.Unlock()
 		yes := true
 		d.peers.Send(to, wire.Frame{Call: call, PieceCancel: &yes})
 	}
+	return send, cancel
+}
+
+// pieceOrder returns a job as a message that is sent now.
+func pieceOrder(service string, j *Job, now time.Time) *wire.PieceOrder {
+	return &wire.PieceOrder{
+		Service: service, Request: j.Request, Stage: j.Stage, Pieces: j.Pieces, Key: j.Key,
+		Inputs: append([]string{}, j.Inputs...), Next: append([]string{}, j.NextServices...),
+		Zone: j.Zone, CrossBytes: j.CrossBytes, HoldsRoom: j.HoldsMemory, Bytes: j.Bytes, Priority: j.Priority,
+		DueMs:  int(j.Due.Sub(now) / time.Millisecond),
+		LeftMs: int(j.Deadline.Sub(now) / time.Millisecond),
+	}
 }
 
 // Release tells the owner of a service's queue that results are no longer needed. The message may be lost; the results
@@ -330,7 +345,8 @@
 	return true
 }
 
-// handlePieceOrder adds a job that another instance submitted to this instance's queue for the service.
+// handlePieceOrder adds a job that another instance submitted to this instance's queue for the service, unless the job is
+// there already.
 func (d *Dispatcher) handlePieceOrder(from string, call int, p *wire.PieceOrder) {
 	if p.Pieces < 1 || p.Pieces > MaxJobPieces || p.Bytes < 0 || p.CrossBytes < 0 {
 		klog.InfoS("malformed order", "from", from, "service", p.Service, "pieces", p.Pieces, "bytes", p.Bytes)
@@ -358,9 +374,14 @@
 	}
 	ow := d.owner(p.Service)
 	d.mu.Lock()
-	d.remote[key] = remoteJob{j, ow}
+	_, known := d.remote[key]
+	if !known {
+		d.remote[key] = remoteJob{j, ow}
+	}
 	d.mu.Unlock()
-	d.deliver(ow, added{j})
+	if !known {
+		d.deliver(ow, added{j})
+	}
 }
 
 func (d *Dispatcher) sendAnswer(to string, call int, out Outcome) {
--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -21,6 +21,9 @@
 	mu          sync.Mutex
 	dispatchers map[string]*Dispatcher
 	unreachable map[string]bool
+	// isLost, if set, reports whether a frame to an instance is lost, and losses counts the lost ones.
+	isLost func(to string, f wire.Frame) bool
+	losses int
 }
 
 type memberPeers struct {
@@ -32,12 +35,22 @@
 	f.From = p.self
 	p.net.mu.Lock()
 	d, isLost := p.net.dispatchers[to], p.net.unreachable[to] || p.net.unreachable[p.self]
+	if !isLost && p.net.isLost != nil && p.net.isLost(to, f) {
+		isLost = true
+		p.net.losses++
+	}
 	p.net.mu.Unlock()
 	if d != nil && !isLost {
 		go d.HandleFrame(f)
 	}
 }
 
+func (p memberPeers) Losses(string) int {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	return p.net.losses
+}
+
 func (p memberPeers) Members() []Member {
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
@@ -135,6 +148,55 @@
 	is.Equal(len(out.Handles), 2)
 }
 
+// TestLostFrameOfJobHoldsRequest guards against a job that waits until its deadline because the frame with it, or with its
+// outcome, was lost with a connection that is open again.
+func TestLostFrameOfJobHoldsRequest(t *testing.T) {
+	for name, isLost := range map[string]func(wire.Frame) bool{
+		"order":  func(f wire.Frame) bool { return f.PieceOrder != nil },
+		"answer": func(f wire.Frame) bool { return f.PieceAnswer != nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			executor := &fakeExecutor{}
+			n := newDispatchers(t, executor, "a", "b")
+			caller := "a"
+			if Owner("encode", memberPeers{n, "a"}.Members()) == "a" {
+				caller = "b"
+			}
+			n.isLost = func(_ string, f wire.Frame) bool { return n.losses == 0 && isLost(f) }
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			out := n.dispatchers[caller].Run(ctx, "encode", testJob("r"))
+			is.Equal(out.Reason, Reason(""))
+			is.Equal(len(out.Handles), 2)
+		})
+	}
+}
+
+// TestJobSentAgainRunsTwice guards against a job that waits in a queue twice because its frame was sent again after
+// another frame was lost.
+func TestJobSentAgainRunsTwice(t *testing.T) {
+	is := is.New(t)
+	executor := &fakeExecutor{stuck: true}
+	n := newDispatchers(t, executor, "a", "b")
+	caller := "a"
+	if Owner("encode", memberPeers{n, "a"}.Members()) == "a" {
+		caller = "b"
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		n.mu.Lock()
+		n.losses++
+		n.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	n.dispatchers[caller].Run(ctx, "encode", testJob("r"))
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	is.Equal(executor.calls, []int{2})
+}
+
 // TestNewOwnerFreesResultsReleasedToLostOwner guards against results that were released to an owner which was lost
 // before it freed them: they would fill the upstreams' memory, unknown to the next owner.
 func TestNewOwnerFreesResultsReleasedToLostOwner(t *testing.T) {
--- a/plantainlane/forward/site_size_test.go
+++ b/plantainlane/forward/site_size_test.go
@@ -195,6 +195,8 @@
 	}()
 }
 
+func (p sitePeers) Losses(string) int { return 0 }
+
 func (p sitePeers) Members() []batch.Member {
 	m := p.model
 	m.work(p.member, viewTime)
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -118,6 +118,9 @@
 // Send sends a frame to an instance. It doesn't block; the frame may be lost.
 func (p queuePeers) Send(to string, f wire.Frame) { p.instance.net.Send(to, f) }
 
+// Losses returns a number that grows when frames to or from an instance may have been lost.
+func (p queuePeers) Losses(id string) int { return p.instance.net.Losses(id) }
+
 // Members returns the reachable instances that may own queues of pieces. A draining instance includes itself only if
 // there is no other.
 func (p queuePeers) Members() []batch.Member {
--- a/plantainlane/peer/conn.go
+++ b/plantainlane/peer/conn.go
@@ -34,6 +34,8 @@
 	dialed bool
 	// lastUsed is when a frame other than a heartbeat was last sent or received, in nanoseconds since 1970.
 	lastUsed atomic.Int64
+	// dropped is the number of frames that were dropped because the queue was full.
+	dropped atomic.Int64
 }
 
 // markUsed records that a frame other than a heartbeat is sent or received now.
@@ -55,6 +57,7 @@
 	select {
 	case c.out <- f:
 	default:
+		c.dropped.Add(1)
 		klog.V(1).InfoS("peer queue full, frame dropped", "peer", c.info.ID)
 	}
 }
--- a/plantainlane/peer/net.go
+++ b/plantainlane/peer/net.go
@@ -82,6 +82,9 @@
 	// unreachableSince holds, by instance ID, when the last connection was lost or an attempt to open one failed. An
 	// instance with an open connection has no entry.
 	unreachableSince map[string]time.Time
+	// losses counts, by instance ID, the events other than dropped frames of open connections by which frames may have
+	// been lost.
+	losses map[string]int
 	// dialing holds the addresses to which a goroutine is opening a connection.
 	dialing map[string]bool
 	ctx     context.Context
@@ -105,6 +108,7 @@
 		neighbors:        make(map[string]bool),
 		dialing:          make(map[string]bool),
 		unreachableSince: make(map[string]time.Time),
+		losses:           make(map[string]int),
 		ctx:              ctx,
 	}
 }
@@ -166,6 +170,8 @@
 	}
 	if len(n.pending[to]) < maxPending {
 		n.pending[to] = append(n.pending[to], f)
+	} else {
+		n.losses[to]++
 	}
 	n.dial(i.PeerAddress, to)
 }
@@ -183,6 +189,18 @@
 	return !found || time.Since(since) > assumedUnreachableFor
 }
 
+// Losses returns a number that grows when frames to or from an instance may have been lost: a connection has ended or
+// couldn't be opened, or a queue was full.
+func (n *Net) Losses(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := n.losses[id]
+	for _, c := range n.conns[id] {
+		total += int(c.dropped.Load())
+	}
+	return total
+}
+
 // Wait blocks until all goroutines that the Net started have ended. They end after the context passed to New.
 func (n *Net) Wait() {
 	n.wait.Wait()
@@ -202,6 +220,7 @@
 		delete(n.dialing, address)
 		if len(n.conns[id]) == 0 {
 			delete(n.pending, id)
+			n.losses[id]++
 			n.unreachableSince[id] = time.Now()
 		}
 		n.mu.Unlock()
@@ -251,6 +270,7 @@
 		}
 	}
 	n.conns[c.info.ID] = list
+	n.losses[c.info.ID] += 1 + int(c.dropped.Load())
 	if len(list) == 0 {
 		n.unreachableSince[c.info.ID] = time.Now()
 	}
