--- a/plantainlane/control/config.go
+++ b/plantainlane/control/config.go
@@ -83,8 +83,8 @@
 }
 
 // pushConfig sends another instance one update from the revision that it confirmed to the newest one, unless an earlier
-// push is unconfirmed or the instance hasn't told this leader what it has. Changes that are committed meanwhile share the next push, so that an instance that is behind is
-// sent each declaration once.
+// push is unconfirmed or the instance hasn't told this leader what it has. Changes that are committed meanwhile share the
+// next push, so that an instance that is behind is sent each declaration once.
 func (c *Core) pushConfig(row *leaseRow) {
 	newest := c.state.Config.Revision
 	if !row.contacted || row.info.ID == c.self.ID || row.appliedRevision >= newest || row.pushedRevision > row.appliedRevision {
--- a/plantainlane/control/instance.go
+++ b/plantainlane/control/instance.go
@@ -58,7 +58,8 @@
 }
 
 // runInstances marks instances as silent from which the leader received no lease request for SilentAfter, contacts silent
-// instances in each LeaseInterval, and removes silent instances whose lease expired more than ForgetAfter ago. Only the leader does so.
+// instances in each LeaseInterval, and removes silent instances whose lease expired more than ForgetAfter ago. Only the
+// leader does so.
 func (c *Core) runInstances() {
 	if c.leaderState == nil {
 		return
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -142,9 +142,9 @@
 
 // RoundTrip sends a request and reads the whole answer. It is for requests that may run more than once: it may use a
 // connection that has been idle for up to IdleLimit, and the upstream may close such a connection while the request is
-// sent. RoundTrip returns the errors of ReadBody for a body of more than maxBody bytes, and the whole answer besides the error if
-// r.Accept returns one or the answer is a repeated one. If ctx ends, RoundTrip closes the connection, so that the request
-// fails.
+// sent. RoundTrip returns the errors of Memory.ReadBody for a body of more than maxBody bytes, and the whole answer besides
+// the error if r.Accept returns one or the answer is a repeated one. If ctx ends, RoundTrip closes the connection, so that
+// the request fails.
 func (p *Pool) RoundTrip(ctx context.Context, address string, r *Request, maxBody int64) (*Reply, error) {
 	c, err := p.Get(ctx, address, p.IdleLimit)
 	if err != nil {
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -100,9 +100,7 @@
 		clock:    &wiretimeline.Clock{},
 		ledger:   cost.New(),
 		answers:  caller.NewAnswers(),
-		fleet: engine.NewFleet(now, &http.Client{Transport: &http.Transport{
-			IdleConnTimeout: engineIdleTimeout, MaxResponseHeaderBytes: maxEngineHeadBytes,
-		}}),
+		fleet:    engine.NewFleet(now, newEngineClient()),
 		self: wire.InstanceInfo{
 			ID:              s.Instance.ID,
 			Incarnation:     int(now.UnixMilli()),
@@ -146,6 +144,13 @@
 	return x, x.listen(ctx)
 }
 
+// newEngineClient returns the client for calls to engines.
+func newEngineClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		IdleConnTimeout: engineIdleTimeout, MaxResponseHeaderBytes: maxEngineHeadBytes,
+	}}
+}
+
 // openReplica opens the replica of the control log in the data folder. It does nothing if the settings name no data
 // folder.
 func (x *Instance) openReplica(now time.Time) (err error) {
