exchange: a body is collected in parts that are reserved before they are allocated

Cause: the buffer of a body grew by slices.Grow. It rounds the capacity up beyond what was reserved, leaves each smaller copy to the collector, and in builds with the race detector allocates the added part once more (the compiler's shortcut for append of make is off there). 40 answers, of which 32 MiB may be collected, allocated 182 to 346 MiB together. Exactly doubled buffers alone didn't help: 115 to 151 MiB in 12 trials.

The bound is as it was. A failed read returns no part of the body any more; nobody used it.

--- a/plantainlane/exchange/body.go
+++ b/plantainlane/exchange/body.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
@@ -21,8 +20,6 @@
 	maxCollectedBytes = 32 << 20
 	// freeBytes is the size up to which an answer doesn't count towards maxCollectedBytes.
 	freeBytes = 64 << 10
-	// firstReadBytes is the initial size of the buffer for a body.
-	firstReadBytes = 1 << 10
 )
 
 // Memory bounds the memory for answers that are being collected. It is safe for concurrent use.
@@ -62,30 +59,28 @@
 	r.bytes = 0
 }
 
-// ReadAll reads to the end of body, like io.ReadAll. It returns the part that was read besides an error: ErrTooLarge if
-// there are more than maxBytes, ErrNoMemory if too many large answers are read at the same time.
+// ReadAll reads to the end of body. It returns no part of the body besides an error: ErrTooLarge if there are more than
+// maxBytes, ErrNoMemory if too many large answers are read at the same time.
+//
+// The parts are kept until the end, since a buffer that grows leaves copies of itself, which together are larger than
+// what was reserved for them.
 func (m *Memory) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
 	reserved := m.Reserve()
 	defer reserved.Release()
-	read := make([]byte, 0, firstReadBytes)
+	var read parts
 	for {
-		n, err := body.Read(read[len(read):cap(read)])
-		read = read[:len(read)+n]
+		err := read.fill(body)
 		switch {
-		case int64(len(read)) > maxBytes:
-			return read[:maxBytes], errors.Wrapf(ErrTooLarge, "maximum %d bytes", maxBytes)
+		case int64(read.size) > maxBytes:
+			return nil, errors.Wrapf(ErrTooLarge, "maximum %d bytes", maxBytes)
 		case errors.Is(err, io.EOF):
-			return read, nil
+			return read.join(reserved)
 		case err != nil:
-			return read, err
+			return nil, err
 		}
-		if len(read) < cap(read) {
-			continue
+		if err := read.extend(reserved); err != nil {
+			return nil, err
 		}
-		if err := reserved.Grow(2 * cap(read)); err != nil {
-			return read, err
-		}
-		read = slices.Grow(read, cap(read))
 	}
 }
 
--- a/plantainlane/upstream/client.go
+++ b/plantainlane/upstream/client.go
@@ -56,8 +56,8 @@
 }
 
 // Do makes a call and returns its complete answer. Errors are marked with ErrNotRun if no byte was sent or the upstream
-// reported that the work did not run. After any other error the work may have run; the returned Answer
-// then holds the part of the output and the cost that were received.
+// reported that the work did not run. After any other error the work may have run; the returned Answer then holds the
+// cost that was received.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	ctx, silence := withSilenceTimeout(ctx, call.SilentAfter)
 	defer silence.stop()
