quota, route, forward, batch, platform: what an upstream says of itself: leaving, and a pause

No code read that an upstream says in its answers that it is leaving, nor that it wants nothing for a while: an instance kept sending to such an upstream until its announcement or its failures said so.

One typed notice (limit, leaving, pause) is read at the boundary by quota.Client and quota.Reader, with when its request was sent. The gate that each send passes, and that is asked once more immediately before a request is written, refuses what the notice forbids; so it holds for first sends, preferred upstreams, retries, hedges, resumed streams, calls for pieces, frees, and requests that already wait. route takes the upstream out or rests it, batch reads it with its upstreams. A notice is a process's (ID and incarnation): a successor at the same address isn't bound by it, idle connections to the predecessor are closed, and answers without the request's ID tell nothing. A pause isn't a failure. A queue drops its state of an upstream that was started anew under its ID.

--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -154,19 +154,19 @@
 // SetSpec replaces the batch specification.
 func (q *Queue) SetSpec(spec site.Batch) { q.spec = spec }
 
-// SetUpstreams replaces the list of upstreams. The state of upstreams that aren't in the list, or whose address has
-// changed, is dropped.
+// SetUpstreams replaces the list of upstreams. The state of upstreams that aren't in the list, or which were
+// started anew, is dropped.
 func (q *Queue) SetUpstreams(list []Upstream) {
 	seen := make(map[string]bool, len(list))
 	for _, u := range list {
 		seen[u.ID] = true
 		known := q.upstreams[u.ID]
-		if known != nil && known.Address != u.Address {
+		if known != nil && known.Peer != u.Peer {
 			q.held.removeUpstream(known)
 			known = nil
 		}
 		if known == nil {
-			known = &Upstream{ID: u.ID, Address: u.Address, Zone: u.Zone, slowdown: 1}
+			known = &Upstream{Peer: u.Peer, Zone: u.Zone, slowdown: 1}
 			q.upstreams[u.ID] = known
 		}
 		known.Leaving = u.Leaving
--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/site"
 )
 
@@ -19,7 +20,7 @@
 func upstreams(zones ...string) []Upstream {
 	var out []Upstream
 	for i, zone := range zones {
-		out = append(out, Upstream{ID: fmt.Sprint("w", i), Address: fmt.Sprint("a", i), Zone: zone})
+		out = append(out, Upstream{Peer: quota.Peer{ID: fmt.Sprint("w", i), Address: fmt.Sprint("a", i)}, Zone: zone})
 	}
 	return out
 }
--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -2,13 +2,14 @@
 
 import (
 	"time"
+
+	"plantainlane/plantainlane/quota"
 )
 
 // Upstream is an upstream that runs pieces. A Source sets the exported fields, a Queue keeps its state in the others.
 type Upstream struct {
-	ID      string
-	Address string
-	Zone    string
+	quota.Peer
+	Zone string
 	// Leaving is set while the upstream drains; it gets no new calls.
 	Leaving bool
 
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -140,7 +140,7 @@
 		q.tried = q.tried[:len(q.tried)-1]
 	case out.result == delivered:
 		result = route.Success
-	case out.result == notRun && errors.Is(out.err, errRefused), out.result == inputsGone:
+	case out.result == notRun && errors.Is(out.err, errRefused), out.result == inputsGone, q.asksForPause(out.answer):
 		result = route.Refused
 	case errors.Is(ctx.Err(), context.Canceled):
 		result = route.Cancelled
@@ -152,6 +152,15 @@
 	return out
 }
 
+// asksForPause reports whether an upstream's answer asks for a pause, which isn't a failure of the upstream.
+func (q *request) asksForPause(a *exchange.Reply) bool {
+	if a == nil {
+		return false
+	}
+	n, err := q.server.Client.Read(a.Status, a.Header)
+	return err == nil && n.Pause > 0
+}
+
 // errRefused reports that the upstream itself refused the request.
 var errRefused = errors.New("upstream refused the request")
 
@@ -214,7 +223,9 @@
 		return sendOutcome{result: mayHaveRun, err: err}, 0
 	}
 	defer res.Body.Close()
-	q.server.Client.ObserveHeader(t.Address, sentAt, res.Header, answer.ID != "" && !answer.Misdirected)
+	q.server.Client.Observe(peerOf(t), quota.Heard{
+		SentAt: sentAt, Status: res.StatusCode, Header: res.Header, IsOwn: q.isOwn(c, answer),
+	})
 	if answer.Load != nil {
 		t.Reported(*answer.Load)
 	}
@@ -225,6 +236,15 @@
 	return out, exchange.KeepFor(res)
 }
 
+// isOwn reports whether an answer is known to be the chosen upstream's, to this request. An answer without an ID on a
+// reused connection may be a late one to an earlier request.
+func (q *request) isOwn(c *exchange.Conn, a Answer) bool {
+	if a.ID == "" {
+		return a.NotRun && !c.Reused
+	}
+	return a.ID == q.call.ID && !a.Misdirected
+}
+
 // answerDeadline returns the time until which the upstream must have answered, or have sent the first event of a
 // stream. It is earlier than the request's deadline while the request could still be retried at another upstream.
 func (q *request) answerDeadline(now time.Time) time.Time {
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/quota"
@@ -147,10 +149,12 @@
 func newClient() *quota.Client {
 	return &quota.Client{
 		Pool: exchange.NewPool(time.Minute), Gate: quota.NewGate(&localAsker{allocator: quota.NewAllocator(1)}),
-		Read: func(h http.Header) (float64, bool, error) {
-			text := h.Get("X-Limit")
-			limit, err := strconv.ParseFloat(text, 64)
-			return limit, text != "" && err == nil, nil
+		Read: func(status int, h http.Header) (quota.Notice, error) {
+			n := quota.Notice{Leaving: h.Get("X-Leaving") != ""}
+			var limitErr, pauseErr error
+			n.PerSecond, n.Limited, limitErr = quota.ReadLimit(h.Get("X-Limit"))
+			n.Pause, pauseErr = quota.ReadPause(time.Now(), status, h)
+			return n, errors.Join(limitErr, pauseErr)
 		},
 	}
 }
--- a/plantainlane/forward/rest.go
+++ b/plantainlane/forward/rest.go
@@ -15,8 +15,8 @@
 // allow no request, so that its caller has time left for a retry.
 const maxRestFraction = 0.5
 
-// errAllRest reports that the limits of all upstreams that could be chosen allow no request for too long.
-var errAllRest = errors.New("limits of the upstreams are used up")
+// errAllRest reports that all upstreams that could be chosen take no request for too long, for their limits or pauses.
+var errAllRest = errors.New("upstreams take no request now: limits used up or pauses asked for")
 
 // nextTarget chooses the upstream of the next send and obtains a permit for it. While the limits of all upstreams that
 // could be chosen allow no request, it waits if they will allow one soon enough. It returns false if there is no
@@ -47,7 +47,7 @@
 			}
 			continue
 		}
-		permit, err := s.Client.Gate.Acquire(ctx, target.Address)
+		permit, err := s.Client.Acquire(ctx, peerOf(target))
 		if err == nil {
 			s.backlogs.sent(q.service, time.Now(), waits)
 			return target, permit, true
@@ -57,10 +57,15 @@
 		if !errors.As(err, &refusal) || ctx.Err() != nil {
 			return route.Target{}, quota.Permit{}, false
 		}
-		target.Rest(refusal.Until)
+		target.SetAside(refusal.Until, refusal.Leaving, refusal.Paused)
 	}
 }
 
+// peerOf returns the process of the upstream that was chosen.
+func peerOf(t route.Target) quota.Peer {
+	return quota.Peer{Address: t.Address, ID: t.ID, Incarnation: t.Incarnation}
+}
+
 // query returns the query for the upstream of the next send.
 func (q *request) query() route.Query {
 	return route.Query{Service: q.service, Avoid: q.tried, Preferred: q.affinity.ids, PreferredSlack: q.affinity.slack}
--- a/plantainlane/forward/site_size_test.go
+++ b/plantainlane/forward/site_size_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"plantainlane/plantainlane/batch"
+	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/site"
 	"plantainlane/wire"
 )
@@ -149,7 +150,7 @@
 		for i := range s.upstreams {
 			if s.service == service {
 				id := fmt.Sprint(service, i)
-				out = append(out, batch.Upstream{ID: id, Address: id, Zone: string(rune('a' + i%3))})
+				out = append(out, batch.Upstream{Peer: quota.Peer{ID: id, Address: id}, Zone: string(rune('a' + i%3))})
 			}
 		}
 	}
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -37,8 +37,8 @@
 	Codec forward.HeaderCodec
 	// Translate compiles the document of a site. It returns an error if the document is invalid.
 	Translate func(document []byte) (*site.Site, error)
-	// ReadLimit reads the limits that upstreams name in their answers.
-	ReadLimit quota.LimitReader
+	// ReadNotice reads what upstreams say about themselves in their answers.
+	ReadNotice quota.Reader
 	// Executor returns an executor that runs pieces at upstreams by calls of client.
 	Executor func(client *quota.Client) batch.Executor
 	// Retries bounds the retries at other upstreams. The instance sets its field Instances.
@@ -155,7 +155,8 @@
 		for id, row := range x.View().Upstreams.Rows.All() {
 			a := row.Announcement
 			if a.Service == service && !row.Expired {
-				upstreams = append(upstreams, batch.Upstream{ID: id, Address: a.Address, Zone: a.Zone, Leaving: a.Leaving})
+				peer := quota.Peer{Address: a.Address, ID: id, Incarnation: a.Incarnation}
+				upstreams = append(upstreams, batch.Upstream{Peer: peer, Zone: a.Zone, Leaving: a.Leaving || x.gate.IsLeaving(peer)})
 			}
 		}
 		return *v.Batch, upstreams, true
@@ -170,7 +171,7 @@
 	}
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(upstreamIdleTimeout)
-	client := &quota.Client{Pool: pool, Gate: x.gate, Read: x.proxy.ReadLimit}
+	client := &quota.Client{Pool: pool, Gate: x.gate, Read: x.proxy.ReadNotice}
 	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
 	x.proxy.Retries.Instances = x.activeCount
 	handler := &forward.Server{
--- a/plantainlane/pipeline/attempt.go
+++ b/plantainlane/pipeline/attempt.go
@@ -62,7 +62,7 @@
 	s.tried = append(s.tried, target.ID)
 	s.cost.Attempts++
 	call := upstream.Call{
-		Address:     target.Address,
+		Peer:        quota.Peer{Address: target.Address, ID: target.ID, Incarnation: target.Incarnation},
 		Path:        s.stage.Path,
 		Attempt:     x.ID + "." + s.stage.Name + "." + strconv.Itoa(s.cost.Attempts),
 		Request:     x.ID,
@@ -108,7 +108,7 @@
 	a.target.Done(now, route.Outcome{Result: result, Latency: took})
 	var refusal *quota.Refusal
 	if errors.As(a.err, &refusal) {
-		a.target.Rest(refusal.Until)
+		a.target.SetAside(refusal.Until, refusal.Leaving, refusal.Paused)
 	}
 	if result == route.Success || result == route.Cancelled && took > s.service.Latency.Median() {
 		s.service.Latency.Observe(took)
--- a/plantainlane/quota/client.go
+++ b/plantainlane/quota/client.go
@@ -11,43 +11,50 @@
 	"plantainlane/plantainlane/exchange"
 )
 
-// LimitReader reads the limit that the headers of an answer name, in requests a second. It returns false if they name
-// none, and ErrBadLimit if they can't be read.
-type LimitReader func(h http.Header) (perSecond float64, limited bool, err error)
+// Reader reads the notice in the head of an answer. The parts that can't be read are left out, and reported as ErrBadLimit
+// and ErrBadPause.
+type Reader func(status int, h http.Header) (Notice, error)
 
-// ErrBadLimit reports an answer whose limit can't be read.
-var ErrBadLimit = errors.New("quota: malformed limit")
-
-// Client sends requests with a permit each, and reads the limits that their answers name. It is safe for concurrent use.
+// Client sends requests with a permit each, and reads the notices in their answers. It is safe for concurrent use.
 type Client struct {
 	Pool *exchange.Pool
 	Gate *Gate
-	Read LimitReader
+	Read Reader
+}
+
+// Acquire obtains a permit as Gate.Acquire does. It closes the idle connections to an earlier process at the peer's
+// address: what answers on them say isn't about the peer.
+func (c *Client) Acquire(ctx context.Context, p Peer) (Permit, error) {
+	if c.Gate.Replaced(time.Now(), p) {
+		c.Pool.CloseIdle(p.Address)
+	}
+	return c.Gate.Acquire(ctx, p)
 }
 
-// RoundTrip obtains a permit, sends a request and reads the whole answer, as exchange.Pool.RoundTrip does. If the limit
-// of the upstream allows no request now, it returns a *Refusal marked with exchange.ErrNotSent.
-func (c *Client) RoundTrip(ctx context.Context, address string, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
-	reply, sentAt, err := c.roundTrip(ctx, address, r, maxBody)
+// RoundTrip obtains a permit, sends a request and reads the whole answer, as exchange.Pool.RoundTrip does. If there is
+// no permit, it returns a *Refusal marked with exchange.ErrNotSent.
+func (c *Client) RoundTrip(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
+	reply, sentAt, err := c.roundTrip(ctx, p, r, maxBody)
 	if reply != nil && !errors.Is(err, exchange.ErrRepeatedAnswer) {
-		c.ObserveHeader(address, sentAt, reply.Header, err == nil)
+		isOwn := err == nil || reply.Status == http.StatusServiceUnavailable
+		c.Observe(p, Heard{sentAt, reply.Status, reply.Header, isOwn})
 	}
 	return reply, err
 }
 
 // RoundTripControl does the same for a call that is no work for the upstream. The answer may leave out the limit, so it
 // doesn't tell that a limit has ended.
-func (c *Client) RoundTripControl(ctx context.Context, address string, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
-	reply, sentAt, err := c.roundTrip(ctx, address, r, maxBody)
+func (c *Client) RoundTripControl(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
+	reply, sentAt, err := c.roundTrip(ctx, p, r, maxBody)
 	if reply != nil {
-		c.ObserveHeader(address, sentAt, reply.Header, false)
+		c.Observe(p, Heard{sentAt, reply.Status, reply.Header, false})
 	}
 	return reply, err
 }
 
 // roundTrip obtains a permit, sends a request and reads the whole answer. It also returns when the request was sent.
-func (c *Client) roundTrip(ctx context.Context, address string, r *exchange.Request, maxBody int64) (*exchange.Reply, time.Time, error) {
-	permit, err := c.Gate.Acquire(ctx, address)
+func (c *Client) roundTrip(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, time.Time, error) {
+	permit, err := c.Acquire(ctx, p)
 	if err != nil {
 		return nil, time.Time{}, errors.Mark(err, exchange.ErrNotSent)
 	}
@@ -56,21 +63,33 @@
 		sentAt = time.Now()
 		return permit.Check()
 	}
-	reply, err := c.Pool.RoundTrip(ctx, address, r, maxBody)
+	reply, err := c.Pool.RoundTrip(ctx, p.Address, r, maxBody)
 	return reply, sentAt, err
 }
 
-// ObserveHeader records what the headers of an answer say about the limit of the upstream at an address. The request was
-// sent at sentAt. If the headers name no limit, that tells that there is none only if mayEnd is set: the answer must be
-// known to be the upstream's, to this request.
-func (c *Client) ObserveHeader(address string, sentAt time.Time, h http.Header, mayEnd bool) {
-	perSecond, limited, err := c.Read(h)
+// Heard is the head of an answer.
+type Heard struct {
+	// SentAt is when the request was sent.
+	SentAt time.Time
+	Status int
+	Header http.Header
+	// IsOwn is set if the answer is known to be the peer's, to this request. Otherwise it tells only of a limit, not that
+	// there is none, nor anything about the peer itself.
+	IsOwn bool
+}
+
+// Observe records what an answer says about a peer.
+func (c *Client) Observe(p Peer, a Heard) {
+	now := time.Now()
+	n, err := c.Read(a.Status, a.Header)
 	if err != nil {
-		klog.V(1).InfoS("limit of upstream not read", "address", address, "err", err)
-		return
+		klog.V(1).InfoS("notice of upstream not read", "upstream", p.ID, "address", p.Address, "err", err)
+	}
+	if a.IsOwn {
+		c.Gate.ObserveStanding(now, p, n)
 	}
-	if !limited && !mayEnd {
+	if errors.Is(err, ErrBadLimit) || !n.Limited && !a.IsOwn {
 		return
 	}
-	c.Gate.Observe(address, Statement{Limited: limited, PerSecond: perSecond, SentAt: sentAt, HeardAt: time.Now()})
+	c.Gate.Observe(p.Address, Statement{Limited: n.Limited, PerSecond: n.PerSecond, SentAt: a.SentAt, HeardAt: now})
 }
--- a/plantainlane/quota/client_test.go
+++ b/plantainlane/quota/client_test.go
@@ -3,15 +3,24 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"plantainlane/plantainlane/exchange"
 )
 
+// readNotice is a Reader of short headers.
+func readNotice(status int, h http.Header) (Notice, error) {
+	n := Notice{Leaving: h.Get("Leaving") != ""}
+	var limitErr, pauseErr error
+	n.PerSecond, n.Limited, limitErr = ReadLimit(h.Get("Limit"))
+	n.Pause, pauseErr = ReadPause(time.Now(), status, h)
+	return n, errors.Join(limitErr, pauseErr)
+}
+
 // TestAnswerToControlCallEndsLimit guards against a limit that counts as ended because the answer to a call which isn't
 // work doesn't name it.
 func TestAnswerToControlCallEndsLimit(t *testing.T) {
@@ -23,26 +32,24 @@
 	}))
 	defer s.Close()
 	address := s.Listener.Addr().String()
+	peer := Peer{Address: address}
 	c := &Client{
 		Pool: exchange.NewPool(time.Minute), Gate: NewGate(&slowAsker{}),
-		Read: func(h http.Header) (float64, bool, error) {
-			limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
-			return limit, err == nil, nil
-		},
+		Read: readNotice,
 	}
 	request := func(path string) *exchange.Request {
 		return &exchange.Request{Method: http.MethodPost, Target: path, Host: "h"}
 	}
-	_, err := c.RoundTrip(t.Context(), address, request("/work"), 100)
+	_, err := c.RoundTrip(t.Context(), peer, request("/work"), 100)
 	is.NoErr(err)
 	is.Equal(limitOf(c.Gate, address), 3.0)
-	_, err = c.RoundTripControl(t.Context(), address, request("/free"), 100)
+	_, err = c.RoundTripControl(t.Context(), peer, request("/free"), 100)
 	is.NoErr(err)
 	is.Equal(limitOf(c.Gate, address), 3.0)
-	_, err = c.RoundTrip(t.Context(), address, request("/other"), 100)
+	_, err = c.RoundTrip(t.Context(), peer, request("/other"), 100)
 	is.NoErr(err)
 	is.Equal(limitOf(c.Gate, address), -1.0)
-	_, err = c.RoundTripControl(t.Context(), address, request("/work"), 100)
+	_, err = c.RoundTripControl(t.Context(), peer, request("/work"), 100)
 	is.NoErr(err)
 	is.Equal(limitOf(c.Gate, address), 3.0)
 }
--- a/plantainlane/quota/gate.go
+++ b/plantainlane/quota/gate.go
@@ -18,13 +18,18 @@
 
 // Refusal is the error of a request for which there is no permit. It matches ErrNoPermit.
 type Refusal struct {
-	// Until is when a permit may be asked for again.
+	// Until is when a permit may be asked for again. It isn't set for an upstream that is leaving.
 	Until time.Time
+	// Leaving is set if the upstream has said that it is leaving, Paused if it has asked for a pause.
+	Leaving, Paused bool
 }
 
 // Error returns a text with the remaining time.
 func (r *Refusal) Error() string {
-	return "quota: limit of the upstream is used up for " + time.Until(r.Until).Round(time.Millisecond).String()
+	if r.Leaving {
+		return "quota: upstream is leaving"
+	}
+	return "quota: upstream takes no request for " + time.Until(r.Until).Round(time.Millisecond).String()
 }
 
 // Is reports whether target is ErrNoPermit.
@@ -47,10 +52,12 @@
 	forgetInterval = 10 * time.Second
 )
 
-// Gate holds the limits that one instance knows, by the address of the upstream, and obtains permits. It is safe for
-// concurrent use.
+// Gate holds what one instance knows of upstreams from their own answers, by address: their limits, which of them are
+// leaving, and which have asked for a pause. It obtains permits. It is safe for concurrent use.
 type Gate struct {
 	asker Asker
+	// standings is replaced under mu, and read without a lock.
+	standings atomic.Pointer[standings]
 	// known holds the statements. It is replaced under mu, and read without a lock.
 	known atomic.Pointer[table.Table[Statement]]
 
@@ -65,29 +72,33 @@
 func NewGate(a Asker) *Gate {
 	g := &Gate{asker: a, changed: make(map[string]bool)}
 	g.known.Store(&table.Table[Statement]{})
+	g.standings.Store(&standings{})
 	return g
 }
 
-// Permit allows one request. The zero Permit is for upstreams without a limit.
+// Permit allows one request. The zero Permit allows any.
 type Permit struct {
-	gate    *Gate
-	address string
+	gate *Gate
+	peer Peer
 	// until is when the permit expires.
 	until time.Time
 }
 
-// Acquire obtains a permit for one request to the upstream at an address. It returns a *Refusal if the limit allows no
-// request now.
-func (g *Gate) Acquire(ctx context.Context, address string) (Permit, error) {
-	p := Permit{gate: g, address: address}
-	s, ok := g.known.Load().Get(address)
+// Acquire obtains a permit for one request to an upstream. It returns a *Refusal if the upstream's limit allows no request
+// now, if it has asked for a pause, or if it is leaving.
+func (g *Gate) Acquire(ctx context.Context, peer Peer) (Permit, error) {
+	p := Permit{gate: g, peer: peer}
+	if err := g.standings.Load().refuse(time.Now(), peer); err != nil {
+		return p, err
+	}
+	s, ok := g.known.Load().Get(peer.Address)
 	if !ok || !s.Limited {
 		return p, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	askedAt := time.Now()
-	a, ok := g.asker.Ask(ctx, s.toWire(askedAt, address))
+	a, ok := g.asker.Ask(ctx, s.toWire(askedAt, peer.Address))
 	switch {
 	case !ok:
 		return p, &Refusal{Until: time.Now().Add(unansweredPause)}
@@ -99,14 +110,20 @@
 	return p, nil
 }
 
-// Check returns nil if the request may be sent now. It returns a *Refusal if the permit has expired, or if the limit
-// became known after Acquire. It is to be called immediately before the request is written.
+// Check returns nil if the request may be sent now. It returns a *Refusal if the permit has expired, or if what forbids
+// the request became known after Acquire. It is to be called immediately before the request is written.
 func (p Permit) Check() error {
+	if p.gate == nil {
+		return nil
+	}
 	now := time.Now()
-	if p.gate == nil || now.Before(p.until) {
+	if err := p.gate.standings.Load().refuse(now, p.peer); err != nil {
+		return err
+	}
+	if now.Before(p.until) {
 		return nil
 	}
-	if s, ok := p.gate.known.Load().Get(p.address); !ok || !s.Limited {
+	if s, ok := p.gate.known.Load().Get(p.peer.Address); !ok || !s.Limited {
 		return nil
 	}
 	return &Refusal{Until: now}
@@ -125,6 +142,39 @@
 	}
 }
 
+// ObserveStanding records what an answer of a peer says about the peer, limits excepted. The answer must be known to be
+// the peer's, to a request of this instance. An answer of an unknown peer tells nothing.
+func (g *Gate) ObserveStanding(now time.Time, p Peer, n Notice) {
+	if p.ID == "" || !n.Leaving && n.Pause <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.standings.Store(g.standings.Load().with(now, p, n))
+}
+
+// Replaced reports whether a peer has the address of an earlier process that had said something about itself, and
+// forgets what that was. It reports true once for each such peer.
+func (g *Gate) Replaced(now time.Time, p Peer) bool {
+	if !g.standings.Load().isReplaced(p) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.standings.Load()
+	if !known.isReplaced(p) {
+		return false
+	}
+	g.standings.Store(known.replaced(now, p))
+	return true
+}
+
+// IsLeaving reports whether a peer has said in an answer that it is leaving.
+func (g *Gate) IsLeaving(p Peer) bool {
+	known, ok := g.standings.Load().byAddress.Get(p.Address)
+	return ok && known.leaving && known.peer.isSame(p)
+}
+
 // put records a statement unless a known one is to be believed, and reports whether the limit has changed. source says
 // where the statement is from. g.mu must be held.
 func (g *Gate) put(address string, s Statement, source string) (changed bool) {
@@ -194,4 +244,5 @@
 		}
 	}
 	g.known.Store(&known)
+	g.standings.Store(g.standings.Load().without(now))
 }
--- a/plantainlane/quota/gate_test.go
+++ b/plantainlane/quota/gate_test.go
@@ -41,7 +41,7 @@
 		asker := &slowAsker{delay: 200 * time.Millisecond}
 		g := NewGate(asker)
 		g.Observe("u", heard(time.Now(), true, 1))
-		p, err := g.Acquire(t.Context(), "u")
+		p, err := g.Acquire(t.Context(), Peer{Address: "u"})
 		is.NoErr(err)
 		time.Sleep(99 * time.Millisecond)
 		is.NoErr(p.Check())
@@ -57,7 +57,7 @@
 		is := is.New(t)
 		asker := &slowAsker{}
 		g := NewGate(asker)
-		p, err := g.Acquire(t.Context(), "u")
+		p, err := g.Acquire(t.Context(), Peer{Address: "u"})
 		is.NoErr(err)
 		is.NoErr(p.Check())
 		is.Equal(asker.asked, 0) // upstreams without a limit need no permit
@@ -74,7 +74,7 @@
 		g := NewGate(&slowAsker{delay: -1})
 		g.Observe("u", heard(time.Now(), true, 1))
 		started := time.Now()
-		_, err := g.Acquire(t.Context(), "u")
+		_, err := g.Acquire(t.Context(), Peer{Address: "u"})
 		var refusal *Refusal
 		is.True(errors.As(err, &refusal))
 		is.Equal(time.Since(started), askTimeout)
--- a/plantainlane/quota/statement.go
+++ b/plantainlane/quota/statement.go
@@ -8,8 +8,12 @@
 
 import (
 	"math"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"plantainlane/wire"
 )
 
@@ -72,6 +76,20 @@
 	return s
 }
 
+// ReadLimit parses the limit in the text of a header. It returns false if the text is empty, and ErrBadLimit if it is
+// malformed.
+func ReadLimit(text string) (perSecond float64, limited bool, err error) {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return 0, false, nil
+	}
+	perSecond, err = strconv.ParseFloat(text, 64)
+	if err != nil || !IsValid(perSecond) {
+		return 0, false, errors.Wrapf(ErrBadLimit, "%q", text)
+	}
+	return perSecond, true, nil
+}
+
 // IsValid reports whether perSecond can be a limit.
 func IsValid(perSecond float64) bool {
 	return perSecond >= 0 && !math.IsInf(perSecond, 0) && !math.IsNaN(perSecond)
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -118,13 +118,20 @@
 }
 
 // Review recomputes the run limits, median latencies and capacity of each service, ejects upstreams whose latency is
-// an outlier, and readmits upstreams whose ejection period has ended.
+// an outlier, readmits upstreams whose ejection period has ended, and removes those that have said that they are leaving.
 func (b *Balancer) Review(now time.Time) {
 	at := b.since(now)
+	left := edits{}
+	defer b.publish(left)
 	for _, s := range *b.services.Load() {
 		s.reviewRunLimits()
 		medians := s.medians()
 		for _, u := range s.members {
+			if u.state.Load() == leaving {
+				left.of(s).add(u)
+				b.markLeaving(u)
+				continue
+			}
 			u.review(at, medians[u.info.Load().modelKey])
 		}
 		capacity := s.measureCapacity()
--- a/plantainlane/route/rest.go
+++ b/plantainlane/route/rest.go
@@ -5,12 +5,21 @@
 	"time"
 )
 
-// rests reports whether the upstream's limit allows no request now.
+// rests reports whether the upstream takes no request now, for its limit or because it has asked for a pause.
 func (u *upstream) rests(now int64) bool { return now < u.restsUntil.Load() }
 
-// Rest records that the upstream's limit allows no request until a time. It is not chosen before.
-func (t Target) Rest(until time.Time) {
-	t.upstream.restsUntil.Store(t.balancer.since(until))
+// SetAside records why no request may be sent to the upstream: it is leaving, for good, or it takes none until a time. After
+// a pause that it has asked for, it is in slow start.
+func (t Target) SetAside(until time.Time, isLeaving, isPaused bool) {
+	if isLeaving {
+		t.upstream.state.Store(leaving)
+		return
+	}
+	end := t.balancer.since(until)
+	t.upstream.restsUntil.Store(end)
+	if isPaused {
+		t.upstream.slowStartAt.Store(end)
+	}
 }
 
 // RestsUntil returns the earliest time at which an upstream that matches the query ends its rest. It reports false unless
--- a/plantainlane/upstream/call.go
+++ b/plantainlane/upstream/call.go
@@ -37,6 +37,8 @@
 	// HeaderLimit is the number of requests a second that the upstream takes from all instances together, in the answer.
 	// It is left out while there is no limit.
 	HeaderLimit = "Plantainlane-Request-Limit"
+	// HeaderLeaving is true in the answers of an upstream that is leaving. It is left out otherwise.
+	HeaderLeaving = "Plantainlane-Leaving"
 	// HeaderOffset is the offset of the first token to send. It is left out if the offset is 0.
 	HeaderOffset = "Plantainlane-Resume-Offset"
 )
@@ -67,8 +69,8 @@
 
 // Call is one attempt to run a stage on an upstream.
 type Call struct {
-	// Address is the upstream's host and port.
-	Address string
+	// Peer is the upstream's process, with its address.
+	quota.Peer
 	// Path is the URL path on the upstream. It starts with a slash.
 	Path string
 	// Attempt is the ID of the attempt, which the answer must repeat.
@@ -165,17 +167,13 @@
 	return &StatusError{Status: res.StatusCode, Cost: cost}
 }
 
-// limitOf reads the limit that an answer's headers name, as a quota.LimitReader.
-func limitOf(h http.Header) (perSecond float64, limited bool, err error) {
-	text := h.Get(HeaderLimit)
-	if text == "" {
-		return 0, false, nil
-	}
-	perSecond, err = strconv.ParseFloat(text, 64)
-	if err != nil || !quota.IsValid(perSecond) {
-		return 0, false, errors.Wrapf(quota.ErrBadLimit, "%q", text)
-	}
-	return perSecond, true, nil
+// noticeOf reads the notice in an answer's head, as a quota.Reader.
+func noticeOf(status int, h http.Header) (quota.Notice, error) {
+	var limitErr, pauseErr error
+	n := quota.Notice{Leaving: h.Get(HeaderLeaving) == "true"}
+	n.PerSecond, n.Limited, limitErr = quota.ReadLimit(h.Get(HeaderLimit))
+	n.Pause, pauseErr = quota.ReadPause(time.Now(), status, h)
+	return n, errors.Join(limitErr, pauseErr)
 }
 
 // costOf returns the cost in an answer's headers, in cost units. It returns false if there is no cost or the cost isn't
--- a/plantainlane/upstream/client.go
+++ b/plantainlane/upstream/client.go
@@ -39,7 +39,7 @@
 }
 
 // NewClient returns a client that keeps up to maxIdle idle connections to each upstream, and obtains a permit from the
-// gate for each call to an upstream that names a limit.
+// gate for each call.
 func NewClient(maxIdle int, g *quota.Gate) *Client {
 	pooled := newTransport()
 	pooled.MaxIdleConnsPerHost = maxIdle
@@ -50,7 +50,7 @@
 	return &Client{
 		pooled:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
 		unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
-		limits:   &quota.Client{Gate: g, Read: limitOf},
+		limits:   &quota.Client{Gate: g, Read: noticeOf},
 		memory:   exchange.NewMemory(),
 	}
 }
@@ -83,7 +83,7 @@
 // open obtains a permit, sends a call and checks the head of its answer. The caller must close the body of the answer.
 // Without a permit, the error is a *quota.Refusal marked with ErrNotRun.
 func (c *Client) open(ctx context.Context, call Call) (*http.Response, error) {
-	permit, err := c.limits.Gate.Acquire(ctx, call.Address)
+	permit, err := c.limits.Gate.Acquire(ctx, call.Peer)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotRun)
 	}
@@ -111,7 +111,7 @@
 	}
 	err = checkHead(res, call.Attempt)
 	if !errors.Is(err, ErrForeignAnswer) {
-		c.limits.ObserveHeader(call.Address, tracker.sentAt(), res.Header, true)
+		c.limits.Observe(call.Peer, quota.Heard{SentAt: tracker.sentAt(), Status: res.StatusCode, Header: res.Header, IsOwn: true})
 	}
 	if err != nil {
 		_ = res.Body.Close()
--- a/plantainlane/upstream/client_test.go
+++ b/plantainlane/upstream/client_test.go
@@ -72,7 +72,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			call := Call{Address: startUpstream(t, tt.answer), Path: "/run", Attempt: "a1", Body: []byte(`{"n":1}`), Fresh: true}
+			call := Call{Peer: quota.Peer{Address: startUpstream(t, tt.answer)}, Path: "/run", Attempt: "a1", Body: []byte(`{"n":1}`), Fresh: true}
 			a, err := NewClient(1, quota.NewGate(nil)).Do(context.Background(), call)
 			if name == "whole" {
 				is.NoErr(err)
@@ -97,7 +97,7 @@
 	is.NoErr(err)
 	address := l.Addr().String()
 	l.Close()
-	_, err = NewClient(1, quota.NewGate(nil)).Do(context.Background(), Call{Address: address, Path: "/run", Attempt: "a1"})
+	_, err = NewClient(1, quota.NewGate(nil)).Do(context.Background(), Call{Peer: quota.Peer{Address: address}, Path: "/run", Attempt: "a1"})
 	is.True(errors.Is(err, ErrNotRun))
 }
 
@@ -108,7 +108,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
-	call := Call{Address: l.Addr().String(), Path: "/run", Attempt: "a1", SilentAfter: 20 * time.Millisecond}
+	call := Call{Peer: quota.Peer{Address: l.Addr().String()}, Path: "/run", Attempt: "a1", SilentAfter: 20 * time.Millisecond}
 	_, err = NewClient(1, quota.NewGate(nil)).Do(context.Background(), call)
 	is.True(errors.Is(err, ErrSilent))
 	is.True(!errors.Is(err, ErrNotRun))
@@ -130,7 +130,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			call := Call{Address: startUpstream(t, answerHead("200 OK", "a1")+"\r\n"+tt.body), Path: "/run", Attempt: "a1", Fresh: true}
+			call := Call{Peer: quota.Peer{Address: startUpstream(t, answerHead("200 OK", "a1")+"\r\n"+tt.body)}, Path: "/run", Attempt: "a1", Fresh: true}
 			var got []string
 			end, err := NewClient(1, quota.NewGate(nil)).Stream(context.Background(), call, func(t Token) error {
 				got = append(got, t.Text)
@@ -152,7 +152,7 @@
 	elsewhere := startUpstream(t, answerHead("200 OK", "a1", "Content-Length: 2\r\n")+"\r\n{}")
 	address := startUpstream(t, answerHead("303 See Other", "a1", "Location: http://"+elsewhere+"/run\r\nContent-Length: 0\r\n")+"\r\n")
 	for _, fresh := range []bool{false, true} {
-		call := Call{Address: address, Path: "/run", Attempt: "a1", Body: []byte(`{"n":1}`), Fresh: fresh}
+		call := Call{Peer: quota.Peer{Address: address}, Path: "/run", Attempt: "a1", Body: []byte(`{"n":1}`), Fresh: fresh}
 		_, err := NewClient(1, quota.NewGate(nil)).Do(context.Background(), call)
 		is.True(errors.Is(err, ErrFailed))
 		is.True(!errors.Is(err, ErrNotRun))
--- a/plantainlane/upstream/limit_test.go
+++ b/plantainlane/upstream/limit_test.go
@@ -52,7 +52,7 @@
 	defer s.Close()
 	asker := &fixedAsker{answer: wire.PermitAnswer{WaitMs: 50}}
 	c := NewClient(4, quota.NewGate(asker))
-	call := Call{Address: s.Listener.Addr().String(), Path: "/run", Attempt: "a1", Body: []byte("{}")}
+	call := Call{Peer: quota.Peer{Address: s.Listener.Addr().String()}, Path: "/run", Attempt: "a1", Body: []byte("{}")}
 	_, err := c.Do(t.Context(), call) // names the limit
 	is.NoErr(err)
 	for _, answer := range []wire.PermitAnswer{{WaitMs: 50}, {Granted: true, ValidMs: 0}} {
