batch: an owner ranks its jobs once for all calls of a decision

For each call all jobs were ranked and sorted twice, and each added job was compared with the rank of all others, computed anew.

Now the ranks are integers that are computed once for all calls that start at the same time, and a call reads as many jobs of the sorted list as it takes, those of its zone merged in. The order is the same.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -1,40 +1,28 @@
 package batch
 
 import (
+	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
 
-// rank is a job's place in the order in which jobs are served. Jobs that can still meet their latency target come
-// before those that can't, and jobs within each group are ordered by due.
+// rank is a job's place in the order in which jobs are served, lowest first: its sort time in nanoseconds since the Unix
+// epoch, plus lateRank if it can no longer meet its latency target.
 //
 // In a burst, serving by due time alone would make every request late, since the oldest jobs would always be served
 // just after their due time. Late jobs therefore get only the remaining capacity.
-type rank struct {
-	late bool
-	due  time.Time
-}
+type rank int64
 
-// compare returns a negative number if a job with rank r is served before one with rank other.
-func (r rank) compare(other rank) int {
-	switch {
-	case r.late == other.late:
-		return r.due.Compare(other.due)
-	case other.late:
-		return -1
-	}
-	return 1
-}
+// lateRank is larger than any sort time.
+const lateRank rank = 1 << 62
 
-// rankedJob is a job with its rank at the time of a decision.
-type rankedJob struct {
-	*Job
-	rank
-}
+// isLate reports whether the rank is that of a job which can no longer meet its latency target.
+func (r rank) isLate() bool { return r >= lateRank }
 
-// sortJobs sorts jobs by rank. Jobs of the same rank keep their order.
-func sortJobs(jobs []rankedJob) {
-	slices.SortStableFunc(jobs, func(a, b rankedJob) int { return a.compare(b.rank) })
+// compareJobs orders jobs by rank, and those of the same rank by the time of their addition.
+func compareJobs(a, b *Job) int {
+	return cmp.Or(cmp.Compare(a.ranked, b.ranked), cmp.Compare(a.number, b.number))
 }
 
 // updateDue recomputes effectiveDue and laterQueueLong of a job from the current wait times of the later queues of its
@@ -66,7 +54,7 @@
 
 // isDeferred reports whether a job must not be sent yet: it can't meet its latency target, and the queue of a later
 // stage is long.
-func isDeferred(j rankedJob) bool { return j.laterQueueLong && j.late }
+func isDeferred(j *Job) bool { return j.laterQueueLong && j.ranked.isLate() }
 
 // hasFreeUpstream reports whether at least one upstream can be sent a call.
 func (q *Queue) hasFreeUpstream(now time.Time) bool {
@@ -85,7 +73,7 @@
 
 // chooseUpstream returns the upstream for the next call, nil if no upstream is suitable. It prefers upstreams in the
 // preferred zone of the first job, then faster ones, then those with less result memory occupied.
-func (q *Queue) chooseUpstream(now time.Time, jobs []rankedJob) *Upstream {
+func (q *Queue) chooseUpstream(now time.Time, jobs []*Job) *Upstream {
 	var best *Upstream
 	for _, u := range q.upstreams {
 		if !q.isFree(now, u) {
@@ -121,30 +109,41 @@
 
 // allWaitForSameZone reports whether every job still waits for an upstream in its preferred zone instead of being sent
 // to u.
-func (q *Queue) allWaitForSameZone(now time.Time, u *Upstream, jobs []rankedJob) bool {
-	return !slices.ContainsFunc(jobs, func(j rankedJob) bool { return !q.waitsForSameZone(now, j.Job, u) })
+func (q *Queue) allWaitForSameZone(now time.Time, u *Upstream, jobs []*Job) bool {
+	return !slices.ContainsFunc(jobs, func(j *Job) bool { return !q.waitsForSameZone(now, j, u) })
 }
 
-// sendable updates the due times of all jobs and returns the jobs that have pieces to send now, sorted by rank.
-func (q *Queue) sendable(now time.Time) []rankedJob {
-	out := make([]rankedJob, 0, len(q.jobs))
+// sendable updates the due times and the ranks of all jobs, and returns the jobs that have pieces to send now, by rank.
+// Calls at the same time rank the jobs once, unless jobs were added, calls ended, or no job could be sent.
+func (q *Queue) sendable(now time.Time) []*Job {
+	hasSent := func(j *Job) bool { return j.done || j.unsent() == 0 }
+	if now.Equal(q.rankedAt) && len(q.byRank) > 0 {
+		q.byRank = slices.DeleteFunc(q.byRank, hasSent)
+		return q.byRank
+	}
+	q.rankedAt = now
+	clear(q.byRank)
+	q.byRank = q.byRank[:0]
 	clear(q.laterWaits)
 	completion := now.Add(q.typicalCallTime())
 	for _, j := range q.jobs {
 		q.updateDue(j)
-		ranked := rankedJob{j, j.rank(completion)}
-		if j.unsent() > 0 && !isDeferred(ranked) {
-			out = append(out, ranked)
+		j.ranked = j.rank(completion)
+		if !hasSent(j) && !isDeferred(j) {
+			q.byRank = append(q.byRank, j)
 		}
 	}
-	sortJobs(out)
-	return out
+	slices.SortFunc(q.byRank, compareJobs)
+	return q.byRank
 }
 
+// rerank makes the next call of sendable rank the jobs again.
+func (q *Queue) rerank() { q.rankedAt = time.Time{} }
+
 // hasMemory reports whether the free result memory of an upstream suffices for a call worth sending: for all waiting
 // pieces up to a full call, or for at least the fraction worthwhileFill of a full call. It returns true for every
 // upstream if MemoryBytes is 0, and for an upstream that holds no results.
-func (q *Queue) hasMemory(u *Upstream, jobs []rankedJob) bool {
+func (q *Queue) hasMemory(u *Upstream, jobs []*Job) bool {
 	if q.spec.MemoryBytes <= 0 || u.used == 0 {
 		return true
 	}
@@ -171,19 +170,44 @@
 	return q.waiting > q.fastUpstreams()*q.spec.MaxPieces
 }
 
-// fillCall removes the pieces of the next call from the waiting ones and returns them, in the order of rank. Jobs whose
-// preferred zone is the upstream's are sorted as if due sameZoneBonus earlier.
-func (q *Queue) fillCall(now time.Time, u *Upstream, jobs []rankedJob) []Item {
-	jobs = slices.DeleteFunc(jobs, func(j rankedJob) bool { return q.waitsForSameZone(now, j.Job, u) })
-	for i := range jobs {
-		if jobs[i].Zone == u.Zone {
-			jobs[i].due = jobs[i].due.Add(-sameZoneBonus)
+// byRankAt returns jobs, which are sorted by rank, in the order in which they are served at an upstream: those whose
+// preferred zone is the upstream's count as due sameZoneBonus earlier.
+func byRankAt(u *Upstream, jobs []*Job) iter.Seq[*Job] {
+	nextFrom := func(i int, sameZone bool) int {
+		for i < len(jobs) && (jobs[i].Zone == u.Zone) != sameZone {
+			i++
+		}
+		return i
+	}
+	return func(yield func(*Job) bool) {
+		near, far := nextFrom(0, true), nextFrom(0, false)
+		for near < len(jobs) || far < len(jobs) {
+			isNearFirst := far == len(jobs) || near < len(jobs) && jobs[near].ranked-rank(sameZoneBonus) <= jobs[far].ranked
+			j := far
+			if isNearFirst {
+				j, near = near, nextFrom(near+1, true)
+			} else {
+				far = nextFrom(far+1, false)
+			}
+			if !yield(jobs[j]) {
+				return
+			}
 		}
 	}
-	sortJobs(jobs)
+}
+
+// fillCall removes the pieces of the next call from the waiting ones and returns them, in the order of
+// byRankAt.
+func (q *Queue) fillCall(now time.Time, u *Upstream, jobs []*Job) []Item {
 	var items []Item
 	free := q.spec.MemoryBytes - u.used
-	for _, j := range jobs {
+	for j := range byRankAt(u, jobs) {
+		if len(items) == q.spec.MaxPieces {
+			break
+		}
+		if q.waitsForSameZone(now, j, u) {
+			continue
+		}
 		fits := q.spec.MaxPieces - len(items)
 		if q.spec.MemoryBytes > 0 && j.Bytes > 0 {
 			fits = min(fits, free/j.Bytes)
@@ -195,7 +219,7 @@
 		}
 		for range min(fits, j.unsent()) {
 			free -= j.Bytes
-			items = append(items, Item{Job: j.Job, Piece: j.takePiece()})
+			items = append(items, Item{Job: j, Piece: j.takePiece()})
 			q.waiting--
 		}
 		j.sentAt = now
--- a/plantainlane/batch/job.go
+++ b/plantainlane/batch/job.go
@@ -41,8 +41,11 @@
 	// OnDone is called exactly once, with the outcome.
 	OnDone func(Outcome)
 
-	// addedAt is when the job was added to the queue; zero before that.
+	// addedAt is when the job was added to the queue; zero before that. number counts the additions.
 	addedAt time.Time
+	number  int
+	// ranked is the rank at the last decision, or when the job was added.
+	ranked rank
 	// effectiveDue is Due minus the wait times of the later queues. laterQueueLong is set if one of these queues is
 	// long.
 	effectiveDue   time.Time
@@ -100,7 +103,11 @@
 
 // rank returns the job's place in the order in which jobs are served, if a call that is sent now ends at completion.
 func (j *Job) rank(completion time.Time) rank {
-	return rank{late: j.isLate(completion), due: j.sortTime()}
+	r := rank(j.sortTime().UnixNano())
+	if j.isLate(completion) {
+		r += lateRank
+	}
+	return r
 }
 
 // sortTime returns the time by which jobs are sorted: effectiveDue, later for lower priorities. For a job with
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -109,8 +109,13 @@
 
 // Queue holds the jobs of one service and chooses the calls. It does no I/O and isn't safe for concurrent use.
 type Queue struct {
-	spec      site.Batch
-	jobs      []*Job
+	spec site.Batch
+	jobs []*Job
+	// byRank holds the jobs that sendable returned at rankedAt.
+	byRank   []*Job
+	rankedAt time.Time
+	// added is the number of jobs that were added.
+	added     int
 	upstreams map[string]*Upstream
 	held      heldResults
 	// unsteadyAt is when an upstream was last slow or failing; initially the time of the first check.
@@ -196,7 +201,9 @@
 		q.reject(now, j, estimate)
 		return
 	}
-	j.addedAt = now
+	q.rerank()
+	q.added++
+	j.addedAt, j.number = now, q.added
 	j.handles, j.zones = make([]string, j.Pieces), make(map[string]int)
 	q.largestResult = max(q.largestResult, j.Bytes)
 	q.jobs = append(q.jobs, j)
@@ -290,16 +297,26 @@
 	for _, u := range q.upstreams {
 		u.retrySlow(now)
 	}
-	for _, j := range slices.Clone(q.jobs) {
-		if now.Add(q.spec.CallTime).After(j.completeBy(now)) && j.unsent() > 0 {
-			q.remove(j)
-			q.reject(now, j, q.estimate(now, j))
-		}
-	}
+	q.rejectHopeless(now)
 	q.notifyInputsRead(now)
 	q.counts.Expired += q.held.expire(now)
 }
 
+// rejectHopeless rejects the waiting jobs that can no longer be completed in time.
+func (q *Queue) rejectHopeless(now time.Time) {
+	var hopeless []*Job
+	earliest := now.Add(q.spec.CallTime)
+	for _, j := range q.jobs {
+		if j.unsent() > 0 && earliest.After(j.completeBy(now)) {
+			hopeless = append(hopeless, j)
+		}
+	}
+	for _, j := range hopeless {
+		q.remove(j)
+		q.reject(now, j, q.estimate(now, j))
+	}
+}
+
 // notifyInputsRead calls OnInputsRead of the jobs whose pieces were all sent at least readTime ago, once the queue is
 // steady. By then, the upstreams have read all inputs.
 //
@@ -343,6 +360,7 @@
 // busy is set if the upstream refused the call because it is at capacity. Done returns the handles of results whose
 // jobs have already ended.
 func (q *Queue) Done(now time.Time, c *Call, results []Result, busy bool) (unused []string) {
+	q.rerank()
 	u := c.Upstream
 	u.calls--
 	u.usedAt = now
--- a/plantainlane/batch/rate.go
+++ b/plantainlane/batch/rate.go
@@ -8,10 +8,9 @@
 // served before it, plus its own call.
 func (q *Queue) estimate(now time.Time, j *Job) time.Duration {
 	ahead := 0
-	completion := now.Add(q.typicalCallTime())
-	own := j.rank(completion)
+	j.ranked = j.rank(now.Add(q.typicalCallTime()))
 	for _, other := range q.jobs {
-		if other.rank(completion).compare(own) < 0 {
+		if other.ranked < j.ranked {
 			ahead += other.unsent()
 		}
 	}
