batch: the owner of a queue keeps it until it is lost

An owner now claims its queue in the description of itself that it sends with each lease request and that the leader passes on to all; rows arrive in the order of their changes, so whoever sees a machine back has seen its successor's claim. The newest claim owns the queue, rendezvous hashing only where there is none. An instance claims nothing in the first two seconds after its start or a stall, so that it learns of its successor first. Without a leader the claims that are known stand.

TestQueueReturnsToRestartedInstance and TestThawedOwnerTakesQueueBack are of the new rule and can't be built without it; with rendezvous alone the first returns the queue.

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"plantainlane/wire"
@@ -17,6 +16,8 @@
 	ID string
 	// Cores is the number of processor cores that the instance may use.
 	Cores float64
+	// Owns holds the queues that the instance claims, as text of Peers.Claim; empty for none.
+	Owns string
 }
 
 // Peers gives a Dispatcher access to the other instances. It is safe for concurrent use.
@@ -25,6 +26,8 @@
 	Send(to string, f wire.Frame)
 	// Losses returns a number that grows when frames to or from an instance may have been lost.
 	Losses(id string) int
+	// Claim tells all instances which queues this one owns. It doesn't block; the newest call counts.
+	Claim(owns string)
 	// Members returns the reachable instances that submit jobs and may own queues, including this one.
 	Members() []Member
 }
@@ -59,6 +62,11 @@
 	waitTimes map[string]publishedWait
 	// recent holds the newest releases of results, by service.
 	recent map[string]*recentReleases
+	// owned holds the queues that this instance claims. It is replaced, not changed. numbers holds the highest number of an
+	// ownership that was seen of each queue. No queue is claimed before claimFrom.
+	owned     ownerships
+	numbers   map[string]int
+	claimFrom time.Time
 	// remote holds the jobs that other instances submitted to this one and that haven't ended.
 	remote map[remoteKey]remoteJob
 }
@@ -99,22 +107,12 @@
 		remote:    make(map[remoteKey]remoteJob),
 		waitTimes: make(map[string]publishedWait),
 		recent:    make(map[string]*recentReleases),
+		owned:     make(ownerships),
+		numbers:   make(map[string]int),
+		claimFrom: time.Now().Add(claimAfter),
 	}
 }
 
-// Owner returns the ID of the member that owns a service's queue by rendezvous hashing, or "" if there are no members.
-// Members with fewer than minOwnerCores cores own queues only if all members have fewer.
-func Owner(service string, members []Member) string {
-	best, highest := "", uint64(0)
-	for _, m := range eligibleOwners(members) {
-		weight := xxhash.Sum64String(service + "\x00" + m.ID)
-		if best == "" || weight > highest || weight == highest && m.ID < best {
-			best, highest = m.ID, weight
-		}
-	}
-	return best
-}
-
 // eligibleOwners returns the members with at least minOwnerCores cores, or all members if none has as many.
 func eligibleOwners(members []Member) []Member {
 	eligible := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Cores < minOwnerCores })
@@ -128,7 +126,7 @@
 // the last call, it sends the newest releases again to the new one: the previous owner may have been lost before it
 // freed the results, which would then occupy the upstreams' memory until they expire.
 func (d *Dispatcher) ownerOf(service string) string {
-	to := Owner(service, d.peers.Members())
+	to := d.ownerAmong(service, d.members())
 	if again := d.releases(service).changeOwner(time.Now(), to); len(again) > 0 {
 		klog.InfoS("releases sent again", "service", service, "owner", to, "results", len(again))
 		d.sendRelease(to, service, again)
@@ -435,8 +433,10 @@
 	ow := d.owners[service]
 	if ow == nil {
 		publish := func(w WaitTimes, toAll bool) (period time.Duration) { return d.publishWaitTimes(service, w, toAll) }
-		isOwner := func() bool { return Owner(service, d.peers.Members()) == d.self }
+		isOwner := func() bool { return d.ownerAmong(service, d.members()) == d.self }
 		ow = newOwner(service, d.executor, d.source(service), publish, d.WaitTimes, isOwner)
+		ow.claim = func(now time.Time, owns bool) { d.claim(now, service, owns) }
+		ow.stalled = func(now time.Time) { d.stalled(now, service) }
 		d.owners[service] = ow
 		go ow.run(d.ctx)
 	}
--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -24,6 +24,14 @@
 	// isLost, if set, reports whether a frame to an instance is lost, and losses counts the lost ones.
 	isLost func(to string, f wire.Frame) bool
 	losses int
+	// owns holds the claims of queues.
+	owns map[string]string
+}
+
+func (p memberPeers) Claim(owns string) {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.net.owns[p.self] = owns
 }
 
 type memberPeers struct {
@@ -57,7 +65,7 @@
 	var out []Member
 	for id := range p.net.dispatchers {
 		if !p.net.unreachable[id] {
-			out = append(out, Member{ID: id})
+			out = append(out, Member{ID: id, Owns: p.net.owns[id]})
 		}
 	}
 	return out
@@ -92,7 +100,7 @@
 func newDispatchers(t *testing.T, executor Executor, ids ...string) *network {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	n := &network{dispatchers: make(map[string]*Dispatcher), unreachable: make(map[string]bool)}
+	n := &network{dispatchers: make(map[string]*Dispatcher), unreachable: make(map[string]bool), owns: make(map[string]string)}
 	source := func(string) Source {
 		return func() (site.Batch, []Upstream, bool) { return spec, upstreams("z", "z"), true }
 	}
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -120,6 +120,9 @@
 	// isOwner reports whether this instance should own the queue now. wasOwner is its last result.
 	isOwner  func() bool
 	wasOwner bool
+	// claim tells the other instances whether this one owns the queue, stalled that it stood still.
+	claim   func(now time.Time, owns bool)
+	stalled func(now time.Time)
 	// nextRefresh is when the upstreams are read again, and whether this instance owns the queue. nextDecision is when
 	// the next calls may be started.
 	nextRefresh  time.Time
@@ -155,6 +158,8 @@
 		executor: executor,
 		source:   source,
 		inbox:    make(chan delivery, ownerInbox),
+		claim:    func(time.Time, bool) {},
+		stalled:  func(time.Time) {},
 	}
 	o.queue.WaitTimesOf = waitTimesOf
 	return o
@@ -195,6 +200,7 @@
 		returned := 0
 		if pause > lostTime {
 			o.staleUntil = now.Add(staleTime)
+			o.stalled(now)
 			returned = o.queue.ReturnUnsent(true)
 		}
 		klog.InfoS("queue stalled", "service", o.service, "ms", pause.Milliseconds(), "returned", returned)
@@ -251,10 +257,11 @@
 	o.nextPublish = now.Add(ownersPublishPeriod)
 }
 
-// returnUnsent ends the jobs that have no sent pieces once this instance no longer owns the queue, so that their
+// returnUnsent claims the queue while this instance owns it. It ends the jobs that have no sent pieces once this instance no longer owns the queue, so that their
 // callers submit them to the new owner.
-func (o *owner) returnUnsent() {
+func (o *owner) returnUnsent(now time.Time) {
 	isOwner := o.isOwner()
+	o.claim(now, isOwner)
 	if o.wasOwner && !isOwner {
 		n := o.queue.ReturnUnsent(false)
 		klog.InfoS("queue handed on", "service", o.service, "orders", n)
@@ -301,7 +308,7 @@
 		o.queue.SetSpec(spec)
 		o.queue.SetUpstreams(upstreams)
 	}
-	o.returnUnsent()
+	o.returnUnsent(now)
 }
 
 // handle handles a message from the inbox.
--- /dev/null
+++ b/plantainlane/batch/ownership_test.go
@@ -0,0 +1,92 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// run runs a job at an instance.
+func (n *network) run(is *is.I, at string) {
+	is.Helper()
+	is.Equal(n.dispatchers[at].Run(context.Background(), "encode", testJob("r")).Reason, Reason(""))
+}
+
+// ownerAt returns the owner of the queue as an instance sees it.
+func (n *network) ownerAt(id string) string {
+	d := n.dispatchers[id]
+	return d.ownerAmong("encode", d.members())
+}
+
+// TestQueueReturnsToRestartedInstance guards against a queue that goes back to an instance which was lost, although its
+// new owner serves it: each change of owner costs calls.
+func TestQueueReturnsToRestartedInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newDispatchers(t, &timedExecutor{spec: spec}, "a", "b", "c", "d")
+		time.Sleep(claimAfter)
+		first := n.ownerAt("a")
+		caller := "a"
+		if first == caller {
+			caller = "b"
+		}
+		n.run(is, caller)
+		n.mu.Lock()
+		n.unreachable[first] = true
+		n.mu.Unlock()
+		n.run(is, caller)
+		second := n.ownerAt(caller)
+		is.True(second != first)
+		// It is back, with what it claimed before.
+		n.mu.Lock()
+		n.unreachable[first] = false
+		n.mu.Unlock()
+		for id := range n.dispatchers {
+			is.Equal(n.ownerAt(id), second)
+			n.run(is, id)
+		}
+		// It has restarted and claims nothing.
+		n.mu.Lock()
+		n.owns[first] = ""
+		n.mu.Unlock()
+		n.run(is, caller)
+		is.Equal(n.ownerAt(caller), second)
+	})
+}
+
+// TestThawedOwnerTakesQueueBack guards against an owner that stood still and claims its queue again before it knows the
+// claim of its successor.
+func TestThawedOwnerTakesQueueBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newDispatchers(t, &timedExecutor{spec: spec}, "a")
+		d := n.dispatchers["a"]
+		time.Sleep(claimAfter)
+		n.run(is, "a")
+		before := ownershipNumber("encode", Member{Owns: n.owns["a"]})
+		is.True(before > 0)
+		d.stalled(time.Now(), "encode")
+		is.Equal(n.owns["a"], "")
+		n.run(is, "a")
+		is.Equal(n.owns["a"], "")
+		time.Sleep(claimAfter)
+		n.run(is, "a")
+		is.True(ownershipNumber("encode", Member{Owns: n.owns["a"]}) > before)
+	})
+}
+
+// TestMalformedClaimOwnsQueue guards against claims that can't be read, and against the loss of names with special
+// characters.
+func TestMalformedClaimOwnsQueue(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "%", "encode", "encode=x", "encode=-1", "other=3"} {
+		is.True(ownershipNumber("encode", Member{Owns: text}) <= 0)
+	}
+	o := ownerships{"encode": 3, "a=b&c, d": 7}
+	for service, number := range o {
+		is.Equal(ownershipNumber(service, Member{Owns: o.String()}), number)
+	}
+}
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -249,6 +249,10 @@
 		c.orders.reports = append(c.orders.reports, in.Report)
 	case TrafficEnded:
 		c.releaseGrants()
+	case QueuesOwned:
+		c.self.Owns = in.Owns
+		c.dirty = true
+		c.lease.requestNow()
 	case LoadMeasured:
 		c.self.Load = quantizeLoad(in.Share)
 	}
--- a/plantainlane/control/input.go
+++ b/plantainlane/control/input.go
@@ -83,6 +83,11 @@
 	Share float64
 }
 
+// QueuesOwned reports the queues that this instance owns now, as stated in wire.InstanceInfo.
+type QueuesOwned struct {
+	Owns string
+}
+
 // TrafficEnded reports that this instance is draining and has answered its last request.
 type TrafficEnded struct{}
 
@@ -97,3 +102,4 @@
 func (QueryRequested) input()    {}
 func (TrafficEnded) input()      {}
 func (LoadMeasured) input()      {}
+func (QueuesOwned) input()       {}
--- a/plantainlane/forward/site_size_test.go
+++ b/plantainlane/forward/site_size_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -39,6 +40,8 @@
 	siteDay = 24.0
 	// lossTime is the time until the others notice that an instance is frozen or works again.
 	lossTime = 1200 * time.Millisecond
+	// claimTime is the time until all instances know the queues that an instance claims.
+	claimTime = time.Second
 )
 
 // siteStages are the services of the site's stages, in order, with the number of upstreams.
@@ -95,8 +98,10 @@
 	// results holds the upstreams of all results, by handle.
 	results map[string]*modelUpstream
 	handles int
-	earned  map[string]float64
-	owed    map[string]float64
+	// owns holds the claims of queues, by member.
+	owns   map[string]string
+	earned map[string]float64
+	owed   map[string]float64
 }
 
 // modelUpstream runs one call at a time and holds results until they are freed or expire.
@@ -109,7 +114,7 @@
 func newSiteModel(ctx context.Context) *siteModel {
 	m := &siteModel{
 		byID: make(map[string]*siteMember), upstreams: make(map[string]*modelUpstream), results: make(map[string]*modelUpstream),
-		earned: make(map[string]float64), owed: make(map[string]float64), frozen: -1,
+		owns: make(map[string]string), earned: make(map[string]float64), owed: make(map[string]float64), frozen: -1,
 		site: &site.Site{Services: make(map[string]*site.Service)}, route: &site.Route{Name: "r"},
 	}
 	for i, s := range siteStages {
@@ -198,15 +203,27 @@
 
 func (p sitePeers) Losses(string) int { return 0 }
 
+// Claim tells the others after the time of a message.
+func (p sitePeers) Claim(owns string) {
+	time.AfterFunc(claimTime, func() {
+		p.model.mu.Lock()
+		defer p.model.mu.Unlock()
+		p.model.owns[p.model.members[p.member].id] = owns
+	})
+}
+
 func (p sitePeers) Members() []batch.Member {
 	m := p.model
 	m.work(p.member, viewTime)
+	m.mu.Lock()
+	owns := maps.Clone(m.owns)
+	m.mu.Unlock()
 	now := time.Now()
 	isLost := now.After(m.frozenFrom.Add(lossTime)) && now.Before(m.frozenUntil.Add(lossTime))
 	out := make([]batch.Member, 0, siteMembers)
 	for i, member := range m.members {
 		if i != m.frozen || !isLost || i == p.member {
-			out = append(out, batch.Member{ID: member.id, Cores: member.cores})
+			out = append(out, batch.Member{ID: member.id, Cores: member.cores, Owns: owns[member.id]})
 		}
 	}
 	return out
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,10 @@
 	limiter  *limit.Limiter
 	// gate holds the limits that upstreams name.
 	gate *quota.Gate
+	// ownedQueues is the newest claim of queues, which is passed on under claiming until proxyCtx ends.
+	ownedQueues atomic.Pointer[string]
+	claiming    sync.Mutex
+	proxyCtx    context.Context
 	// net holds the connections to other instances.
 	net *peer.Net
 	// answers holds the outcomes of requests that this instance ran.
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -127,6 +127,18 @@
 // Send sends a frame to an instance. It doesn't block; the frame may be lost.
 func (p queuePeers) Send(to string, f wire.Frame) { p.instance.net.Send(to, f) }
 
+// Claim tells all instances which queues this one owns, with the next lease request.
+func (p queuePeers) Claim(owns string) {
+	x := p.instance
+	x.ownedQueues.Store(&owns)
+	go func() {
+		// Only the newest claim counts, in whatever order the goroutines run.
+		x.claiming.Lock()
+		defer x.claiming.Unlock()
+		x.loop.Deliver(x.proxyCtx, control.QueuesOwned{Owns: *x.ownedQueues.Load()})
+	}()
+}
+
 // Losses returns a number that grows when frames to or from an instance may have been lost.
 func (p queuePeers) Losses(id string) int { return p.instance.net.Losses(id) }
 
@@ -140,7 +152,7 @@
 		if i.ControlOnly || i.Silent || i.Draining || id == x.self.ID || !x.net.IsReachable(id) {
 			continue
 		}
-		out = append(out, batch.Member{ID: id, Cores: i.Cores})
+		out = append(out, batch.Member{ID: id, Cores: i.Cores, Owns: i.Owns})
 	}
 	if v.Instances.Has(x.self.ID) && !x.self.ControlOnly && (!v.Draining || len(out) == 0) {
 		out = append(out, batch.Member{ID: x.self.ID, Cores: x.self.Cores})
@@ -178,6 +190,7 @@
 	if x.proxy == nil {
 		return nil
 	}
+	x.proxyCtx = ctx
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(upstreamIdleTimeout)
 	client := &quota.Client{Pool: pool, Gate: x.gate, Read: x.proxy.ReadNotice}
--- a/wire/types.go
+++ b/wire/types.go
@@ -984,6 +984,10 @@
 	// Host and port for operators.
 	OperatorAddress string `json:"operatorAddress" cbor:"operatorAddress"`
 
+	// Queues of pieces that the instance owns, as URL query parameters: the name of
+	// the service and the number of its ownership. Empty for none.
+	Owns string `json:"owns" cbor:"owns"`
+
 	// Host and port for other instances.
 	PeerAddress string `json:"peerAddress" cbor:"peerAddress"`
 
