--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -35,7 +35,7 @@
 	usedAt time.Time
 	// failures is the number of consecutive failed calls.
 	failures int
-	// notBefore is when a pause ends: after a failure, a lack of memory, or because the upstream's limit is used up.
+	// notBefore is when a pause ends: after a failure, or because the upstream takes no call until then.
 	notBefore time.Time
 }
 
