--- a/plantainlane/batch/large_site_model_test.go
+++ b/plantainlane/batch/large_site_model_test.go
@@ -150,7 +150,7 @@
 // play sends the requests of a number of seconds, and runs until all have ended.
 func (r *largeReplay) play(seconds int, bursts ...largeBurst) {
 	r.earned, r.owed = make([]float64, seconds), make([]float64, seconds)
-	for step := 0; step < int((time.Duration(seconds)*time.Second+8*time.Second)/largeStep); step++ {
+	for step := range int((time.Duration(seconds)*time.Second + 8*time.Second) / largeStep) {
 		r.now = r.start.Add(time.Duration(step) * largeStep)
 		at := r.now.Sub(r.start).Seconds()
 		for i := range largeClasses {
--- a/plantainlane/forward/notice_test.go
+++ b/plantainlane/forward/notice_test.go
@@ -118,7 +118,7 @@
 	started := time.Now()
 	res, _, err := h.post()
 	is.NoErr(err)
-	if res.StatusCode == 503 {
+	if res.StatusCode == http.StatusServiceUnavailable {
 		res, _, err = h.post()
 		is.NoErr(err)
 	}
