batch: an upstream waits for memory only as long as a fuller call is worth it

The wait is now bounded by what it can gain: once a full call that begins now would end later than the pieces of smaller calls begun at the start of the wait, the smaller call is sent. TestUpstreamIdlesForLackOfMemory fails without.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -208,8 +208,8 @@
 func (q *Queue) rerank() { q.rankedAt = time.Time{} }
 
 // hasMemory reports whether the free result memory of an upstream suffices for a call worth sending: for needed pieces,
-// or at a free upstream for at least the fraction worthwhileFill of a full call. A free upstream that holds no results
-// always suffices.
+// or at a free upstream for at least the fraction worthwhileFill of a full call, or for fewer if it has waited for memory
+// for too long. A free upstream that holds no results always suffices.
 func (q *Queue) hasMemory(now time.Time, u *Upstream, jobs []*Job, needed int, isFree bool) bool {
 	free := q.freeMemory(now, u)
 	if q.spec.MemoryBytes <= 0 || isFree && free == q.spec.MemoryBytes {
@@ -224,7 +224,17 @@
 			return true
 		}
 	}
-	return isFree && float64(fits) >= worthwhileFill*float64(q.spec.MaxPieces)
+	return isFree && (float64(fits) >= worthwhileFill*float64(q.spec.MaxPieces) || q.hasWaited(now, u, fits))
+}
+
+// hasWaited reports whether an upstream has waited for memory so long that a full call, if it could begin now, would not
+// make up for not having sent a call with fewer pieces at once: the upstream would complete no more pieces in a time.
+func (q *Queue) hasWaited(now time.Time, u *Upstream, fits int) bool {
+	if fits == 0 {
+		return false
+	}
+	full := q.spec.MaxPieces
+	return now.Sub(u.endedAt) >= q.callTime(fits)*time.Duration(full)/time.Duration(fits)-q.callTime(full)
 }
 
 // isBacklogged reports whether more pieces wait than fit into one full call to each fast upstream.
--- a/plantainlane/batch/idle_test.go
+++ b/plantainlane/batch/idle_test.go
@@ -138,3 +138,22 @@
 	c := q.Next(now)
 	is.Equal(len(c.Items), 8)
 }
+
+// TestUpstreamIdlesForLackOfMemory guards against an upstream that waits for memory longer than a fuller call is worth, such
+// as for results of an unknown owner that don't go.
+func TestUpstreamIdlesForLackOfMemory(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQueue(scarceSpec, "z")
+	addJobs(q, now, 40, 800_000, 10*time.Second)
+	c := q.Next(now)
+	is.Equal(len(c.Items), 8)
+	now = now.Add(450 * time.Millisecond)
+	q.Done(now, c, completedResults(c, "h"), false)
+	// There is memory for four of eight pieces. Two calls of four take 240 ms longer than one of eight.
+	is.True(q.Next(now) == nil)
+	is.True(q.Next(now.Add(200*time.Millisecond)) == nil)
+	c = q.Next(now.Add(250 * time.Millisecond))
+	is.True(c != nil)
+	is.Equal(len(c.Items), 4)
+}
