consensus, control: a replica that stood still reads what has arrived before it judges others

Cause, by reading: the control goroutine's tick ran without the frames that wait in its inbox, and the replica's own standstill counted as the others' silence. A leader stepped down though answers waited, a follower started an election though the leader's heartbeat waited.

Now each step takes what waits, and after a standstill of up to two election timeouts a leader has one more timeout for answers, a follower a new one. After a longer one the others have decided without it, and all is as before.

--- a/plantainlane/consensus/leader.go
+++ b/plantainlane/consensus/leader.go
@@ -19,6 +19,8 @@
 	rounds []round
 	// confirmedRound is the newest round that a quorum answered. Number 0 stands for the leader's election.
 	confirmedRound round
+	// resumedAt is when this replica last continued after a standstill; zero if it never stood still.
+	resumedAt time.Time
 
 	// transferTo is the ID of the target of the leader transfer in progress, or empty.
 	transferTo        string
@@ -27,6 +29,10 @@
 	timeoutNowSent bool
 }
 
+// maxStandstill is the longest standstill of a replica, in election timeouts, after which it waits for messages of the
+// others. It is the longest time after which a follower starts an election.
+const maxStandstill = 2
+
 // round is one heartbeat round: the leader sends an append to every other replica, which answers with the number
 // of the round.
 type round struct {
@@ -84,7 +90,7 @@
 // tickLeader starts a heartbeat round and ends a leader transfer when they are due. The leader steps down if no
 // quorum answered a round of the last election timeout (check quorum) or if its storage is stalled.
 func (n *Node) tickLeader(now time.Time) {
-	if now.Sub(n.leadership.confirmedRound.startedAt) >= n.cfg.ElectionTimeout || n.isStorageStalled(now) {
+	if !now.Before(n.quorumAwaitedUntil()) || n.isStorageStalled(now) {
 		n.becomeFollower(n.hardState.Term, "", now)
 		return
 	}
@@ -99,6 +105,15 @@
 	}
 }
 
+// quorumAwaitedUntil returns until when the leader stays leader if no quorum answers another round: an election timeout
+// after the newest round that a quorum answered, or after a standstill that began within maxStandstill election timeouts
+// of that round.
+func (n *Node) quorumAwaitedUntil() time.Time {
+	confirmed := n.leadership.confirmedRound.startedAt
+	stoodStill := min(max(n.leadership.resumedAt.Sub(confirmed), 0), maxStandstill*n.cfg.ElectionTimeout)
+	return confirmed.Add(stoodStill + n.cfg.ElectionTimeout)
+}
+
 // startRound starts a heartbeat round, which sends an append, with or without entries, to every other replica.
 func (n *Node) startRound(now time.Time) {
 	number := n.newestRound().number + 1
--- a/plantainlane/consensus/node.go
+++ b/plantainlane/consensus/node.go
@@ -60,6 +60,8 @@
 	lastLeader string
 	// electionAt is when the replica starts an election unless a leader contacts it first.
 	electionAt time.Time
+	// tickedAt is when Tick was last called; zero before that.
+	tickedAt time.Time
 	// votes holds the IDs of the replicas that granted their vote or pre-vote.
 	votes map[string]bool
 	// lostElection is the newest election that this replica did not win and that TakeLostElection hasn't returned; nil
@@ -132,6 +134,7 @@
 // Tick starts elections and heartbeat rounds that are due at now. The owner should call it several times per
 // HeartbeatInterval.
 func (n *Node) Tick(now time.Time) {
+	n.recordStandstill(now)
 	if n.role == Leader {
 		n.tickLeader(now)
 		return
@@ -142,6 +145,21 @@
 	n.preCampaign(now)
 }
 
+// recordStandstill gives the others time if this replica itself has just stood still, for lack of processor time: their
+// messages may wait to be handled, and their silence is its own. After a longer standstill they have decided without it.
+func (n *Node) recordStandstill(now time.Time) {
+	pause, isFirst := now.Sub(n.tickedAt), n.tickedAt.IsZero()
+	n.tickedAt = now
+	if isFirst || pause < n.cfg.ElectionTimeout/2 || pause > maxStandstill*n.cfg.ElectionTimeout {
+		return
+	}
+	if n.role == Leader {
+		n.leadership.resumedAt = now
+		return
+	}
+	n.resetElection(now)
+}
+
 // Step handles a message from another replica. A replica without a log joins the log of the first leader that
 // contacts it. Errors are ErrMisdirected and ErrForeignLog; the message then had no effect.
 func (n *Node) Step(m wire.ConsensusMessage, now time.Time) error {
--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -82,18 +82,19 @@
 		case <-ticker.C:
 		case <-l.wake:
 		case in := <-l.inbox:
-			inputs = l.collectInputs(in)
+			inputs = []Input{in}
 		}
-		l.step(inputs)
+		// What has arrived counts before the time that has passed: otherwise others would be found silent whose messages
+		// wait, after this goroutine got no processor time for a while.
+		l.step(l.collectInputs(inputs))
 		if l.OrderSender != nil {
 			l.OrderSender.Send(ctx, l.core.TakeOrders())
 		}
 	}
 }
 
-// collectInputs returns first and the inputs that wait in the inbox, up to batchSize.
-func (l *Loop) collectInputs(first Input) []Input {
-	inputs := []Input{first}
+// collectInputs adds the inputs that wait in the inbox, up to batchSize in all.
+func (l *Loop) collectInputs(inputs []Input) []Input {
 	for len(inputs) < batchSize {
 		select {
 		case in := <-l.inbox:
