batch: an unclaimed queue goes to a machine that owns few and doesn't lead

The candidates for a queue that nobody claims are now those that own the fewest, and not those on the leader's machine, unless there are no others. A claim still stands wherever the leadership goes. TestOneMachineOwnsAllQueues fails without (three queues, one of them on the leader's machine).

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -18,6 +18,8 @@
 	Cores float64
 	// Owns holds the queues that the instance claims, as text of Peers.Claim; empty for none.
 	Owns string
+	// BesideLeader is set if the instance runs on the machine of the leader of the control log.
+	BesideLeader bool
 }
 
 // Peers gives a Dispatcher access to the other instances. It is safe for concurrent use.
--- a/plantainlane/batch/ownership.go
+++ b/plantainlane/batch/ownership.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -47,21 +49,52 @@
 }
 
 // Owner returns the ID of the member that owns a service's queue: the one that claims it with the highest number, or if
-// none does, one by rendezvous hashing. It returns "" if there are no members. Members with fewer than minOwnerCores
-// cores own queues only if all members have fewer.
+// none does, one of the candidates by rendezvous hashing. It returns "" if there are no members.
 func Owner(service string, members []Member) string {
-	best, highest, bestNumber := "", uint64(0), 0
-	for _, m := range eligibleOwners(members) {
+	best, bestNumber := "", 0
+	for _, m := range members {
 		number := ownershipNumber(service, m)
+		if number > bestNumber || number == bestNumber && number > 0 && m.ID < best {
+			best, bestNumber = m.ID, number
+		}
+	}
+	if best != "" {
+		return best
+	}
+	highest := uint64(0)
+	for _, m := range candidates(members) {
 		weight := xxhash.Sum64String(service + "\x00" + m.ID)
-		isBetter := weight > highest || weight == highest && m.ID < best
-		if best == "" || number > bestNumber || number == bestNumber && isBetter {
-			best, highest, bestNumber = m.ID, weight, number
+		if best == "" || weight > highest || weight == highest && m.ID < best {
+			best, highest = m.ID, weight
 		}
 	}
 	return best
 }
 
+// candidates returns the eligible owners of a queue that nobody claims: those that own the fewest queues, and not those on
+// the leader's machine, unless there are no others. A machine that leads and owns queues is short of processor time just
+// when the load is at its worst, and its loss would be that of all.
+func candidates(members []Member) []Member {
+	eligible := eligibleOwners(members)
+	if others := slices.DeleteFunc(slices.Clone(eligible), func(m Member) bool { return m.BesideLeader }); len(others) > 0 {
+		eligible = others
+	}
+	fewest := math.MaxInt
+	for _, m := range eligible {
+		fewest = min(fewest, ownedCount(m))
+	}
+	return slices.DeleteFunc(slices.Clone(eligible), func(m Member) bool { return ownedCount(m) > fewest })
+}
+
+// ownedCount returns the number of queues that a member claims.
+func ownedCount(m Member) int {
+	values, err := url.ParseQuery(m.Owns)
+	if err != nil {
+		return 0
+	}
+	return len(values)
+}
+
 // members returns the members. Its own claims are those of the dispatcher, which the others may not know yet.
 func (d *Dispatcher) members() []Member {
 	list := d.peers.Members()
--- a/plantainlane/batch/ownership_test.go
+++ b/plantainlane/batch/ownership_test.go
@@ -90,3 +90,26 @@
 		is.Equal(ownershipNumber(service, Member{Owns: o.String()}), number)
 	}
 }
+
+// TestOneMachineOwnsAllQueues guards against queues that gather on one machine, and on the one that leads, while others
+// own none.
+func TestOneMachineOwnsAllQueues(t *testing.T) {
+	is := is.New(t)
+	members := []Member{{ID: "a"}, {ID: "b", BesideLeader: true}, {ID: "c"}, {ID: "d"}}
+	owners := make(map[string]int)
+	for i, service := range []string{"encode", "retrieve", "rerank"} {
+		owner := Owner(service, members)
+		owners[owner]++
+		for j := range members {
+			if members[j].ID == owner {
+				members[j].Owns = ownerships{service: i + 1}.String()
+			}
+		}
+	}
+	is.Equal(owners["b"], 0)
+	is.Equal(len(owners), 3)
+	// A claim stands wherever the leader goes, and all machines count if there are no others.
+	members[0].Owns, members[0].BesideLeader = ownerships{"other": 5}.String(), true
+	is.Equal(Owner("other", members), "a")
+	is.Equal(Owner("other", []Member{{ID: "b", BesideLeader: true}}), "b")
+}
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -147,19 +149,35 @@
 func (p queuePeers) Members() []batch.Member {
 	x := p.instance
 	v := x.View()
+	leader, _ := v.Instances.Get(v.Leader)
+	leaderMachine := machineOf(leader)
 	var out []batch.Member
 	for id, i := range v.Instances.All() {
 		if i.ControlOnly || i.Silent || i.Draining || id == x.self.ID || !x.net.IsReachable(id) {
 			continue
 		}
-		out = append(out, batch.Member{ID: id, Cores: i.Cores, Owns: i.Owns})
+		out = append(out, batch.Member{ID: id, Cores: i.Cores, Owns: i.Owns, BesideLeader: isOnMachine(i, leaderMachine)})
 	}
 	if v.Instances.Has(x.self.ID) && !x.self.ControlOnly && (!v.Draining || len(out) == 0) {
-		out = append(out, batch.Member{ID: x.self.ID, Cores: x.self.Cores})
+		out = append(out, batch.Member{ID: x.self.ID, Cores: x.self.Cores, BesideLeader: isOnMachine(x.self, leaderMachine)})
 	}
 	return out
 }
 
+// machineOf returns the start of the peer addresses of all instances on an instance's machine; empty if not known.
+func machineOf(i wire.InstanceInfo) string {
+	host, _, err := net.SplitHostPort(i.PeerAddress)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, "")
+}
+
+// isOnMachine reports whether an instance is on a machine, as returned by machineOf.
+func isOnMachine(i wire.InstanceInfo, machine string) bool {
+	return machine != "" && strings.HasPrefix(i.PeerAddress, machine)
+}
+
 // batchSource returns the source from which the owner of a service's queue reads the batch specification and the
 // upstreams of the service.
 func (x *Instance) batchSource(service string) batch.Source {
