quota: a refusal that names no limit doesn't end one

Found by reading again: a refused call for pieces (503) counted as the peer's own answer, as it must for a pause, and with that told that there is no limit if it named none. The two are told apart again. TestAnswerToControlCallEndsLimit has the case; it failed.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -225,6 +225,7 @@
 	defer res.Body.Close()
 	q.server.Client.Observe(peerOf(t), quota.Heard{
 		SentAt: sentAt, Status: res.StatusCode, Header: res.Header, IsOwn: q.isOwn(c, answer),
+		MayEndLimit: answer.ID != "" && !answer.Misdirected,
 	})
 	if answer.Load != nil {
 		t.Reported(*answer.Load)
--- a/plantainlane/quota/client.go
+++ b/plantainlane/quota/client.go
@@ -36,8 +36,8 @@
 func (c *Client) RoundTrip(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
 	reply, sentAt, err := c.roundTrip(ctx, p, r, maxBody)
 	if reply != nil && !errors.Is(err, exchange.ErrRepeatedAnswer) {
-		isOwn := err == nil || reply.Status == http.StatusServiceUnavailable
-		c.Observe(p, Heard{sentAt, reply.Status, reply.Header, isOwn})
+		isRefusal := reply.Status == http.StatusServiceUnavailable
+		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header, IsOwn: err == nil || isRefusal, MayEndLimit: err == nil})
 	}
 	return reply, err
 }
@@ -47,7 +47,7 @@
 func (c *Client) RoundTripControl(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
 	reply, sentAt, err := c.roundTrip(ctx, p, r, maxBody)
 	if reply != nil {
-		c.Observe(p, Heard{sentAt, reply.Status, reply.Header, false})
+		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header})
 	}
 	return reply, err
 }
@@ -73,9 +73,11 @@
 	SentAt time.Time
 	Status int
 	Header http.Header
-	// IsOwn is set if the answer is known to be the peer's, to this request. Otherwise it tells only of a limit, not that
-	// there is none, nor anything about the peer itself.
+	// IsOwn is set if the answer is the peer's. Otherwise it tells nothing about the peer itself.
 	IsOwn bool
+	// MayEndLimit is set if the answer is known to be the peer's to this request, so that it tells that there is no limit
+	// if it names none.
+	MayEndLimit bool
 }
 
 // Observe records what an answer says about a peer.
@@ -88,7 +90,7 @@
 	if a.IsOwn {
 		c.Gate.ObserveStanding(now, p, n)
 	}
-	if errors.Is(err, ErrBadLimit) || !n.Limited && !a.IsOwn {
+	if errors.Is(err, ErrBadLimit) || !n.Limited && !a.MayEndLimit {
 		return
 	}
 	c.Gate.Observe(p.Address, Statement{Limited: n.Limited, PerSecond: n.PerSecond, SentAt: a.SentAt, HeardAt: now})
--- a/plantainlane/quota/client_test.go
+++ b/plantainlane/quota/client_test.go
@@ -26,8 +26,11 @@
 func TestAnswerToControlCallEndsLimit(t *testing.T) {
 	is := is.New(t)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/work" {
+		switch r.URL.Path {
+		case "/work":
 			w.Header().Set("Limit", "3")
+		case "/refused":
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}))
 	defer s.Close()
@@ -46,6 +49,11 @@
 	_, err = c.RoundTripControl(t.Context(), peer, request("/free"), 100)
 	is.NoErr(err)
 	is.Equal(limitOf(c.Gate, address), 3.0)
+	refused := request("/refused")
+	refused.Accept = func(*exchange.Reply) (string, error) { return "", errors.New("refused") }
+	_, err = c.RoundTrip(t.Context(), peer, refused, 100)
+	is.True(err != nil)
+	is.Equal(limitOf(c.Gate, address), 3.0) // nor by a refusal, which may be a late one
 	_, err = c.RoundTrip(t.Context(), peer, request("/other"), 100)
 	is.NoErr(err)
 	is.Equal(limitOf(c.Gate, address), -1.0)
--- a/plantainlane/upstream/client.go
+++ b/plantainlane/upstream/client.go
@@ -111,7 +111,7 @@
 	}
 	err = checkHead(res, call.Attempt)
 	if !errors.Is(err, ErrForeignAnswer) {
-		c.limits.Observe(call.Peer, quota.Heard{SentAt: tracker.sentAt(), Status: res.StatusCode, Header: res.Header, IsOwn: true})
+		c.limits.Observe(call.Peer, quota.Heard{SentAt: tracker.sentAt(), Status: res.StatusCode, Header: res.Header, IsOwn: true, MayEndLimit: true})
 	}
 	if err != nil {
 		_ = res.Body.Close()
