--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -257,8 +257,8 @@
 	o.nextPublish = now.Add(ownersPublishPeriod)
 }
 
-// returnUnsent claims the queue while this instance owns it. It ends the jobs that have no sent pieces once this instance no longer owns the queue, so that their
-// callers submit them to the new owner.
+// returnUnsent claims the queue while this instance owns it. Once it no longer does, returnUnsent ends the jobs that have
+// no sent pieces, so that their callers submit them to the new owner.
 func (o *owner) returnUnsent(now time.Time) {
 	isOwner := o.isOwner()
 	o.claim(now, isOwner)
