--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -17,6 +17,9 @@
 	Frame wire.Frame
 }
 
+// stallTicks is the number of ticks without a step after which the control goroutine counts as stalled.
+const stallTicks = 5
+
 // Recorder adds events to the time line. Record must not block.
 type Recorder interface {
 	Record(now time.Time, e wire.Event)
@@ -147,7 +150,9 @@
 // Step handles the inputs, runs the systems, and returns the frames to send. now must not be before the now of an
 // earlier call.
 func (c *Core) Step(now time.Time, inputs ...Input) []Outbound {
+	previous := c.now
 	c.now = now
+	c.recordStall(previous)
 	c.out = nil
 	for _, in := range inputs {
 		c.handleInput(in)
@@ -171,6 +176,17 @@
 	return c.out
 }
 
+// recordStall records that no step ran for much longer than a tick: the control goroutine waited, or got no processor
+// time.
+func (c *Core) recordStall(previous time.Time) {
+	pause := c.now.Sub(previous)
+	if previous.IsZero() || pause < stallTicks*c.timing.Tick {
+		return
+	}
+	detail := pause.Round(time.Millisecond).String()
+	c.record(wire.Event{Kind: "controlStalled", Detail: &detail})
+}
+
 // deliverLoopback handles the frames that this instance sent to itself, and then runs replication once for all
 // commands that these frames proposed, so that the proposals of one step share a batch. Both repeat until no frames
 // and no proposals are left.
@@ -224,6 +240,7 @@
 	case PeerConnected:
 		c.peers[in.Info.ID] = in.Info
 		c.updateConnected()
+		c.record(wire.Event{Kind: "peerConnected", Detail: &in.Info.ID})
 		c.forgetPush(in.Info.ID)
 		if in.Info.ID == c.leader {
 			c.lease.requestNow()
@@ -231,6 +248,7 @@
 	case PeerLost:
 		delete(c.peers, in.ID)
 		c.updateConnected()
+		c.record(wire.Event{Kind: "peerLost", Detail: &in.ID})
 		c.forgetPush(in.ID)
 	case Proposed:
 		c.propose(in)
--- a/plantainlane/peer/conn.go
+++ b/plantainlane/peer/conn.go
@@ -15,6 +15,9 @@
 // queueSize is the number of frames that may wait to be written to one connection.
 const queueSize = 1024
 
+// lateHandling is the time for handling a frame above which it is logged.
+const lateHandling = 100 * time.Millisecond
+
 // errUnused is the reason for closing a connection that carried only heartbeats for longer than Timing.Unused.
 var errUnused = errors.New("peer: connection closed because it carried only heartbeats for too long")
 
@@ -96,11 +99,20 @@
 			return errors.Newf("received a frame of instance %q on the connection to instance %q", f.From, c.info.ID)
 		default:
 			c.markUsed()
-			c.net.handler.Frame(f)
+			c.handle(f)
 		}
 	}
 }
 
+// handle passes a frame to the handler. While the handler waits, nothing else that arrives on the connection is handled.
+func (c *conn) handle(f wire.Frame) {
+	started := time.Now()
+	c.net.handler.Frame(f)
+	if took := time.Since(started); took > lateHandling {
+		klog.InfoS("frame handled late", "peer", c.info.ID, "ms", took.Milliseconds())
+	}
+}
+
 // readFrame reads one frame. It returns an error if no frame arrives within Timing.SilentAfter. If the frame can't be
 // decoded, for example because it has a field that this version doesn't know, readFrame sends the other end a Refusal
 // with the reason and returns an error, which ends the connection.
