--- /dev/null
+++ b/plantainlane/instance/site_test.go
@@ -0,0 +1,75 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/settings"
+	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
+)
+
+// silence is a control.FrameSender that sends nothing, and a control.Balancer that ignores all calls.
+type silence struct{}
+
+func (silence) Send(string, wire.Frame)               {}
+func (silence) SetAddress(wire.InstanceInfo)          {}
+func (silence) SetNeighbors([]wire.InstanceInfo)      {}
+func (silence) Apply(time.Time, ...wire.Announcement) {}
+func (silence) Remove(...string)                      {}
+func (silence) SetPolicies([]wire.UpstreamPolicy)     {}
+func (silence) Review(time.Time)                      {}
+
+// inForceWithin is the time within which an accepted change is in force at an instance in contact.
+const inForceWithin = 2 * time.Second
+
+// newSiteInstance returns an instance that serves opaque requests, with a control goroutine that reaches nobody. Documents
+// are JSON texts of a site; the text "broken" can't be compiled.
+func newSiteInstance(t *testing.T) *Instance {
+	timing := control.DefaultTiming()
+	timing.AcceptCommitted, timing.Lease = true, 2*time.Minute
+	core := control.New(wire.InstanceInfo{ID: "e", Incarnation: 1}, control.WithTiming(timing))
+	x := &Instance{settings: &settings.Settings{}, loop: control.NewLoop(core, silence{}, silence{}, nil)}
+	x.proxy = &Proxy{Translate: func(text []byte) (*site.Site, error) {
+		s := &site.Site{}
+		if err := json.Unmarshal(text, s); err != nil {
+			return nil, err
+		}
+		s.Compile(nil)
+		return s, nil
+	}}
+	x.sites = &sites{instance: x}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go x.loop.Run(ctx)
+	return x
+}
+
+// push delivers a configuration from the leader "l" as the instance's first one or the next after the given revision.
+func (x *Instance) push(from, revision int, document string) {
+	update := wire.ConfigUpdate{FromRevision: from, Revision: revision, Set: wire.Declarations{
+		Site: &wire.Site{Version: revision, Document: []byte(document)},
+	}}
+	x.loop.Deliver(context.Background(), control.FrameReceived{Frame: wire.Frame{From: "l", Config: &update}})
+	synctest.Wait()
+}
+
+// TestInstanceThatHearsNoLeaderIsCertain guards against an instance that has a configuration, hears of no leader and so of
+// no newer one, and takes its own for the newest.
+func TestInstanceThatHearsNoLeaderIsCertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x := newSiteInstance(t)
+		x.push(0, 1, `{"Version":1}`)
+		time.Sleep(inForceWithin)
+		synctest.Wait()
+		is.Equal(x.sites.Site().Version, 1)
+		is.True(x.sites.Freshness() != site.Newest)
+	})
+}
--- /dev/null
+++ b/plantainlane/replica/unheard_test.go
@@ -0,0 +1,37 @@
+package replica
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plantainlane/wire"
+)
+
+// TestNewLeaderIsHeardLate guards against an instance that isn't told of a new leader, because the announcement of the
+// leadership is lost, and asks the old one for so long that changes are in force too late. Its connection to the old
+// leader stays open, and the first answer that names the new one is lost as well.
+func TestNewLeaderIsHeardLate(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			o, follower := startCommits(t, seed)
+			c := o.cluster
+			c.useElectionTimeout(600 * time.Millisecond)
+			o.submitEach(t, 200*time.Millisecond, 3*time.Second, "before")
+			old := c.leader()
+			answerLost := false
+			c.mu.Lock()
+			c.isLost = func(_, to string, f wire.Frame) bool {
+				if to != follower.info.ID || f.LeaseAnswer == nil || f.LeaseAnswer.Leader == old.info.ID {
+					return false
+				}
+				isFirst := f.LeaseAnswer.Sequence != 0 && !answerLost
+				answerLost = answerLost || isFirst
+				return isFirst || f.LeaseAnswer.Sequence == 0
+			}
+			c.mu.Unlock()
+			c.remove(old)
+			o.submitEach(t, 200*time.Millisecond, 8*time.Second, "after")
+		})
+	}
+}
