--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -173,6 +173,7 @@
 	c.runRetention()
 	c.runOrders()
 	c.deliverLoopback()
+	c.recordConfirmation()
 	return c.out
 }
 
@@ -213,6 +214,7 @@
 		Self:         c.self,
 		Config:       c.config,
 		LeaseUntil:   c.lease.until,
+		CertainUntil: c.certainUntil(),
 		BehindSince:  behindSince,
 		OutdatedFrom: c.timing.outdatedFrom(behindSince),
 		Draining:     c.draining,
--- a/plantainlane/control/timing.go
+++ b/plantainlane/control/timing.go
@@ -65,6 +65,10 @@
 	}
 }
 
+// inForceWithin returns the time within which an accepted change is in force at an instance that is in contact, if
+// AcceptCommitted is set: half of it is for learning of the change, half for serving behind.
+func (t *Timing) inForceWithin() time.Duration { return 2 * t.ServeBehind }
+
 // outdatedFrom returns when an instance stops serving that has lacked a known revision since behindSince; the zero time
 // if it doesn't, or behindSince is zero.
 func (t *Timing) outdatedFrom(behindSince time.Time) time.Time {
--- a/plantainlane/control/view.go
+++ b/plantainlane/control/view.go
@@ -18,6 +18,9 @@
 	Config state.Config
 	// LeaseUntil is when the configuration lease expires. From then on new work is refused.
 	LeaseUntil time.Time
+	// CertainUntil is until when this instance may deny what Config doesn't allow; zero if it may not. Later, a newer
+	// configuration that allows it may be required to be in force.
+	CertainUntil time.Time
 	// BehindSince is since when this instance has known of a revision that it lacks; zero if it knows of none.
 	BehindSince time.Time
 	// OutdatedFrom is when this instance stops serving under Config because it knows of a newer revision; zero if it
@@ -40,6 +43,11 @@
 	return now.Before(v.LeaseUntil) && !v.IsOutdated(now)
 }
 
+// IsCertain reports whether this instance may deny at the time now what Config doesn't allow.
+func (v *View) IsCertain(now time.Time) bool {
+	return v.BehindSince.IsZero() && now.Before(v.CertainUntil)
+}
+
 // IsOutdated reports whether this instance has known for too long of a newer revision that it lacks.
 func (v *View) IsOutdated(now time.Time) bool {
 	return !v.OutdatedFrom.IsZero() && !now.Before(v.OutdatedFrom)
--- a/plantainlane/forward/freshness_test.go
+++ b/plantainlane/forward/freshness_test.go
@@ -17,12 +17,14 @@
 		key       string
 		status    int
 	}{
-		"newest, unknown key":   {site.Newest, "other", http.StatusUnauthorized},
-		"newest, known key":     {site.Newest, "key", http.StatusOK},
-		"behind, unknown key":   {site.Behind, "other", http.StatusServiceUnavailable},
-		"behind, known key":     {site.Behind, "key", http.StatusOK},
-		"outdated, unknown key": {site.Outdated, "other", http.StatusServiceUnavailable},
-		"outdated, known key":   {site.Outdated, "key", http.StatusServiceUnavailable},
+		"newest, unknown key":      {site.Newest, "other", http.StatusUnauthorized},
+		"newest, known key":        {site.Newest, "key", http.StatusOK},
+		"unconfirmed, unknown key": {site.Unconfirmed, "other", http.StatusServiceUnavailable},
+		"unconfirmed, known key":   {site.Unconfirmed, "key", http.StatusOK},
+		"behind, unknown key":      {site.Behind, "other", http.StatusServiceUnavailable},
+		"behind, known key":        {site.Behind, "key", http.StatusOK},
+		"outdated, unknown key":    {site.Outdated, "other", http.StatusServiceUnavailable},
+		"outdated, known key":      {site.Outdated, "key", http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -108,14 +108,16 @@
 
 // Freshness returns what is known about the age of the site in force.
 func (s *sites) Freshness() site.Freshness {
-	v := s.instance.View()
+	v, now := s.instance.View(), time.Now()
 	switch {
-	case v.BehindSince.IsZero():
-		return site.Newest
-	case v.IsOutdated(time.Now()):
+	case v.IsOutdated(now):
 		return site.Outdated
+	case !v.BehindSince.IsZero():
+		return site.Behind
+	case !v.IsCertain(now):
+		return site.Unconfirmed
 	}
-	return site.Behind
+	return site.Newest
 }
 
 // Upstreams returns the known state of all upstreams.
--- a/plantainlane/replica/unheard_test.go
+++ b/plantainlane/replica/unheard_test.go
@@ -35,3 +35,11 @@
 		})
 	}
 }
+
+// TestCertainInstanceIsOld guards against an instance that takes its configuration for the newest, though a newer one was
+// accepted so long ago that it must be in force: it would deny what that one allows.
+func TestCertainInstanceIsOld(t *testing.T) {
+	for seed := range *seeds {
+		synctest.Test(t, func(t *testing.T) { runFaults(t, newCommitCluster(t, uint64(seed), 4)) })
+	}
+}
--- a/plantainlane/site/site.go
+++ b/plantainlane/site/site.go
@@ -25,8 +25,10 @@
 type Freshness int
 
 const (
-	// Newest means that no newer configuration is known.
+	// Newest means that the configuration was confirmed as the newest so recently that what it denies may be denied.
 	Newest Freshness = iota
+	// Unconfirmed means that a newer configuration may be in force that isn't known.
+	Unconfirmed
 	// Behind means that a newer configuration is known and has not arrived.
 	Behind
 	// Outdated means that a newer configuration has been known for too long to serve under this one.
--- a/wire/types.go
+++ b/wire/types.go
@@ -1061,8 +1061,9 @@
 
 // LeaseAnswer grants or refuses a configuration lease.
 type LeaseAnswer struct {
-	// Length of the lease in milliseconds, counted from the time at which the request
-	// was sent.
+	// Length of a lease in milliseconds, counted from the time at which the request
+	// was sent; 0 unless a quorum has confirmed the leader, so that revision was the
+	// newest when the request was sent.
 	DurationMs int `json:"durationMs" cbor:"durationMs"`
 
 	// Whether the lease was granted.
