--- a/plantainlane/control/instance.go
+++ b/plantainlane/control/instance.go
@@ -58,8 +58,8 @@
 }
 
 // runInstances marks instances as silent from which the leader received no lease request for SilentAfter, contacts silent
-// instances in each LeaseInterval, and removes silent instances whose lease expired more than ForgetAfter ago. Only the
-// leader does so.
+// instances and those that it hasn't heard of in each LeaseInterval, and removes silent instances whose lease expired more
+// than ForgetAfter ago. Only the leader does so.
 func (c *Core) runInstances() {
 	if c.leaderState == nil {
 		return
@@ -71,8 +71,8 @@
 			c.leaderState.updateRow(row, info)
 			c.record(wire.Event{Kind: "instanceSilent", Detail: &info.ID})
 		}
-		if row.info.Silent && !c.now.Before(row.nextContact) {
-			// After a restart the instance may know no other one.
+		if (row.info.Silent || !row.contacted) && !c.now.Before(row.nextContact) {
+			// The announcement of the leadership may be lost, and after a restart the instance may know no other one.
 			row.nextContact = c.now.Add(c.timing.LeaseInterval)
 			c.sendLeadership(row.info.ID)
 		}
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -21,7 +21,7 @@
 	lastSeen time.Time
 	// contacted is set once the instance has requested a lease from this leader.
 	contacted bool
-	// nextContact is when the leader contacts the instance next while it is silent.
+	// nextContact is when the leader contacts the instance next while it is silent or not contacted.
 	nextContact time.Time
 	// version is the leader's row version at which info last changed.
 	version int
@@ -134,7 +134,9 @@
 		if known, ok := c.instances.rows.Get(id); ok && known.Incarnation == info.Incarnation {
 			info = known
 		}
-		added := &leaseRow{info: info, leaseUntil: c.leaderState.since.Add(c.timing.Lease), lastSeen: c.now}
+		added := &leaseRow{
+			info: info, leaseUntil: c.leaderState.since.Add(c.timing.Lease), lastSeen: c.now, nextContact: c.now.Add(c.timing.LeaseInterval),
+		}
 		if row != nil && row.leaseUntil.After(added.leaseUntil) {
 			added.leaseUntil = row.leaseUntil
 		}
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -14,10 +14,6 @@
 // maxRequestedPeers is the largest number of peers that receive one lease request while the leader is unknown.
 const maxRequestedPeers = 8
 
-// overdueAfter is the number of lease intervals without a granted lease after which a lease request also goes to a
-// peer, since another instance may lead now.
-const overdueAfter = 3
-
 // leaseHolder is the state with which an instance requests and holds its configuration lease.
 type leaseHolder struct {
 	// until is when the lease expires, by this instance's own clock.
@@ -27,6 +23,8 @@
 	sent map[int]time.Time
 	// sequence is the number of the newest request.
 	sequence int
+	// answeredAt is when the newest request was sent that the leader has answered, or when the leader became known.
+	answeredAt time.Time
 	// nextRequest is when the next request is due.
 	nextRequest time.Time
 }
@@ -49,18 +47,34 @@
 	return l.sequence
 }
 
-// runLeaseRequests sends a lease request when one is due: to the leader, or to random peers while the leader is
-// unknown. If the lease is overdue, the request goes to the leader and to one random peer. A peer that doesn't lead
-// answers with the ID of the leader that the peer knows.
+// runLeaseRequests sends a lease request when one is due: to the leader, or to random peers while the leader is unknown. While
+// the leader is silent, peers are asked too, and twice as often. A peer that doesn't lead answers with the ID of the leader
+// that the peer knows.
 func (c *Core) runLeaseRequests() {
-	if c.now.Before(c.lease.nextRequest) {
+	isSilent := c.isLeaderSilent()
+	isDue := !c.now.Before(c.lease.nextRequest)
+	peersDue := isSilent && c.now.Sub(c.lease.sent[c.lease.sequence]) >= c.timing.LeaseInterval/2
+	if !isDue && !peersDue || c.leader == "" && len(c.peers) == 0 {
 		return
 	}
-	if c.leader == "" && len(c.peers) == 0 {
-		return
+	req := c.newLeaseRequest(isDue)
+	if c.leader != "" && isDue {
+		c.send(c.leader, wire.Frame{LeaseRequest: &req})
+	}
+	if c.leader == "" || isSilent {
+		c.requestFromPeers(req, maxRequestedPeers)
 	}
+}
+
+// newLeaseRequest records and returns a lease request. If it is the one that was due, the next one is due a LeaseInterval
+// later.
+func (c *Core) newLeaseRequest(isDue bool) wire.LeaseRequest {
+	next := c.lease.nextRequest
 	sequence := c.lease.recordRequest(c.now, c.timing.LeaseInterval)
-	req := wire.LeaseRequest{
+	if !isDue {
+		c.lease.nextRequest = next
+	}
+	return wire.LeaseRequest{
 		Info:             c.self,
 		Sequence:         sequence,
 		Limits:           c.quotas.unconfirmedLimits(c.now, sequence),
@@ -71,15 +85,11 @@
 		InstancesDigest:  c.instances.digest(c.term),
 		LostRevision:     c.freshness.lost,
 	}
-	if c.leader == "" {
-		c.requestFromPeers(req, maxRequestedPeers)
-		return
-	}
-	c.send(c.leader, wire.Frame{LeaseRequest: &req})
-	overdue := c.lease.until.Before(c.now.Add(c.timing.Lease - overdueAfter*c.timing.LeaseInterval))
-	if overdue {
-		c.requestFromPeers(req, 1)
-	}
+}
+
+// isLeaderSilent reports whether the known leader has left a lease request unanswered for half of a LeaseInterval.
+func (c *Core) isLeaderSilent() bool {
+	return c.leader != "" && c.now.Sub(c.lease.answeredAt) >= c.timing.LeaseInterval+c.timing.LeaseInterval/2
 }
 
 // requestFromPeers sends a lease request to up to count random peers, other than the known leader. Their answers name
@@ -136,6 +146,9 @@
 	if !ok {
 		return
 	}
+	if sent.After(c.lease.answeredAt) {
+		c.lease.answeredAt = sent
+	}
 	if a.DurationMs > 0 {
 		c.learnConfirmed(a.Revision, sent)
 	}
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -119,6 +119,7 @@
 	}
 	c.leader, c.term = instance, term
 	c.dirty = true
+	c.lease.answeredAt = c.now
 	c.lease.requestNow()
 	c.record(wire.Event{Kind: "leaderKnown", Detail: &instance})
 }
