--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -10,11 +10,13 @@
 	"plantainlane/wire"
 )
 
-// Outbound is a frame for another instance.
+// Outbound is a frame for another instance, or an order to replace the connections to it.
 type Outbound struct {
 	// To is the receiving instance.
 	To    string
 	Frame wire.Frame
+	// Reconnect is set if the connections to the instance are to be closed; Frame is then empty.
+	Reconnect bool
 }
 
 // stallTicks is the number of ticks without a step after which the control goroutine counts as stalled.
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -14,6 +14,10 @@
 // maxRequestedPeers is the largest number of peers that receive one lease request while the leader is unknown.
 const maxRequestedPeers = 8
 
+// reconnectAfter is the number of lease intervals without an answer of the leader after which the connection to it is
+// replaced.
+const reconnectAfter = 2
+
 // leaseHolder is the state with which an instance requests and holds its configuration lease.
 type leaseHolder struct {
 	// until is when the lease expires, by this instance's own clock.
@@ -25,6 +29,8 @@
 	sequence int
 	// answeredAt is when the newest request was sent that the leader has answered, or when the leader became known.
 	answeredAt time.Time
+	// reconnectedAt is when the connection to a silent leader was last replaced.
+	reconnectedAt time.Time
 	// nextRequest is when the next request is due.
 	nextRequest time.Time
 }
@@ -64,6 +70,9 @@
 	if c.leader == "" || isSilent {
 		c.requestFromPeers(req, maxRequestedPeers)
 	}
+	if isSilent {
+		c.reconnectLeader()
+	}
 }
 
 // newLeaseRequest records and returns a lease request. If it is the one that was due, the next one is due a LeaseInterval
@@ -92,6 +101,23 @@
 	return c.leader != "" && c.now.Sub(c.lease.answeredAt) >= c.timing.LeaseInterval+c.timing.LeaseInterval/2
 }
 
+// reconnectLeader replaces the connection to a leader that has been silent for reconnectAfter although the connection is
+// open: something on it may wait for good.
+func (c *Core) reconnectLeader() {
+	_, isConnected := c.peers[c.leader]
+	since := c.lease.answeredAt
+	if c.lease.reconnectedAt.After(since) {
+		since = c.lease.reconnectedAt
+	}
+	if !isConnected || c.now.Sub(since) < reconnectAfter*c.timing.LeaseInterval {
+		return
+	}
+	c.lease.reconnectedAt = c.now
+	c.out = append(c.out, Outbound{To: c.leader, Reconnect: true})
+	leader := c.leader
+	c.record(wire.Event{Kind: "reconnected", Detail: &leader})
+}
+
 // requestFromPeers sends a lease request to up to count random peers, other than the known leader. Their answers name
 // the leader.
 func (c *Core) requestFromPeers(req wire.LeaseRequest, count int) {
--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -18,6 +18,8 @@
 type FrameSender interface {
 	// Send sends a frame to an instance. It must not block, and drops a frame that can't be sent.
 	Send(to string, f wire.Frame)
+	// Reconnect closes the connections to an instance. The next frame opens another one.
+	Reconnect(to string)
 	// SetAddress sets the peer address of an instance.
 	SetAddress(i wire.InstanceInfo)
 	// SetNeighbors replaces the set of instances to which connections are kept open. A connection to any other
@@ -112,6 +114,10 @@
 	l.publish()
 	l.updateBalancer(now)
 	for _, o := range out {
+		if o.Reconnect {
+			l.frameSender.Reconnect(o.To)
+			continue
+		}
 		l.frameSender.Send(o.To, o.Frame)
 	}
 }
--- a/plantainlane/instance/site_test.go
+++ b/plantainlane/instance/site_test.go
@@ -19,6 +19,7 @@
 type silence struct{}
 
 func (silence) Send(string, wire.Frame)               {}
+func (silence) Reconnect(string)                      {}
 func (silence) SetAddress(wire.InstanceInfo)          {}
 func (silence) SetNeighbors([]wire.InstanceInfo)      {}
 func (silence) Apply(time.Time, ...wire.Announcement) {}
--- a/plantainlane/peer/net.go
+++ b/plantainlane/peer/net.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -259,16 +260,30 @@
 	n.handler.Connected(c.info)
 }
 
-// remove removes a connection that has ended. It calls Handler.Lost if no other connection to the instance is open.
+// Reconnect closes the connections to an instance, also one whose frames wait to be handled. The next Send or SetNeighbors
+// opens another one.
+func (n *Net) Reconnect(id string) {
+	n.mu.Lock()
+	list := slices.Clone(n.conns[id])
+	n.mu.Unlock()
+	for _, c := range list {
+		n.wait.Go(func() {
+			_ = c.ws.CloseNow()
+			n.remove(c)
+		})
+	}
+}
+
+// remove removes a connection that has ended, unless it was removed before. It calls Handler.Lost if no other connection to
+// the instance is open.
 func (n *Net) remove(c *conn) {
 	n.mu.Lock()
-	list := n.conns[c.info.ID]
-	for i := range list {
-		if list[i] == c {
-			list = append(list[:i:i], list[i+1:]...)
-			break
-		}
+	i := slices.Index(n.conns[c.info.ID], c)
+	if i < 0 {
+		n.mu.Unlock()
+		return
 	}
+	list := slices.Concat(n.conns[c.info.ID][:i], n.conns[c.info.ID][i+1:])
 	n.conns[c.info.ID] = list
 	n.losses[c.info.ID] += 1 + int(c.dropped.Load())
 	if len(list) == 0 {
--- a/plantainlane/peer/net_test.go
+++ b/plantainlane/peer/net_test.go
@@ -264,3 +264,41 @@
 	await(t, a.recorder.connected, "new connection")
 	is.True(a.net.IsReachable("b"))
 }
+
+// TestWaitingHandlerMakesInstanceDeaf guards against an instance that no longer hears another one because the handler of
+// one of its frames waits for good, while heartbeats keep the connection open.
+func TestWaitingHandlerMakesInstanceDeaf(t *testing.T) {
+	is := is.New(t)
+	a, b := newTestInstance(t, "a"), newTestInstance(t, "b")
+	waits := make(chan struct{})
+	defer close(waits)
+	a.net.handler = &waitingHandler{a.recorder, waits}
+	a.net.SetNeighbors([]wire.InstanceInfo{{ID: "b", PeerAddress: b.address()}})
+	await(t, a.recorder.connected, "connection")
+	await(t, b.recorder.connected, "connection")
+	b.net.Send("a", wire.Frame{Call: 1, Drain: &wire.DrainOrder{}})
+	b.net.Send("a", wire.Frame{Call: 2, Drain: &wire.DrainOrder{}})
+	time.Sleep(2 * a.net.timing.SilentAfter)
+	is.Equal(len(a.recorder.frames), 0)
+	a.net.Reconnect("b")
+	is.Equal(await(t, a.recorder.lost, "loss"), "b")
+	is.Equal(await(t, b.recorder.lost, "loss at the other end"), "a")
+	a.net.SetNeighbors([]wire.InstanceInfo{{ID: "b", PeerAddress: b.address()}})
+	await(t, b.recorder.connected, "new connection")
+	b.net.Send("a", wire.Frame{Call: 3, Drain: &wire.DrainOrder{}})
+	is.Equal(await(t, a.recorder.frames, "frame").Call, 3)
+}
+
+// waitingHandler is a recorder whose handling of call 1 ends only when waits is closed.
+type waitingHandler struct {
+	*recorder
+	waits chan struct{}
+}
+
+func (h *waitingHandler) Frame(f wire.Frame) {
+	if f.Call == 1 {
+		<-h.waits
+		return
+	}
+	h.recorder.Frame(f)
+}
--- a/plantainlane/replica/cluster_test.go
+++ b/plantainlane/replica/cluster_test.go
@@ -198,6 +198,8 @@
 	lossProbability float64
 	// isLost, if set, reports whether a frame is lost.
 	isLost func(from, to string, f wire.Frame) bool
+	// onReconnect, if set, is called when an instance replaces its connections to another one.
+	onReconnect func(from, to string)
 }
 
 func newCluster(t *testing.T, seed uint64, voters, disks int) *cluster {
@@ -328,6 +330,16 @@
 	}
 }
 
+// Reconnect implements control.FrameSender.
+func (m *member) Reconnect(to string) {
+	c := m.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.onReconnect != nil {
+		c.onReconnect(m.info.ID, to)
+	}
+}
+
 // SetAddress implements control.FrameSender.
 func (m *member) SetAddress(wire.InstanceInfo) {}
 
--- a/plantainlane/replica/unheard_test.go
+++ b/plantainlane/replica/unheard_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// TestInstanceStaysDeaf guards against an instance that never hears the leader again because nothing of what the leader
+// sends on their connection is handled, while the connection stays open.
+func TestInstanceStaysDeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, follower := startCommits(t, 5)
+		c := o.cluster
+		o.submitEach(t, 200*time.Millisecond, 3*time.Second, "before")
+		leader, isDeaf := c.leader().info.ID, true
+		c.mu.Lock()
+		c.isLost = func(from, to string, _ wire.Frame) bool { return isDeaf && from == leader && to == follower.info.ID }
+		c.onReconnect = func(from, to string) { isDeaf = isDeaf && !(from == follower.info.ID && to == leader) }
+		c.mu.Unlock()
+		o.submitEach(t, 200*time.Millisecond, 4*time.Second, "deaf", follower)
+		o.submitEach(t, 200*time.Millisecond, 4*time.Second, "after")
+	})
+}
+
 // TestCertainInstanceIsOld guards against an instance that takes its configuration for the newest, though a newer one was
 // accepted so long ago that it must be in force: it would deny what that one allows.
 func TestCertainInstanceIsOld(t *testing.T) {
