--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -118,8 +118,7 @@
 	headers []http.Header
 }
 
-func (h *harness) Site() *site.Site          { return h.site }
-func (h *harness) Freshness() site.Freshness { return h.freshness }
+func (h *harness) Site() (*site.Site, site.Freshness) { return h.site, h.freshness }
 
 func (h *harness) Upstreams() roster.View { return h.roster.View() }
 
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -21,10 +21,8 @@
 
 // Views provides the current control state. It is safe for concurrent use.
 type Views interface {
-	// Site returns the site configuration in force; nil until one is known.
-	Site() *site.Site
-	// Freshness returns what is known about the age of the site configuration.
-	Freshness() site.Freshness
+	// Site returns the site configuration in force, nil until one is known, and what is known about its age.
+	Site() (*site.Site, site.Freshness)
 	// Upstreams returns the known state of all upstreams.
 	Upstreams() roster.View
 }
@@ -148,8 +146,8 @@
 // admit reads and checks a request and sets the fields of q. It returns a refusal if the request must not be forwarded.
 func (q *request) admit(r *http.Request) *Refusal {
 	s := q.server
-	freshness := s.Views.Freshness()
-	q.site = s.Views.Site()
+	var freshness site.Freshness
+	q.site, freshness = s.Views.Site()
 	switch {
 	case q.site == nil:
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no configuration yet", RetryAfter: longRetryAfter}
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -71,30 +71,49 @@
 type sites struct {
 	instance *Instance
 	mu       sync.Mutex
-	// source is the site of the last attempt to compile, whether or not the attempt succeeded.
-	source *wire.Site
+	// revision is that of the newest configuration whose site was asked for, source its site.
+	revision int
+	source   *wire.Site
 	// compiled is the last site that compiled without error; nil if there is none.
 	compiled *site.Site
+	// isFailed is set if source can't be compiled, so that compiled is older.
+	isFailed bool
 }
 
-// Site returns the compiled form of the site in force. If that site can't be compiled, Site returns the last one that
-// could. It returns nil while there is none.
-func (s *sites) Site() *site.Site {
-	source := s.instance.View().Config.Site
+// Site returns the compiled form of the site in force and what is known about its age. If that site can't be compiled, Site
+// returns the last one that could. It returns nil while there is none.
+func (s *sites) Site() (*site.Site, site.Freshness) { return s.of(s.instance.View(), time.Now()) }
+
+// of returns the compiled form of the site of a view, or of a newer one that was asked for before: a caller that has waited
+// for another site to be compiled may hold an old view.
+func (s *sites) of(v *control.View, now time.Time) (*site.Site, site.Freshness) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if v.Config.Revision > s.revision {
+		s.revision = v.Config.Revision
+		s.use(v.Config.Site)
+	}
+	f := freshnessOf(v, now)
+	if f == site.Newest && s.isFailed {
+		f = site.Unconfirmed
+	}
+	return s.compiled, f
+}
+
+// use compiles a site unless it is the last one. The caller holds mu.
+func (s *sites) use(source *wire.Site) {
 	if source == s.source {
-		return s.compiled
+		return
 	}
 	s.source = source
 	compiled, err := s.compile(source)
+	s.isFailed = err != nil
 	if err != nil {
 		klog.ErrorS(err, "site not taken", "version", source.Version)
-		return s.compiled
+		return
 	}
 	klog.InfoS("site in force", "version", source.Version, "routes", len(compiled.Routes))
 	s.compiled = compiled
-	return compiled
 }
 
 // compile returns the compiled form of a site.
@@ -106,9 +125,8 @@
 	return s.instance.proxy.Translate(text)
 }
 
-// Freshness returns what is known about the age of the site in force.
-func (s *sites) Freshness() site.Freshness {
-	v, now := s.instance.View(), time.Now()
+// freshnessOf returns what is known about the age of the configuration of a view.
+func freshnessOf(v *control.View, now time.Time) site.Freshness {
 	switch {
 	case v.IsOutdated(now):
 		return site.Outdated
@@ -184,7 +202,7 @@
 // upstreams of the service.
 func (x *Instance) batchSource(service string) batch.Source {
 	return func() (site.Batch, []batch.Upstream, bool) {
-		current := x.sites.Site()
+		current, _ := x.sites.Site()
 		if current == nil {
 			return site.Batch{}, nil, false
 		}
--- a/plantainlane/instance/site_test.go
+++ b/plantainlane/instance/site_test.go
@@ -70,8 +70,9 @@
 		x.push(0, 1, `{"Version":1}`)
 		time.Sleep(inForceWithin)
 		synctest.Wait()
-		is.Equal(x.sites.Site().Version, 1)
-		is.Equal(x.sites.Freshness(), site.Unconfirmed)
+		current, freshness := x.sites.Site()
+		is.Equal(current.Version, 1)
+		is.Equal(freshness, site.Unconfirmed)
 	})
 }
 
@@ -89,15 +90,56 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		x := newSiteInstance(t)
+		freshness := func() site.Freshness { _, f := x.sites.Site(); return f }
 		x.answer(0, 0) // announces the leader; the instance sends its first request
 		x.push(0, 1, `{"Version":1}`)
-		is.Equal(x.sites.Freshness(), site.Unconfirmed)
+		is.Equal(freshness(), site.Unconfirmed)
 		time.Sleep(300 * time.Millisecond)
 		x.answer(1, 1)
-		is.Equal(x.sites.Freshness(), site.Newest)
+		is.Equal(freshness(), site.Newest)
 		time.Sleep(inForceWithin - 300*time.Millisecond)
-		is.Equal(x.sites.Freshness(), site.Unconfirmed)
+		is.Equal(freshness(), site.Unconfirmed)
 		x.answer(2, 2)
-		is.Equal(x.sites.Freshness(), site.Behind)
+		is.Equal(freshness(), site.Behind)
+	})
+}
+
+// TestOlderDocumentIsCompiledLast guards against a request that has read an older configuration, has waited while another
+// one was compiled, and has the older one compiled again and in force.
+func TestOlderDocumentIsCompiledLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x := newSiteInstance(t)
+		x.push(0, 1, `{"Version":1}`)
+		old := x.View()
+		x.push(1, 2, `{"Version":2}`)
+		current, _ := x.sites.of(x.View(), time.Now())
+		is.Equal(current.Version, 2)
+		current, _ = x.sites.of(old, time.Now())
+		is.Equal(current.Version, 2)
+	})
+}
+
+// TestBrokenDocumentIsTakenForOlderOne guards against an instance that can't use the newest document, and denies what it
+// may allow.
+func TestBrokenDocumentIsTakenForOlderOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x := newSiteInstance(t)
+		x.answer(0, 0)
+		x.push(0, 1, `{"Version":1}`)
+		x.answer(1, 1)
+		_, freshness := x.sites.Site()
+		is.Equal(freshness, site.Newest)
+		x.push(1, 2, "broken")
+		x.answer(2, 2)
+		current, freshness := x.sites.Site()
+		is.Equal(current.Version, 1)
+		is.Equal(freshness, site.Unconfirmed)
+		x.push(2, 3, `{"Version":3}`)
+		x.answer(3, 3)
+		current, freshness = x.sites.Site()
+		is.Equal(current.Version, 3)
+		is.Equal(freshness, site.Newest)
 	})
 }
