--- a/plantainlane/replica/operators_test.go
+++ b/plantainlane/replica/operators_test.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// loseDisk wipes an instance's disk if there are as many voters as required and all replicas respond, so that a quorum
-// keeps its data. The next disk may be wiped as soon as the lost voter is replaced.
+// loseDisk wipes an instance's disk if there are as many voters as required, all of them know that, and all replicas
+// respond, so that a quorum keeps its data. The next disk may be wiped as soon as the lost voter is replaced.
 func (c *cluster) loseDisk(m *member) {
 	l := c.leader()
 	if l == nil || m.disk == nil || len(c.voterIDs()) != c.voters {
@@ -154,6 +154,15 @@
 	if len(status.Replicas.Voters) != c.voters || slices.ContainsFunc(statuses, unresponsive) {
 		return
 	}
+	for _, id := range c.voterIDs() {
+		voter := c.memberOf(id)
+		if !voter.isUp() {
+			return
+		}
+		if _, of := voter.replica.inspect(); !slices.Equal(of.Replicas.Voters, status.Replicas.Voters) {
+			return
+		}
+	}
 	if m.isUp() {
 		m.crash()
 	}
