--- a/plantainlane/control/freshness.go
+++ b/plantainlane/control/freshness.go
@@ -7,9 +7,10 @@
 	"plantainlane/wire"
 )
 
-// freshness is what an instance knows about revisions that it hasn't applied. The leader states the newest revision in
-// each lease answer, and the revision of its last push: since frames on a connection arrive in order, a push that was
-// sent before an answer and hasn't arrived with it is lost.
+// freshness is what an instance knows about revisions that it hasn't applied, and about the age of the one that it has. The
+// leader states the newest revision in each lease answer, and the revision of its last push: since frames on a connection
+// arrive in order, a push that was sent before an answer and hasn't arrived with it is lost. What no leader has stated isn't
+// known: an instance that hears nothing may lack any number of revisions.
 type freshness struct {
 	// newest is the newest revision known to be committed.
 	newest int
--- a/plantainlane/replica/unheard_test.go
+++ b/plantainlane/replica/unheard_test.go
@@ -46,7 +46,7 @@
 		leader, isDeaf := c.leader().info.ID, true
 		c.mu.Lock()
 		c.isLost = func(from, to string, _ wire.Frame) bool { return isDeaf && from == leader && to == follower.info.ID }
-		c.onReconnect = func(from, to string) { isDeaf = isDeaf && !(from == follower.info.ID && to == leader) }
+		c.onReconnect = func(from, to string) { isDeaf = isDeaf && (from != follower.info.ID || to != leader) }
 		c.mu.Unlock()
 		o.submitEach(t, 200*time.Millisecond, 4*time.Second, "deaf", follower)
 		o.submitEach(t, 200*time.Millisecond, 4*time.Second, "after")
