--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"plantainlane/plantainlane/expiry"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/state"
 	"plantainlane/plantainlane/table"
@@ -83,6 +84,8 @@
 	// nextExpiry is when the roster is checked for expired upstreams next.
 	nextExpiry time.Time
 
+	// resumedAt is the time of the first step after the machine was last suspended; zero if it wasn't.
+	resumedAt time.Time
 	// now is the time of the current step, and out the frames that it sends to other instances.
 	now time.Time
 	out []Outbound
@@ -154,8 +157,9 @@
 func (c *Core) Step(now time.Time, inputs ...Input) []Outbound {
 	previous := c.now
 	c.now = now
-	c.recordStall(previous)
 	c.out = nil
+	c.noteSuspension(previous)
+	c.recordStall(previous)
 	for _, in := range inputs {
 		c.handleInput(in)
 	}
@@ -179,6 +183,29 @@
 	return c.out
 }
 
+// noteSuspension notes that the machine was suspended, or its time of day set forward, since the previous step: what was
+// confirmed before says nothing about now.
+func (c *Core) noteSuspension(previous time.Time) {
+	skipped := expiry.Skipped(previous, c.now)
+	if previous.IsZero() || skipped < c.timing.Tick {
+		return
+	}
+	c.resumedAt = c.now
+	c.lease.requestNow()
+	detail := skipped.Round(time.Millisecond).String()
+	c.record(wire.Event{Kind: "resumed", Detail: &detail})
+}
+
+// isConfirmed reports whether this instance leads and a quorum confirmed that within the last QuorumFresh, and since the
+// machine was last suspended.
+func (c *Core) isConfirmed() bool {
+	since := c.now.Add(-c.timing.QuorumFresh)
+	if c.resumedAt.After(since) {
+		since = c.resumedAt
+	}
+	return c.log.ConfirmedSince(since)
+}
+
 // recordStall records that no step ran for much longer than a tick: the control goroutine waited, or got no processor
 // time.
 func (c *Core) recordStall(previous time.Time) {
--- a/plantainlane/control/freshness.go
+++ b/plantainlane/control/freshness.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"plantainlane/plantainlane/expiry"
 	"plantainlane/wire"
 )
 
@@ -129,7 +130,7 @@
 
 // recordConfirmation records when the configuration is no longer confirmed to be the newest, and when it is again.
 func (c *Core) recordConfirmation() {
-	isUnconfirmed := c.config.Revision > 0 && !c.now.Before(c.certainUntil())
+	isUnconfirmed := c.config.Revision > 0 && expiry.IsPast(c.now, c.certainUntil())
 	if isUnconfirmed == c.freshness.isUnconfirmed {
 		return
 	}
--- a/plantainlane/control/grants.go
+++ b/plantainlane/control/grants.go
@@ -82,7 +82,7 @@
 // Other requests get no answer.
 func (c *Core) handleGrantRequest(from string, packed wire.PackedGrantRequest) {
 	r, err := limit.UnpackRequest(packed)
-	if err != nil || c.leaderState == nil || !c.log.ConfirmedSince(c.now.Add(-c.timing.QuorumFresh)) {
+	if err != nil || c.leaderState == nil || !c.isConfirmed() {
 		return
 	}
 	row := c.leaderState.rows[from]
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -216,7 +216,7 @@
 	if row.pushedRevision > row.appliedRevision {
 		a.PushedRevision = row.pushedRevision
 	}
-	if c.log.ConfirmedSince(c.now.Add(-c.timing.QuorumFresh)) {
+	if c.isConfirmed() {
 		a.DurationMs = int(c.timing.Lease / time.Millisecond)
 	}
 	if a.DurationMs > 0 && r.AppliedRevision >= c.state.Config.Revision {
--- a/plantainlane/control/orders.go
+++ b/plantainlane/control/orders.go
@@ -85,8 +85,8 @@
 		engines++
 	}
 	o.nextPlan = c.now.Add(max(planInterval, time.Duration(engines)*planIntervalPerEngine))
-	if quorumSince := c.now.Add(-c.timing.QuorumFresh); c.log.ConfirmedSince(quorumSince) {
-		o.leaderLeaseUntil = quorumSince.Add(order.DefaultTiming().Lease)
+	if c.isConfirmed() {
+		o.leaderLeaseUntil = c.now.Add(order.DefaultTiming().Lease - c.timing.QuorumFresh)
 	}
 	c.receiveFencing()
 	models := c.state.Config.Shared().Models
--- a/plantainlane/control/quotas.go
+++ b/plantainlane/control/quotas.go
@@ -93,7 +93,7 @@
 // issues permits, since another instance may lead otherwise.
 func (c *Core) handlePermitQuery(to origin, u wire.UpstreamLimit) {
 	a := wire.PermitAnswer{WaitMs: int(refusedPermitWait / time.Millisecond)}
-	if c.leaderState != nil && c.log.ConfirmedSince(c.now.Add(-c.timing.QuorumFresh)) {
+	if c.leaderState != nil && c.isConfirmed() {
 		a = c.leaderState.quotas.Issue(c.now, u)
 	}
 	c.send(to.instance, wire.Frame{Call: to.call, PermitAnswer: &a})
--- a/plantainlane/control/view.go
+++ b/plantainlane/control/view.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"plantainlane/plantainlane/expiry"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/state"
 	"plantainlane/plantainlane/table"
@@ -40,12 +41,12 @@
 
 // LeaseHeld reports whether the configuration lease is valid at the time now and the configuration isn't outdated.
 func (v *View) LeaseHeld(now time.Time) bool {
-	return now.Before(v.LeaseUntil) && !v.IsOutdated(now)
+	return !expiry.IsPast(now, v.LeaseUntil) && !v.IsOutdated(now)
 }
 
 // IsCertain reports whether this instance may deny at the time now what Config doesn't allow.
 func (v *View) IsCertain(now time.Time) bool {
-	return v.BehindSince.IsZero() && now.Before(v.CertainUntil)
+	return v.BehindSince.IsZero() && !expiry.IsPast(now, v.CertainUntil)
 }
 
 // IsOutdated reports whether this instance has known for too long of a newer revision that it lacks.
--- a/plantainlane/quota/gate.go
+++ b/plantainlane/quota/gate.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"plantainlane/plantainlane/expiry"
 	"plantainlane/plantainlane/table"
 	"plantainlane/wire"
 )
@@ -120,7 +121,7 @@
 	if err := p.gate.standings.Load().refuse(now, p.peer); err != nil {
 		return err
 	}
-	if now.Before(p.until) {
+	if !expiry.IsPast(now, p.until) {
 		return nil
 	}
 	if s, ok := p.gate.known.Load().Get(p.peer.Address); !ok || !s.Limited {
