--- a/plantainlane/forward/call.go
+++ b/plantainlane/forward/call.go
@@ -35,6 +35,18 @@
 	ResumeAfter string
 }
 
+// maxSharedParts bounds the parts of a prompt that sharedParts returns.
+const maxSharedParts = 16
+
+// sharedParts returns the IDs of the first parts of the prompt, at most maxSharedParts, without its last part.
+func (c *Call) sharedParts() []string {
+	var ids []string
+	for i := 0; i < len(c.Parts)-1 && i < maxSharedParts; i++ {
+		ids = append(ids, c.Parts[i].ID)
+	}
+	return ids
+}
+
 // PromptPart is a part of a prompt that requests may share.
 type PromptPart struct {
 	ID     string
