quarantine, control, forward, state: content under which upstream after upstream ends is refused

Cause: how a send ends was booked on the upstream alone (route.Target.Done). Nothing was booked on the request, so that each new one with the same part of its prompt was given to the next upstream, at whichever instance it came; no instance saw more than one of the first three ends.

Now each instance reports the sends that broke with their upstream's process (the connection broke and nothing listens any more, or another process has taken its place) and, of the parts that the leader suspects, which were answered. The leader blames a part if the service answered others between the crashes, none with the part since, and the chance of that is small at the rate at which other requests broke. The entry goes into the control log, so that new leaders, restarted instances and those back from a cut know it; it is pushed to all and repeated with lease answers. A request whose upstream has ended isn't sent to another one if two upstreams have ended under one of its parts.

--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -56,12 +56,13 @@
 	config    state.Config
 	freshness freshness
 	// leader is the instance ID of the leader, empty while unknown; term is the leader's term.
-	leader    string
-	term      int
-	lease     leaseHolder
-	grants    grants
-	quotas    quotas
-	instances instanceRows
+	leader       string
+	term         int
+	lease        leaseHolder
+	grants       grants
+	quotas       quotas
+	quarantining quarantining
+	instances    instanceRows
 	// peers holds the instances with a connection to this one, by ID.
 	peers map[string]wire.InstanceInfo
 	// connected holds the IDs of peers for the views. Each change of peers replaces the map, since
@@ -168,6 +169,7 @@
 	c.runInstances()
 	c.runDrainOrders()
 	c.runMembership()
+	c.runQuarantine()
 	c.runLeaseRequests()
 	c.runConfig()
 	c.runGrants()
@@ -329,6 +331,8 @@
 		c.handleUpstreamDelta(f.From, *f.Upstreams)
 	case f.Digest != nil:
 		c.handleDigest(f.From, *f.Digest)
+	case f.Quarantine != nil:
+		c.handleQuarantine(f.From, f.Quarantine)
 	case f.Drain != nil:
 		c.startDrain()
 	default:
--- a/plantainlane/control/leadership.go
+++ b/plantainlane/control/leadership.go
@@ -66,6 +66,8 @@
 	allocatorRevision int
 	// quotas issues permits for upstreams that name a limit.
 	quotas *quota.Allocator
+	// blaming finds content that is to blame for the ends of upstreams.
+	blaming blaming
 }
 
 // waitingChange is a committed change whose origin is answered once the change is in force everywhere, or after until.
@@ -99,6 +101,7 @@
 		since:             c.now,
 		rows:              make(map[string]*leaseRow),
 		quotas:            quota.NewAllocator(c.random.Uint64()),
+		blaming:           newBlaming(c),
 		origins:           make(map[int]origin),
 		registering:       make(map[string]int),
 		unresponsiveSince: make(map[string]time.Time),
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -83,6 +83,8 @@
 	if !isDue {
 		c.lease.nextRequest = next
 	}
+	observed := c.quarantining.guard.Report(c.now, sequence)
+	known := c.quarantining.guard.Known()
 	return wire.LeaseRequest{
 		Info:             c.self,
 		Sequence:         sequence,
@@ -93,6 +95,11 @@
 		LimitsVersion:    c.quotas.limitsVersion(c.instances.term),
 		InstancesDigest:  c.instances.digest(c.term),
 		LostRevision:     c.freshness.lost,
+
+		BrokenSends:       observed.Broken,
+		ServedParts:       observed.Served,
+		QuarantineVersion: known.Version,
+		Suspects:          len(known.Suspects),
 	}
 }
 
@@ -166,6 +173,8 @@
 	c.mergeInstances(a)
 	c.quotas.learn(c.now, a)
 	c.quotas.confirm(a.Sequence)
+	c.quarantining.guard.Confirm(a.Sequence)
+	c.learnQuarantine(a.Quarantine)
 	c.learnRevision(a.Revision)
 	c.learnPushed(a.PushedRevision)
 	sent, ok := c.lease.sent[a.Sequence]
@@ -201,6 +210,7 @@
 	}
 	a.Leader, a.Term, a.Revision = c.self.ID, c.leaderState.term, c.state.Config.Revision
 	c.leaderState.quotas.Report(c.now, r.Limits)
+	c.addQuarantineReport(&r, &a)
 	row := c.leaderState.recordContact(r, c.now)
 	if row == nil {
 		c.registerInstance(r.Info)
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -96,6 +96,9 @@
 		c.applyConfig(c.state.Config)
 		c.record(wire.Event{Kind: "changeCommitted", Revision: &revision, Detail: &cmd.Change.ChangeID})
 	}
+	if cmd.Quarantine != nil {
+		c.recordQuarantine(cmd.Quarantine)
+	}
 	c.answerApplied(e.Index, out)
 }
 
--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -28,6 +28,13 @@
 // ErrHeadTooLarge reports an answer with more than maxHeadBytes before its body.
 var ErrHeadTooLarge = errors.New("exchange: head of the answer too large")
 
+// IsBroken reports whether an error says that a connection ended after a request was written on it and before its answer was
+// whole: it was closed or reset by the upstream, not by a timeout or this instance.
+func IsBroken(err error) bool {
+	isEnd := errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+	return isEnd && !errors.Is(err, ErrNotSent)
+}
+
 // maxTokens is the number of answers of a connection whose second copies are recognized.
 const maxTokens = 8
 
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -73,6 +73,13 @@
 		if ctx.Err() != nil || time.Until(q.deadline) < minTimeLeft {
 			break
 		}
+		if refusal := q.refuseQuarantined(); refusal != nil {
+			if q.hasNotRun() {
+				q.refuse(*refusal)
+				return false
+			}
+			break
+		}
 		if q.connected && !q.server.Budget.Take(q.service, time.Now()) {
 			break
 		}
@@ -94,7 +101,7 @@
 		case mayHaveRun, failedAnswer:
 			q.runs++
 		}
-		if q.route.RetryMode == site.AtMostOnce || q.runs >= q.route.MaxAttempts {
+		if !q.mayRunAgain() {
 			break
 		}
 	}
@@ -111,8 +118,8 @@
 	switch {
 	case last.result == failedAnswer && !q.headSent:
 		q.deliver(last.answer)
-	// Nothing ran and no event was forwarded, so the caller may retry if its deadline leaves the time.
-	case q.runs == 0 && q.call.ResumeAfter == q.lastEvent:
+	// The caller may retry if its deadline leaves the time.
+	case q.hasNotRun():
 		retryAfter := max(shortRetryAfter, time.Until(q.restsUntil))
 		if time.Until(q.deadline) < retryAfter {
 			retryAfter = 0
@@ -125,12 +132,20 @@
 	}
 }
 
+// mayRunAgain reports whether the request may be sent again after a send that may have run.
+func (q *request) mayRunAgain() bool {
+	return q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
+}
+
+// hasNotRun reports whether no send ran and no event was forwarded.
+func (q *request) hasNotRun() bool { return q.runs == 0 && q.call.ResumeAfter == q.lastEvent }
+
 // send sends the request to one upstream, forwards the answer, and reports the outcome to the balancer.
 func (q *request) send(ctx context.Context, t route.Target, permit quota.Permit) sendOutcome {
 	q.sends++
 	q.upstream = t.ID
 	q.tried = append(q.tried, t.ID)
-	start := time.Now()
+	start, events := time.Now(), q.events
 	out := q.connectAndSend(ctx, t, permit)
 	result := route.Failure
 	switch {
@@ -149,6 +164,7 @@
 	if out.err != nil {
 		q.logFailedSend(t, out, time.Since(start))
 	}
+	q.reportToGuard(ctx, t, out, q.events > events)
 	return out
 }
 
--- a/plantainlane/forward/call.go
+++ b/plantainlane/forward/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/route"
 	"plantainlane/wire"
 )
@@ -35,13 +36,10 @@
 	ResumeAfter string
 }
 
-// maxSharedParts bounds the parts of a prompt that sharedParts returns.
-const maxSharedParts = 16
-
-// sharedParts returns the IDs of the first parts of the prompt, at most maxSharedParts, without its last part.
+// sharedParts returns the IDs of the first parts of the prompt that the quarantine considers, without its last part.
 func (c *Call) sharedParts() []string {
 	var ids []string
-	for i := 0; i < len(c.Parts)-1 && i < maxSharedParts; i++ {
+	for i := 0; i < len(c.Parts)-1 && i < quarantine.MaxParts; i++ {
 		ids = append(ids, c.Parts[i].ID)
 	}
 	return ids
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -38,6 +38,9 @@
 		}
 		c.Pieces = append(c.Pieces, pieces)
 	}
+	for _, id := range strings.FieldsFunc(h.Get("X-Parts"), func(r rune) bool { return r == ',' }) {
+		c.Parts = append(c.Parts, PromptPart{ID: id, Tokens: 10})
+	}
 	return c, nil
 }
 
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -14,6 +14,7 @@
 
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/logs"
+	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/site"
@@ -42,6 +43,8 @@
 	Client     *quota.Client
 	Dispatcher Dispatcher
 	Budget     *Budget
+	// Guard refuses requests whose content ends upstreams; nil refuses none.
+	Guard *quarantine.Guard
 	// Observer may be nil.
 	Observer Observer
 	// Zone is the availability zone of the instance.
@@ -82,7 +85,9 @@
 	route  *site.Route
 	call   Call
 	// service is the service that the request is sent to.
-	service  string
+	service string
+	// content is what the quarantine knows the request by.
+	content  quarantine.Request
 	received time.Time
 	// deadline is when the caller must have the answer, answerMargin before its timeout.
 	deadline time.Time
@@ -178,6 +183,10 @@
 	}
 	q.lastEvent = q.call.ResumeAfter
 	q.service = q.route.Service(rand.Float64())
+	q.content = quarantine.Request{ID: q.call.ID, Service: q.service, Workspace: q.workspace, Parts: quarantine.Parts(q.call.sharedParts())}
+	if refusal := q.refuseQuarantined(); refusal != nil {
+		return refusal
+	}
 	s.Budget.RecordRequest(q.service, q.received)
 	q.affinity = affinityOf(s.Views.Upstreams(), q.service, q.route.Stages, q.call.Parts)
 	return nil
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -28,6 +28,7 @@
 	"plantainlane/plantainlane/order"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/pipeline"
+	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/replica"
 	"plantainlane/plantainlane/route"
@@ -70,6 +71,8 @@
 	limiter  *limit.Limiter
 	// gate holds the limits that upstreams name.
 	gate *quota.Gate
+	// guard refuses requests whose content ends upstreams.
+	guard *quarantine.Guard
 	// ownedQueues is the newest claim of queues, which is passed on under claiming until proxyCtx ends.
 	ownedQueues atomic.Pointer[string]
 	claiming    sync.Mutex
@@ -127,6 +130,9 @@
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.activeCount)
 	x.limiter = limit.New(now)
 	x.gate = quota.NewGate(x)
+	x.guard = quarantine.NewGuard(ctx, &quarantine.Dialer{IsReplaced: x.isReplaced}, func() {
+		go x.loop.Deliver(ctx, control.QuarantineObserved{})
+	})
 	x.metrics = metric.New()
 	x.net = peer.New(ctx, x.self, string(s.Credentials.Peer), peer.Timing{
 		Heartbeat:   time.Duration(s.Control.Heartbeat),
@@ -197,7 +203,7 @@
 	opts := []control.Option{control.WithOrders(func() *order.Planner {
 		return order.NewPlanner(order.WithWeightRate(wire.Rate{PerSecond: w.PerSecond, Burst: w.Burst}),
 			order.WithSeed(uint64(x.self.Incarnation)))
-	}), control.WithTiming(t), control.WithRecorder(eventLog{x.ring}), control.WithLimiter(x.limiter), control.WithGate(x.gate)}
+	}), control.WithTiming(t), control.WithRecorder(eventLog{x.ring}), control.WithLimiter(x.limiter), control.WithGate(x.gate), control.WithGuard(x.guard)}
 	if r := x.replica; r != nil {
 		opts = append(opts, control.WithLog(r, r.State, r.Applied), control.WithVoters(x.settings.Data.Voters))
 	}
@@ -205,10 +211,11 @@
 }
 
 // PublishMetrics publishes the instance's metrics by expvar under name, and the statistics of the prefix index under
-// "prefixIndex". It panics if one of the names is in use.
+// "prefixIndex" and of the quarantine under "quarantine". It panics if one of the names is in use.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
 	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
+	expvar.Publish("quarantine", expvar.Func(func() any { return x.guard.Stats(time.Now()) }))
 }
 
 // View returns the current control state.
--- /dev/null
+++ b/plantainlane/quarantine/detector.go
@@ -0,0 +1,224 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"plantainlane/wire"
+)
+
+const (
+	// evidenceWindow is how long a crash or a broken send is evidence.
+	evidenceWindow = 5 * time.Minute
+	// maxCrashes bounds the crashes that a Detector knows, and maxSends the sends of each; the oldest are forgotten first.
+	maxCrashes = 128
+	maxSends   = 64
+	// maxAnswers bounds the reports of answers of a service that a Detector remembers.
+	maxAnswers = 256
+	// maxSuspects bounds the parts that instances are asked about.
+	maxSuspects = 32
+	// survivalTime is how long after a break an announcement of the same process shows that it did not end. An earlier one
+	// may have been under way.
+	survivalTime = 1500 * time.Millisecond
+)
+
+// Upstreams tells what is known of the processes of upstreams.
+type Upstreams interface {
+	// RenewedAt returns when the newest announcement of an upstream was received if it is of this incarnation; the zero time
+	// otherwise.
+	RenewedAt(upstream string, incarnation int) time.Time
+	// IsLeaving reports whether an upstream has announced, in this incarnation, that it is leaving.
+	IsLeaving(upstream string, incarnation int) bool
+}
+
+// process is one process of an upstream.
+type process struct {
+	upstream    string
+	incarnation int
+}
+
+// send is a send that broke.
+type send struct {
+	id        string
+	workspace string
+	parts     []string
+	begun     bool
+}
+
+// crash is the end of a process under the sends that broke with it.
+type crash struct {
+	process
+	service string
+	at      time.Time
+	sends   []send
+}
+
+// anyPart stands for a request of any content.
+const anyPart = ""
+
+// servicePart is a part of the content of requests to a service.
+type servicePart struct {
+	service, part string
+}
+
+// answers is a number of requests of any content that a service answered, the last one at a time.
+type answers struct {
+	at    time.Time
+	count int
+}
+
+// Detector derives from the reports of all instances which parts are to blame for crashes. Only the leader has one. It must
+// be used by one goroutine only.
+type Detector struct {
+	upstreams Upstreams
+	// crashes holds the known crashes, oldest report first.
+	crashes []*crash
+	// servedAt holds when a request with a part of a known crash was last answered whole.
+	servedAt map[servicePart]time.Time
+	// answered holds the answers of services with known crashes, newest report last.
+	answered map[string][]answers
+	changed  bool
+}
+
+// NewDetector returns a Detector that knows no crashes.
+func NewDetector(u Upstreams) *Detector {
+	return &Detector{upstreams: u, servedAt: make(map[servicePart]time.Time), answered: make(map[string][]answers)}
+}
+
+// Report adds what an instance reports. Reports that were added before change nothing.
+func (d *Detector) Report(now time.Time, broken []wire.BrokenSend, served []wire.ServedPart) {
+	for i := range broken {
+		d.addBroken(now, &broken[i])
+	}
+	for _, s := range served {
+		key := servicePart{s.Service, s.Part}
+		at := now.Add(-time.Duration(s.AgoMs) * time.Millisecond)
+		if key.part == anyPart {
+			d.addAnswers(key.service, answers{at, s.Answers})
+		} else if at.After(d.servedAt[key]) && d.isKnown(key) {
+			d.servedAt[key] = at
+			d.changed = true
+		}
+	}
+}
+
+// addAnswers records answers of a service with a known crash.
+func (d *Detector) addAnswers(service string, a answers) {
+	if !slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.service == service }) {
+		return
+	}
+	list := append(d.answered[service], a)
+	d.answered[service] = list[max(0, len(list)-maxAnswers):]
+	d.changed = true
+}
+
+// answersBetween returns the number of requests that a service answered after from and before to.
+func (d *Detector) answersBetween(service string, from, to time.Time) int {
+	n := 0
+	for _, a := range d.answered[service] {
+		if a.at.After(from) && a.at.Before(to) {
+			n += max(a.count, 1)
+		}
+	}
+	return n
+}
+
+// isKnown reports whether a known crash has a send with a part.
+func (d *Detector) isKnown(key servicePart) bool {
+	return slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.service == key.service && c.has(key.part) })
+}
+
+// addBroken adds a send to the crash of its upstream's process.
+func (d *Detector) addBroken(now time.Time, b *wire.BrokenSend) {
+	at := now.Add(-time.Duration(b.AgoMs) * time.Millisecond)
+	if now.Sub(at) > evidenceWindow {
+		return
+	}
+	c := d.crashOf(process{b.Upstream, b.Incarnation}, b.Service, at)
+	if len(c.sends) >= maxSends || slices.ContainsFunc(c.sends, func(s send) bool { return s.id == b.Send }) {
+		return
+	}
+	c.sends = append(c.sends, send{id: b.Send, workspace: b.Workspace, parts: Parts(b.Parts), begun: b.Begun})
+	if at.Before(c.at) {
+		c.at = at
+	}
+	d.changed = true
+}
+
+// crashOf returns the crash of a process. It adds one if none is known.
+func (d *Detector) crashOf(p process, service string, at time.Time) *crash {
+	if i := slices.IndexFunc(d.crashes, func(c *crash) bool { return c.process == p }); i >= 0 {
+		return d.crashes[i]
+	}
+	c := &crash{process: p, service: service, at: at}
+	d.crashes = append(d.crashes, c)
+	if len(d.crashes) > maxCrashes {
+		d.crashes = d.crashes[1:]
+	}
+	return c
+}
+
+// forget drops what is no evidence any more: old crashes, processes that go on announcing themselves, and those that were
+// leaving.
+func (d *Detector) forget(now time.Time) {
+	before := len(d.crashes)
+	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool {
+		return now.Sub(c.at) > evidenceWindow || d.upstreams.IsLeaving(c.upstream, c.incarnation) ||
+			d.upstreams.RenewedAt(c.upstream, c.incarnation).After(c.at.Add(survivalTime))
+	})
+	if len(d.crashes) == before {
+		return
+	}
+	d.changed = true
+	for key := range d.servedAt {
+		if !d.isKnown(key) {
+			delete(d.servedAt, key)
+		}
+	}
+	for service := range d.answered {
+		if !slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.service == service }) {
+			delete(d.answered, service)
+		}
+	}
+}
+
+// TakeChanged reports whether the evidence has changed since the last call.
+func (d *Detector) TakeChanged(now time.Time) bool {
+	d.forget(now)
+	changed := d.changed
+	d.changed = false
+	return changed
+}
+
+// Suspects returns the parts that instances are to report if a request with one is answered whole, the most suspect first.
+// Each service with crashes is listed with anyPart.
+func (d *Detector) Suspects() []wire.SuspectPart {
+	counts := make(map[servicePart]int)
+	for _, c := range d.crashes {
+		counts[servicePart{c.service, anyPart}]++
+		seen := make(map[string]bool)
+		for _, s := range c.sends {
+			for _, p := range s.parts {
+				key := servicePart{c.service, p}
+				if !seen[p] && c.at.After(d.servedAt[key]) {
+					counts[key]++
+				}
+				seen[p] = true
+			}
+		}
+	}
+	suspects := make([]wire.SuspectPart, 0, len(counts))
+	for key, n := range counts {
+		suspects = append(suspects, wire.SuspectPart{Service: key.service, Part: key.part, Crashes: n})
+	}
+	slices.SortFunc(suspects, func(a, b wire.SuspectPart) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part))
+	})
+	return suspects[:min(len(suspects), maxSuspects)]
+}
+
+// has reports whether a send of the crash has a part.
+func (c *crash) has(part string) bool {
+	return slices.ContainsFunc(c.sends, func(s send) bool { return slices.Contains(s.parts, part) })
+}
--- /dev/null
+++ b/plantainlane/quarantine/ended.go
@@ -0,0 +1,50 @@
+package quarantine
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// checkTimes are when, after a connection to a process broke, it is checked whether the process has ended: it may still be
+// ending, or another one may be starting at its address.
+var checkTimes = []time.Duration{0, 50 * time.Millisecond, 250 * time.Millisecond, time.Second}
+
+// dialTimeout bounds one check.
+const dialTimeout = 300 * time.Millisecond
+
+// Dialer is a Checker that connects to the process's address: if nothing listens there, the process has ended. A host that
+// doesn't answer says nothing about the process.
+type Dialer struct {
+	// IsReplaced reports whether another process is known to have the upstream's ID or address.
+	IsReplaced func(p Process) bool
+}
+
+// HasEnded reports whether the process that had an address has ended.
+func (d *Dialer) HasEnded(ctx context.Context, p Process) bool {
+	began := time.Now()
+	for _, at := range checkTimes {
+		select {
+		case <-time.After(at - time.Since(began)):
+		case <-ctx.Done():
+			return false
+		}
+		if d.IsReplaced(p) || isRefused(ctx, p.Address) {
+			return true
+		}
+	}
+	return false
+}
+
+// isRefused reports whether a connection to an address is refused.
+func isRefused(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/plantainlane/quarantine/entry.go
@@ -0,0 +1,69 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"plantainlane/wire"
+)
+
+const (
+	// DefaultPeriod is how long an entry refuses requests unless an operator states another time.
+	DefaultPeriod = 24 * time.Hour
+	// MaxParts is the number of parts of a request's content that are considered.
+	MaxParts = 16
+	// maxPartBytes is the length above which a part is replaced by its hash, since callers choose the parts.
+	maxPartBytes = 64
+	// idBytes is the length of the hash in the ID of an entry.
+	idBytes = 6
+)
+
+// Parts returns the parts of a request's content as they are compared and reported: at most MaxParts, long ones hashed, empty
+// ones left out.
+func Parts(content []string) []string {
+	parts := make([]string, 0, min(len(content), MaxParts))
+	for _, p := range content[:min(len(content), MaxParts)] {
+		if p == "" {
+			continue
+		}
+		if len(p) > maxPartBytes {
+			sum := sha256.Sum256([]byte(p))
+			p = "sha256:" + hex.EncodeToString(sum[:])[:maxPartBytes-len("sha256:")]
+		}
+		parts = append(parts, p)
+	}
+	return parts
+}
+
+// NewEntry returns an entry with its ID, which refuses requests from now on for a time.
+func NewEntry(now time.Time, service, workspace string, parts []string, period time.Duration) wire.QuarantineEntry {
+	parts = slices.Compact(slices.Sorted(slices.Values(parts)))
+	hash := sha256.New()
+	for _, text := range append([]string{service, workspace}, parts...) {
+		hash.Write([]byte(strconv.Quote(text)))
+	}
+	return wire.QuarantineEntry{
+		ID: "q-" + hex.EncodeToString(hash.Sum(nil)[:idBytes]), Service: service, Workspace: workspace, Parts: parts, Upstreams: []string{},
+		SinceMs: int(now.UnixMilli()), UntilMs: int(now.Add(period).UnixMilli()),
+	}
+}
+
+// IsActive reports whether an entry refuses requests at the time now.
+func IsActive(e *wire.QuarantineEntry, now time.Time) bool { return now.UnixMilli() < int64(e.UntilMs) }
+
+// Covers reports whether an entry refuses all requests that another one refuses, as far as their contents go.
+func Covers(e, other *wire.QuarantineEntry) bool {
+	return e.Service == other.Service && (e.Workspace == "" || e.Workspace == other.Workspace) && isSubset(e.Parts, other.Parts)
+}
+
+// isSubset reports whether all of some parts are among others.
+func isSubset(some, others []string) bool {
+	return !slices.ContainsFunc(some, func(p string) bool { return !slices.Contains(others, p) })
+}
+
+// Text returns the parts of an entry as one line for logs and operators.
+func Text(e *wire.QuarantineEntry) string { return strings.Join(e.Parts, ",") }
--- a/plantainlane/state/snapshot.go
+++ b/plantainlane/state/snapshot.go
@@ -18,6 +18,9 @@
 	ForgottenMs  int                  `cbor:"forgottenMs"`
 	Costs        []keyedCost          `cbor:"costs"`
 	BudgetUse    []workspaceBudgetUse `cbor:"spent"`
+
+	Quarantine        []wire.QuarantineEntry `cbor:"quarantine"`
+	QuarantineVersion int                    `cbor:"quarantineVersion"`
 }
 
 // timedKey is a row of State.Expired (a key hash and when its claim ended) or of State.Released (an attempt and when it
@@ -54,6 +57,8 @@
 		Declarations: s.Config.Declarations(),
 		Fencing:      s.Fencing,
 		ForgottenMs:  s.ForgottenMs,
+
+		QuarantineVersion: s.QuarantineVersion,
 	}
 	for _, id := range s.changeIDs {
 		c, _ := s.Changes.Get(id)
@@ -77,6 +82,9 @@
 	for w, use := range s.BudgetUse.All() {
 		encoded.BudgetUse = append(encoded.BudgetUse, workspaceBudgetUse{w, use})
 	}
+	for _, e := range s.Quarantine.All() {
+		encoded.Quarantine = append(encoded.Quarantine, e)
+	}
 	return wire.Encode(encoded)
 }
 
@@ -86,7 +94,7 @@
 	if err := wire.Decode(b, &encoded); err != nil {
 		return nil, err
 	}
-	s := &State{ForgottenMs: encoded.ForgottenMs, Fencing: encoded.Fencing}
+	s := &State{ForgottenMs: encoded.ForgottenMs, Fencing: encoded.Fencing, QuarantineVersion: encoded.QuarantineVersion}
 	s.Config = Config{}.With(encoded.Declarations, nil, encoded.Revision)
 	for _, c := range encoded.Changes {
 		s.recordOutcome(c)
@@ -107,6 +115,9 @@
 	for _, k := range encoded.BudgetUse {
 		s.BudgetUse = s.BudgetUse.With(k.Workspace, k.Use)
 	}
+	for _, e := range encoded.Quarantine {
+		s.Quarantine = s.Quarantine.With(e.ID, e)
+	}
 	return s, nil
 }
 
--- a/plantainlane/state/state.go
+++ b/plantainlane/state/state.go
@@ -53,6 +53,10 @@
 	Costs table.Table[CostRow]
 	// BudgetUse holds the cost units used in the newest budget period, by workspace.
 	BudgetUse table.Table[BudgetUse]
+	// Quarantine holds the newest MaxQuarantine entries by ID, also those that have ended recently.
+	Quarantine table.Table[wire.QuarantineEntry]
+	// QuarantineVersion counts the changes of Quarantine. It never decreases.
+	QuarantineVersion int
 
 	// changeIDs holds the keys of Changes in the order in which they were applied.
 	changeIDs []string
@@ -95,6 +99,8 @@
 		return Outcome{Fencing: &n}, nil
 	case c.Cost != nil:
 		s.addCostTotals(*c.Cost)
+	case c.Quarantine != nil:
+		s.changeQuarantine(*c.Quarantine)
 	default:
 		return Outcome{}, ErrEmptyCommand
 	}
--- a/wire/typedoc/main.go
+++ b/wire/typedoc/main.go
@@ -19,6 +19,7 @@
 	"EntryAnswer", "PipelineRequest", "PipelineAnswer", "Problem",
 	"Announcement", "AnnounceAnswer",
 	"ChangeSet", "ChangeOutcome", "DeclarationsAnswer", "StatusAnswer", "CostAnswer", "TimelineAnswer",
+	"QuarantineRequest", "QuarantineUpdate",
 	"Token", "StreamEnd", "Continuation", "KVHandle", "KVExportRequest", "CacheEvents", "CacheEventsAnswer",
 	"CacheBlocks", "Order", "OrderAnswer", "EngineState", "WeightRequest",
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -65,6 +65,34 @@
 	Zone string `json:"zone" cbor:"zone"`
 }
 
+// BrokenSend is a send whose connection broke because the upstream's process
+// ended.
+type BrokenSend struct {
+	// Time in milliseconds from the break until this message was sent.
+	AgoMs int `json:"agoMs" cbor:"agoMs"`
+
+	// Whether the upstream had begun to answer.
+	Begun bool `json:"begun" cbor:"begun"`
+
+	// Incarnation of the upstream at the time of the send.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Parts of the request's content that other requests may share.
+	Parts []string `json:"parts" cbor:"parts"`
+
+	// ID of the send, unique among those to the upstream.
+	Send string `json:"send" cbor:"send"`
+
+	// Service of the upstream.
+	Service string `json:"service" cbor:"service"`
+
+	// ID of the upstream.
+	Upstream string `json:"upstream" cbor:"upstream"`
+
+	// Workspace of the request; empty if it has none.
+	Workspace string `json:"workspace" cbor:"workspace"`
+}
+
 // Budget limits the cost units that a workspace may use in each period.
 type Budget struct {
 	// Length of a period in hours.
@@ -234,6 +262,9 @@
 	// Lost instance to remove. Its lease has expired.
 	Forget *InstanceInfo `json:"forget,omitempty,omitzero" cbor:"forget,omitempty"`
 
+	// Change of the quarantine.
+	Quarantine *QuarantineChange `json:"quarantine,omitempty,omitzero" cbor:"quarantine,omitempty"`
+
 	// Instance to register, so that it can hold a configuration lease.
 	Register *InstanceInfo `json:"register,omitempty,omitzero" cbor:"register,omitempty"`
 
@@ -784,6 +815,9 @@
 	// Outcome of a proposed command.
 	ProposeAnswer *ProposeAnswer `json:"proposeAnswer,omitempty,omitzero" cbor:"proposeAnswer,omitempty"`
 
+	// Quarantine as the leader knows it.
+	Quarantine *QuarantineUpdate `json:"quarantine,omitempty,omitzero" cbor:"quarantine,omitempty"`
+
 	// Rejection of a frame.
 	Refusal *Refusal `json:"refusal,omitempty,omitzero" cbor:"refusal,omitempty"`
 
@@ -1092,6 +1126,10 @@
 	// instance has not confirmed; 0 for none.
 	PushedRevision int `json:"pushedRevision" cbor:"pushedRevision"`
 
+	// Quarantine, if it isn't the one that the request names or there are suspect
+	// parts.
+	Quarantine *QuarantineUpdate `json:"quarantine,omitempty,omitzero" cbor:"quarantine,omitempty"`
+
 	// Newest committed revision.
 	Revision int `json:"revision" cbor:"revision"`
 
@@ -1107,6 +1145,9 @@
 	// Newest revision that the instance has applied.
 	AppliedRevision int `json:"appliedRevision" cbor:"appliedRevision"`
 
+	// Broken sends that the leader hasn't confirmed by the answer to a request.
+	BrokenSends []BrokenSend `json:"brokenSends" cbor:"brokenSends"`
+
 	// Description of the requesting instance.
 	Info InstanceInfo `json:"info" cbor:"info"`
 
@@ -1133,9 +1174,19 @@
 	// push; 0 for none.
 	LostRevision int `json:"lostRevision" cbor:"lostRevision"`
 
+	// Version of the quarantine's entries that the sender has; 0 if it has none.
+	QuarantineVersion int `json:"quarantineVersion" cbor:"quarantineVersion"`
+
 	// Number of the request. The lease counts from the time at which the request was
 	// sent.
 	Sequence int `json:"sequence" cbor:"sequence"`
+
+	// Served suspect parts that the leader hasn't confirmed by the answer to a
+	// request.
+	ServedParts []ServedPart `json:"servedParts" cbor:"servedParts"`
+
+	// Number of suspect parts that the sender knows.
+	Suspects int `json:"suspects" cbor:"suspects"`
 }
 
 // Ledger lists and counts the executions at fake upstreams.
@@ -1526,6 +1577,80 @@
 	Refusal string `json:"refusal" cbor:"refusal"`
 }
 
+// QuarantineChange sets an entry of the quarantine, or ends one.
+type QuarantineChange struct {
+	// Time of the change, in milliseconds since 1970.
+	AtMs int `json:"atMs" cbor:"atMs"`
+
+	// Entry to set. It replaces those that refuse no other requests.
+	Entry *QuarantineEntry `json:"entry,omitempty,omitzero" cbor:"entry,omitempty"`
+
+	// ID of the entry to end.
+	Lift *string `json:"lift,omitempty,omitzero" cbor:"lift,omitempty"`
+}
+
+// QuarantineEntry refuses requests to a service whose content has all of its
+// parts.
+type QuarantineEntry struct {
+	// ID, which follows from the service, the workspace and the parts.
+	ID string `json:"id" cbor:"id"`
+
+	// Parts that a request must have to be refused, sorted. At least one.
+	Parts []string `json:"parts" cbor:"parts"`
+
+	// Reason for operators.
+	Reason string `json:"reason" cbor:"reason"`
+
+	// Service that the requests are for.
+	Service string `json:"service" cbor:"service"`
+
+	// Name of the operator who set the entry; empty if the leader set it.
+	SetBy string `json:"setBy" cbor:"setBy"`
+
+	// Time from which the entry refuses requests, in milliseconds since 1970.
+	SinceMs int `json:"sinceMs" cbor:"sinceMs"`
+
+	// Time from which the entry no longer refuses requests, in milliseconds since
+	// 1970.
+	UntilMs int `json:"untilMs" cbor:"untilMs"`
+
+	// IDs of upstreams that ended while requests with the parts ran, the newest last.
+	Upstreams []string `json:"upstreams" cbor:"upstreams"`
+
+	// Workspace whose requests are refused; empty for all.
+	Workspace string `json:"workspace" cbor:"workspace"`
+}
+
+// QuarantineRequest is an operator's request to set an entry of the quarantine.
+type QuarantineRequest struct {
+	// Time in milliseconds for which requests are refused; 0 for the default.
+	ForMs *int `json:"forMs,omitempty,omitzero" cbor:"forMs,omitempty"`
+
+	// Parts that a request must have to be refused. At least one.
+	Parts []string `json:"parts" cbor:"parts"`
+
+	// Reason for other operators.
+	Reason *string `json:"reason,omitempty,omitzero" cbor:"reason,omitempty"`
+
+	// Service that the requests are for.
+	Service string `json:"service" cbor:"service"`
+
+	// Workspace whose requests are refused; empty for all.
+	Workspace *string `json:"workspace,omitempty,omitzero" cbor:"workspace,omitempty"`
+}
+
+// QuarantineUpdate holds the quarantine as the leader knows it.
+type QuarantineUpdate struct {
+	// All entries, also those that no longer refuse requests.
+	Entries []QuarantineEntry `json:"entries" cbor:"entries"`
+
+	// Parts that may be to blame, the most suspect first.
+	Suspects []SuspectPart `json:"suspects" cbor:"suspects"`
+
+	// Version of the entries. It grows with each change.
+	Version int `json:"version" cbor:"version"`
+}
+
 // Rate configures a token bucket. A bucket token stands for one request, one
 // generated token or one unit of the weight store's rate, depending on the bucket.
 type Rate struct {
@@ -1594,6 +1719,23 @@
 	Workspace string `json:"workspace" cbor:"workspace"`
 }
 
+// ServedPart is a suspect part of which a request was answered whole. The empty
+// part stands for requests of any content.
+type ServedPart struct {
+	// Time in milliseconds from the end of the answer until this message was sent.
+	AgoMs int `json:"agoMs" cbor:"agoMs"`
+
+	// Number of requests answered whole since the last report, for the empty part,
+	// which stands for requests of any content; otherwise 0.
+	Answers int `json:"answers" cbor:"answers"`
+
+	// Part of the request's content.
+	Part string `json:"part" cbor:"part"`
+
+	// Service that answered.
+	Service string `json:"service" cbor:"service"`
+}
+
 // Site is an operator's document of all routes, services, workspaces and limits.
 // The document with the highest version is in force.
 type Site struct {
@@ -1707,6 +1849,19 @@
 	Tokens int `json:"tokens" cbor:"tokens"`
 }
 
+// SuspectPart is a part whose requests ran at upstreams that ended, and of which
+// no request was answered whole since.
+type SuspectPart struct {
+	// Number of upstreams that ended.
+	Crashes int `json:"crashes" cbor:"crashes"`
+
+	// Part of the requests' content.
+	Part string `json:"part" cbor:"part"`
+
+	// Service of the upstreams.
+	Service string `json:"service" cbor:"service"`
+}
+
 // TimelineAnswer is a selection of events from the time line of one instance or of
 // all instances.
 type TimelineAnswer struct {
