forward: a stream that has neither a length nor an event was broken off

What a caller saw: an empty answer with status 200 that looked complete, where the upstream had ended before the first event of a stream without a length or chunks (TestAnswerWithoutLengthLooksComplete/stream without any event failed: 200, empty). Its end looks like that of an empty stream. Now it counts as broken off, since nothing says that it is whole: 502, or the next upstream where that is allowed. Tried as well, and right before: such answers and streams whole, reset, and ended within an event, twice on a kept connection of the caller; the connection to the upstream isn't used again.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -267,10 +267,13 @@
 // SetDeadline sets the time after which reads and writes fail. The zero time means no deadline.
 func (c *Conn) SetDeadline(t time.Time) { _ = c.raw.SetDeadline(t) }
 
+// HasEnd reports whether an answer has an end of its own, a length or a last chunk, rather than that of its connection.
+func HasEnd(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
+
 // KeepFor returns how long a connection may be idle after the answer res, whose whole body must have been read. It
 // returns 0 if the connection can't carry another request.
 func KeepFor(res *http.Response) time.Duration {
-	if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+	if res.Close || !HasEnd(res) {
 		return 0
 	}
 	idle := maxIdleTime
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -24,6 +24,9 @@
 	first := true
 	for {
 		e, err := reader.next()
+		if errors.Is(err, io.EOF) && first && !exchange.HasEnd(res) && q.events == 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			return q.endStream(res), true
 		}
