batch: a job whose calls end their upstreams is sent alone, and fails after three of them

Now a failed call counts once for a job. After two calls that broke, the job shares no call with others; those that were with it twice are answered then, each in a call of its own, and the one to blame fails. One break changes nothing, since connections also break for other reasons, and calls with the pieces of one job are dear.

Not done: a piece key that ends upstreams under request after request isn't known to other jobs; keys are new for each request on the deployments known.

--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -277,7 +277,7 @@
 		if len(items) == q.spec.MaxPieces {
 			break
 		}
-		if q.waitsForSameZone(now, j, u) {
+		if q.waitsForSameZone(now, j, u) || len(items) > 0 && (j.isAlone() || items[0].Job.isAlone()) {
 			continue
 		}
 		fits := q.fitting(j, free, len(items))
--- a/plantainlane/batch/job.go
+++ b/plantainlane/batch/job.go
@@ -63,8 +63,10 @@
 	// completed pieces.
 	handles   []string
 	completed int
-	// failures counts the failures of pieces; a piece may fail several times. done is set once the job has ended.
+	// failures counts the failed calls with pieces of the job, and the pieces that failed in calls that didn't. breaks counts the
+	// calls that broke, see Call.Broken. done is set once the job has ended.
 	failures int
+	breaks   int
 	done     bool
 }
 
@@ -133,6 +135,10 @@
 	return best
 }
 
+// isAlone reports whether the pieces of the job share no call with those of others, since it may be the job that ends the
+// upstreams.
+func (j *Job) isAlone() bool { return j.breaks >= breaksUntilAlone }
+
 // unsent returns the number of pieces that wait to be sent.
 func (j *Job) unsent() int { return j.Pieces - j.nextPiece + len(j.resend) }
 
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/site"
 )
@@ -385,8 +386,9 @@
 		return
 	}
 	if err != nil {
+		c.Broken = exchange.IsBroken(err)
 		klog.InfoS("pieces not made", "service", o.service, "upstream", c.Upstream.ID, "pieces", len(c.Items),
-			"busy", busy, "took", time.Since(c.StartedAt), "err", err)
+			"busy", busy, "broken", c.Broken, "took", time.Since(c.StartedAt), "err", err)
 		results = nil
 	}
 	o.send(ctx, ended{call: c, results: results, busy: busy})
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -31,6 +31,8 @@
 	StartedAt time.Time
 	// ExpectedAt is when the answer is expected, given the number of pieces and the upstream's slowdown.
 	ExpectedAt time.Time
+	// Broken is set if the connection broke before the answer was whole: the upstream may have ended under the pieces.
+	Broken bool
 }
 
 // Result is the result of one piece in a call.
@@ -42,8 +44,12 @@
 }
 
 const (
-	// maxFailures is the number of failures of pieces that a job may have; one more fails the job.
+	// maxFailures is the number of failures that a job may have; one more fails the job. A failed call is one failure.
 	maxFailures = 6
+	// breaksUntilAlone is the number of broken calls after which the pieces of a job share no call with those of others, and
+	// maxBreaks the number that a job may have; one more fails the job.
+	breaksUntilAlone = 2
+	maxBreaks        = 2
 	// sameZoneBonus is how much earlier a job counts as due at an upstream in its preferred zone.
 	sameZoneBonus = 150 * time.Millisecond
 	// sameZoneWaitPerMB is how long a job waits for an upstream in its preferred zone, for each 1,000,000 bytes that
@@ -412,6 +418,9 @@
 		q.counts.Expected += expected
 	}
 	u.recordMemory(now, c, results, q.spec.MemoryBytes, u.used+u.reserved)
+	if results == nil && isMeasured && !busy {
+		q.countFailedCall(c)
+	}
 	for i, item := range c.Items {
 		r := Result{Reason: ReasonFailed}
 		if results != nil {
@@ -428,11 +437,28 @@
 			}
 			continue
 		}
-		q.handleResult(item, r, u.Zone, isMeasured && !busy)
+		q.handleResult(item, r, u.Zone, results != nil && isMeasured)
 	}
 	return unused
 }
 
+// countFailedCall counts a failed call once for each job with pieces in it.
+func (q *Queue) countFailedCall(c *Call) {
+	var last *Job
+	for _, item := range c.Items {
+		q.counts.Failed++
+		if item.Job == last {
+			continue
+		}
+		last = item.Job
+		if c.Broken {
+			last.breaks++
+		} else {
+			last.failures++
+		}
+	}
+}
+
 // handleResult handles the result of one piece. A piece that was not completed is sent again, unless the upstream lacks
 // an input, reports ReasonDeadline, or too many pieces of the job have failed. A failure counts only if countsFailure is
 // set.
@@ -460,7 +486,7 @@
 		q.counts.Failed++
 		j.failures++
 	}
-	if j.failures > maxFailures {
+	if j.failures > maxFailures || j.breaks > maxBreaks {
 		q.remove(j)
 		j.finish(Outcome{Reason: ReasonFailed})
 		return
