pipeline: a stage's input under which upstreams end is refused

The input's hash is what the quarantine knows it by, since nothing is known of parts of inputs: only the same input of the same service is refused, 503 "quarantined" with execution notRun.

--- a/plantainlane/caller/run.go
+++ b/plantainlane/caller/run.go
@@ -127,6 +127,7 @@
 	kind   string
 }{
 	{pipeline.ErrDeadline, http.StatusGatewayTimeout, "deadline"},
+	{pipeline.ErrQuarantined, http.StatusServiceUnavailable, "quarantined"},
 	{pipeline.ErrNoUpstream, http.StatusServiceUnavailable, "no-upstream"},
 	{pipeline.ErrUpstream, http.StatusBadGateway, "upstream-failed"},
 	{pipeline.ErrKeyMismatch, http.StatusUnprocessableEntity, "key-mismatch"},
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -291,6 +291,7 @@
 		Observer:    x.metrics,
 		Ledger:      x.ledger,
 		Background:  ctx,
+		Guard:       x.guard,
 		Admission:   x.limiter,
 		Services:    x.services,
 		Engines:     engines{x.fleet, x},
--- a/plantainlane/pipeline/attempt.go
+++ b/plantainlane/pipeline/attempt.go
@@ -116,6 +116,7 @@
 	if a.err != nil {
 		x.stopOnEngine(ctx, s, a)
 	}
+	x.reportToGuard(ctx, s, a)
 	a.output = answer.Output
 	a.units = unitsOf(s.stage, answer, a.err)
 }
--- /dev/null
+++ b/plantainlane/pipeline/quarantine.go
@@ -0,0 +1,59 @@
+package pipeline
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"plantainlane/plantainlane/exchange"
+	"plantainlane/plantainlane/quarantine"
+	"plantainlane/plantainlane/upstream"
+)
+
+// maxQuarantineRetry is the longest time after which callers are told to come back with a request whose input is in
+// quarantine.
+const maxQuarantineRetry = time.Hour
+
+// quarantined is the error of a stage whose input is in quarantine. It matches ErrQuarantined.
+type quarantined struct {
+	entry string
+	until time.Time
+}
+
+// Error returns a text with the ID of the entry.
+func (q *quarantined) Error() string { return ErrQuarantined.Error() + ": " + q.entry }
+
+// Is reports whether target is ErrQuarantined.
+func (q *quarantined) Is(target error) bool { return target == ErrQuarantined }
+
+// contentOf returns what the quarantine knows a stage of a request by: the hash of its input, since nothing is known of the
+// input's parts.
+func (x *execution) contentOf(service string, input json.RawMessage) quarantine.Request {
+	sum := sha256.Sum256(input)
+	return quarantine.Request{
+		ID: x.ID, Service: service, Workspace: x.Contract.Workspace, Parts: []string{hex.EncodeToString(sum[:])},
+	}
+}
+
+// checkQuarantine returns an error that is ErrQuarantined if the input of a stage is in quarantine.
+func (x *execution) checkQuarantine(s *stageRun) error {
+	if e := x.Guard.Refusal(time.Now(), s.content); e != nil {
+		return &quarantined{entry: e.ID, until: time.UnixMilli(int64(e.UntilMs))}
+	}
+	return nil
+}
+
+// reportToGuard reports to the guard that a stage was answered, or that the connection of an attempt broke.
+func (x *execution) reportToGuard(ctx context.Context, s *stageRun, a *attempt) {
+	switch {
+	case a.err == nil:
+		x.Guard.Served(time.Now(), s.content)
+	case ctx.Err() == nil && !errors.Is(a.err, upstream.ErrNotRun) && exchange.IsBroken(a.err):
+		p := quarantine.Process{Upstream: a.target.ID, Incarnation: a.target.Incarnation, Address: a.target.Address}
+		x.Guard.Broke(p, s.content, a.call.Attempt, a.tokens > 0)
+	}
+}
--- a/plantainlane/pipeline/request.go
+++ b/plantainlane/pipeline/request.go
@@ -25,6 +25,8 @@
 var (
 	// ErrDeadline reports that the deadline of the request, or of one of its stages, passed.
 	ErrDeadline = errors.New("pipeline: deadline passed")
+	// ErrQuarantined reports input that isn't run because upstreams have crashed under it.
+	ErrQuarantined = errors.New("pipeline: input in quarantine, it has crashed upstreams")
 	// ErrNoUpstream reports a service without an upstream that accepts the work.
 	ErrNoUpstream = errors.New("pipeline: no upstream")
 	// ErrUpstream reports a stage that failed and may not be attempted again.
--- a/plantainlane/pipeline/runner.go
+++ b/plantainlane/pipeline/runner.go
@@ -11,6 +11,7 @@
 	"plantainlane/plantainlane/cost"
 	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/metric"
+	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/retry"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/upstream"
@@ -68,6 +69,8 @@
 	Services    *Services
 	// Engines may be nil. Streams are then neither resumed on their engine nor continued on another one.
 	Engines Engines
+	// Guard refuses input that ends upstreams; nil refuses none.
+	Guard *quarantine.Guard
 	// Ledger holds the cost totals of idempotent requests. Costs of other requests are committed with their claims.
 	Ledger *cost.Ledger
 	// Background is the context of work that continues after a request ends: resolving claims and cancelling attempts
@@ -183,6 +186,7 @@
 		f.Execution = Unknown
 	}
 	var refusal *limit.Refusal
+	var inQuarantine *quarantined
 	switch {
 	case errors.As(err, &refusal):
 		f.Reason, f.RetryAfter = refusal.Reason, refusal.RetryAfter
@@ -190,6 +194,8 @@
 		f.Reason = ErrDeadline
 	case ctx.Err() != nil:
 		f.Reason = ErrCancelled
+	case errors.As(err, &inQuarantine):
+		f.Reason, f.RetryAfter = ErrQuarantined, min(time.Until(inQuarantine.until), maxQuarantineRetry)
 	case errors.Is(err, ErrNoUpstream):
 		f.Reason = ErrNoUpstream
 		f.RetryAfter = time.Second
--- a/plantainlane/pipeline/stage.go
+++ b/plantainlane/pipeline/stage.go
@@ -9,6 +9,7 @@
 
 	"plantainlane/plantainlane/engine"
 	"plantainlane/plantainlane/limit"
+	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/retry"
 	"plantainlane/plantainlane/upstream"
@@ -26,8 +27,9 @@
 type stageRun struct {
 	stage   *wire.Stage
 	service *Service
-	// body is the input of the stage.
-	body json.RawMessage
+	// body is the input of the stage, content what the quarantine knows it by.
+	body    json.RawMessage
+	content quarantine.Request
 	// cost is the entry of the stage in the costs of the execution.
 	cost     *wire.StageCost
 	deadline time.Time
@@ -55,6 +57,9 @@
 // run.
 func (x *execution) runStage(ctx context.Context, i int, body json.RawMessage) (json.RawMessage, error) {
 	s := x.newStageRun(i, body)
+	if err := x.checkQuarantine(s); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, s.deadline, ErrDeadline)
 	defer cancel()
 	if err := x.acquire(ctx, s); err != nil {
@@ -70,7 +75,7 @@
 		if err == nil {
 			return out, nil
 		}
-		if !x.waitToRetry(ctx, s, err) {
+		if !x.waitToRetry(ctx, s, err) || x.checkQuarantine(s) != nil {
 			return nil, err
 		}
 		x.record("retry", "", "", s.stage.Name)
@@ -90,7 +95,7 @@
 	x.costs = append(x.costs, wire.StageCost{Stage: stage.Name})
 	later := stages[i+1:]
 	return &stageRun{
-		stage: stage, service: x.Services.Get(stage.Service), body: body, cost: &x.costs[len(x.costs)-1],
+		stage: stage, service: x.Services.Get(stage.Service), body: body, content: x.contentOf(stage.Service, body), cost: &x.costs[len(x.costs)-1],
 		deadline: retry.StageDeadline(x.Deadline, x.Deadline.Sub(x.Started), later, x.estimates(later)),
 	}
 }
@@ -261,5 +266,5 @@
 	case s.progress.Next() > 0 && x.OnToken != nil && !s.failedOnEngine:
 		return false
 	}
-	return s.stage.Idempotent
+	return s.stage.Idempotent && !x.Guard.MayCrashAgain(s.content)
 }
