instance: a document that its reader can't cope with is one that isn't taken

TestDocumentEndsItsReaders panicked on the old code. Such a document counts as one that can't be compiled now: the last one stays in force, unconfirmed.

--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -116,8 +116,14 @@
 	s.compiled = compiled
 }
 
-// compile returns the compiled form of a site.
-func (s *sites) compile(source *wire.Site) (*site.Site, error) {
+// compile returns the compiled form of a site. A document that Translate can't cope with is an error like any other: it is
+// read again by every process that starts.
+func (s *sites) compile(source *wire.Site) (compiled *site.Site, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			compiled, err = nil, errors.Newf("translate document: panic: %v", p)
+		}
+	}()
 	text, err := documentOf(source)
 	if err != nil {
 		return nil, err
--- a/plantainlane/instance/site_test.go
+++ b/plantainlane/instance/site_test.go
@@ -38,6 +38,9 @@
 	core := control.New(wire.InstanceInfo{ID: "e", Incarnation: 1}, control.WithTiming(timing))
 	x := &Instance{settings: &settings.Settings{}, loop: control.NewLoop(core, silence{}, silence{}, nil)}
 	x.proxy = &Proxy{Translate: func(text []byte) (*site.Site, error) {
+		if string(text) == "panics" {
+			panic("document")
+		}
 		s := &site.Site{}
 		if err := json.Unmarshal(text, s); err != nil {
 			return nil, err
@@ -143,3 +146,19 @@
 		is.Equal(freshness, site.Newest)
 	})
 }
+
+// TestDocumentEndsItsReaders guards against a document that ends each process that reads it, and each that starts afterwards.
+func TestDocumentEndsItsReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		x := newSiteInstance(t)
+		x.answer(0, 0)
+		x.push(0, 1, `{"Version":1}`)
+		x.answer(1, 1)
+		x.push(1, 2, "panics")
+		x.answer(2, 2)
+		current, freshness := x.sites.Site()
+		is.Equal(current.Version, 1)
+		is.Equal(freshness, site.Unconfirmed)
+	})
+}
