--- a/plantainlane/instance/site_test.go
+++ b/plantainlane/instance/site_test.go
@@ -155,6 +155,7 @@
 		x.answer(0, 0)
 		x.push(0, 1, `{"Version":1}`)
 		x.answer(1, 1)
+		x.sites.Site()
 		x.push(1, 2, "panics")
 		x.answer(2, 2)
 		current, freshness := x.sites.Site()
