--- a/plantainctl/operator/client.go
+++ b/plantainctl/operator/client.go
@@ -91,6 +91,28 @@
 	return c.call(ctx, http.MethodPost, "/v1/instances/"+url.PathEscape(instance)+"/drain", nil, nil)
 }
 
+// Quarantine returns the quarantine as the instance that answers knows it.
+func (c *Client) Quarantine(ctx context.Context) (wire.QuarantineUpdate, error) {
+	var out wire.QuarantineUpdate
+	err := c.call(ctx, http.MethodGet, "/v1/quarantine", nil, &out)
+	return out, err
+}
+
+// SetQuarantine sets an entry of the quarantine and returns it.
+func (c *Client) SetQuarantine(ctx context.Context, r wire.QuarantineRequest) (wire.QuarantineEntry, error) {
+	var out wire.QuarantineEntry
+	err := c.call(ctx, http.MethodPost, "/v1/quarantine", r, &out)
+	return out, err
+}
+
+// LiftQuarantine ends an entry of the quarantine and returns it as it was. It returns ErrNotFound if there is none with the
+// ID.
+func (c *Client) LiftQuarantine(ctx context.Context, id string) (wire.QuarantineEntry, error) {
+	var out wire.QuarantineEntry
+	err := c.call(ctx, http.MethodDelete, "/v1/quarantine/"+url.PathEscape(id), nil, &out)
+	return out, err
+}
+
 // Cost returns the cost totals of one workspace, or of all if workspace is empty.
 func (c *Client) Cost(ctx context.Context, workspace string) (wire.CostAnswer, error) {
 	var out wire.CostAnswer
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -250,7 +250,7 @@
 		MaxBodyBytes: entry.MaxBodyBytes,
 	}
 	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
-	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Credentials: x.settings.Credentials.Operators}
+	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Quarantine: x.guard, Credentials: x.settings.Credentials.Operators}
 	listeners := []struct {
 		address string
 		routes  Registrar
--- a/plantainlane/operator/server.go
+++ b/plantainlane/operator/server.go
@@ -62,6 +62,8 @@
 	Views Views
 	// Gatherer queries all instances for cost and the time line.
 	Gatherer Gatherer
+	// Quarantine supplies the quarantine.
+	Quarantine Quarantine
 	// Credentials holds the credentials of operators.
 	Credentials []settings.OperatorCredential
 }
@@ -76,6 +78,9 @@
 	g.POST("/v1/instances/:id/drain", s.drain)
 	g.GET("/v1/cost", s.cost)
 	g.GET("/v1/timeline", s.timeline)
+	g.GET("/v1/quarantine", s.quarantine)
+	g.POST("/v1/quarantine", s.setQuarantine)
+	g.DELETE("/v1/quarantine/:id", s.liftQuarantine)
 	g.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 }
 
@@ -98,7 +103,7 @@
 
 // change checks a change set and proposes it.
 func (s *Server) change(c *echo.Context) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	body, err := readAll(c, maxBodyBytes)
 	if err != nil {
 		return problem.Write(c, problem.New(http.StatusBadRequest, "malformed-body", "body not read: "+err.Error()))
 	}
@@ -114,6 +119,11 @@
 	return s.propose(c, set)
 }
 
+// readAll reads the body of a request of at most limit bytes.
+func readAll(c *echo.Context, limit int64) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+}
+
 // maxChangeIDBytes is the maximum length of a change ID.
 const maxChangeIDBytes = 128
 
