quarantine, control: the leader's looks at its evidence and what it tells are bounded; only parts that were asked about are blamed

Found when reading the change for 460 instances: each report made the leader look at all evidence and tell all instances other suspects, at each step; lease answers repeated the suspects for as long as there were any; and a part beyond the listed suspects could be blamed though nobody had been asked whether it was answered.

Now a look each 200 ms at most, other suspects each 500 ms at most, a version of the suspects in lease requests, and no blame before a part was asked about for 300 ms.

--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -99,7 +99,7 @@
 		BrokenSends:       observed.Broken,
 		ServedParts:       observed.Served,
 		QuarantineVersion: known.Version,
-		Suspects:          len(known.Suspects),
+		SuspectsVersion:   known.SuspectsVersion,
 	}
 }
 
--- a/plantainlane/control/quarantine.go
+++ b/plantainlane/control/quarantine.go
@@ -11,9 +11,12 @@
 const (
 	// blameRetry is how long the leader waits for an entry that it proposed before it proposes the entry again.
 	blameRetry = 500 * time.Millisecond
-	// blameInterval is the period at which the leader looks at its evidence though nothing was reported: it may have lost
-	// weight.
-	blameInterval = time.Second
+	// blameInterval is the least time between two looks of the leader at its evidence, reviewInterval the time after which it
+	// looks though nothing was reported, since old evidence counts no more.
+	blameInterval  = 200 * time.Millisecond
+	reviewInterval = time.Second
+	// tellInterval is the least time after which all instances are told of other suspects.
+	tellInterval = 500 * time.Millisecond
 )
 
 // quarantining is the state with which an instance reports to the leader what its guard has recorded.
@@ -27,13 +30,16 @@
 // instances.
 type blaming struct {
 	detector *quarantine.Detector
-	suspects []wire.SuspectPart
-	// toldVersion is the version of the entries that the instances were told.
+	// suspects are those that the instances were told, and suspectsVersion counts their changes.
+	suspects        []wire.SuspectPart
+	suspectsVersion int
+	// toldVersion is the version of the entries that the instances were told. They are told of other suspects at nextTell.
 	toldVersion int
+	nextTell    time.Time
 	// proposed holds when entries were proposed that aren't in the state yet, by ID.
 	proposed map[string]time.Time
-	// nextBlame is when the evidence is looked at next.
-	nextBlame time.Time
+	// nextBlame is when the evidence is looked at next if there was a report, nextReview when it is in any case.
+	nextBlame, nextReview time.Time
 }
 
 // WithGuard has the core report to the leader what the guard has recorded, and supply the guard with the quarantine.
@@ -66,10 +72,10 @@
 // blame proposes entries for content that is to blame.
 func (c *Core) blame() {
 	b := &c.leaderState.blaming
-	if !b.detector.TakeChanged(c.now) && c.now.Before(b.nextBlame) {
+	if c.now.Before(b.nextBlame) || !b.detector.TakeChanged(c.now) && c.now.Before(b.nextReview) {
 		return
 	}
-	b.nextBlame = c.now.Add(blameInterval)
+	b.nextBlame, b.nextReview = c.now.Add(blameInterval), c.now.Add(reviewInterval)
 	known := c.quarantineEntries()
 	found := append(b.detector.Blame(c.now, known), b.detector.Narrowed(c.now, known)...)
 	for i := range found {
@@ -96,11 +102,14 @@
 // it with the answer to their next lease request.
 func (c *Core) tellQuarantine() {
 	b := &c.leaderState.blaming
-	suspects := b.detector.Suspects()
-	if b.toldVersion == c.state.QuarantineVersion && slices.Equal(b.suspects, suspects) {
+	isChanged := b.toldVersion != c.state.QuarantineVersion
+	if !c.now.Before(b.nextTell) {
+		isChanged = c.listSuspects() || isChanged
+	}
+	if !isChanged {
 		return
 	}
-	b.toldVersion, b.suspects = c.state.QuarantineVersion, suspects
+	b.toldVersion = c.state.QuarantineVersion
 	u := c.quarantineUpdate()
 	for id, row := range c.leaderState.rows {
 		if row.contacted && !row.info.Silent {
@@ -109,6 +118,19 @@
 	}
 }
 
+// listSuspects updates the suspects that instances are told of, and reports whether they have changed.
+func (c *Core) listSuspects() bool {
+	b := &c.leaderState.blaming
+	b.nextTell = c.now.Add(tellInterval)
+	suspects := b.detector.Suspects(c.now)
+	if slices.Equal(b.suspects, suspects) {
+		return false
+	}
+	b.suspects = suspects
+	b.suspectsVersion++
+	return true
+}
+
 // quarantineEntries returns the entries of the state, in the order of their IDs.
 func (c *Core) quarantineEntries() []wire.QuarantineEntry {
 	entries := make([]wire.QuarantineEntry, 0, c.state.Quarantine.Len())
@@ -120,11 +142,11 @@
 
 // quarantineUpdate returns the quarantine as this leader knows it.
 func (c *Core) quarantineUpdate() *wire.QuarantineUpdate {
-	suspects := c.leaderState.blaming.suspects
-	if suspects == nil {
-		suspects = []wire.SuspectPart{}
+	b := &c.leaderState.blaming
+	return &wire.QuarantineUpdate{
+		Version: c.state.QuarantineVersion, Entries: c.quarantineEntries(),
+		SuspectsVersion: b.suspectsVersion, Suspects: append([]wire.SuspectPart{}, b.suspects...),
 	}
-	return &wire.QuarantineUpdate{Version: c.state.QuarantineVersion, Entries: c.quarantineEntries(), Suspects: suspects}
 }
 
 // addQuarantineReport adds what a lease request reports to the leader's evidence, and the quarantine to the answer if the
@@ -132,7 +154,7 @@
 func (c *Core) addQuarantineReport(r *wire.LeaseRequest, a *wire.LeaseAnswer) {
 	b := &c.leaderState.blaming
 	b.detector.Report(c.now, r.BrokenSends, r.ServedParts)
-	if r.QuarantineVersion != c.state.QuarantineVersion || r.Suspects != len(b.suspects) || len(b.suspects) > 0 {
+	if r.QuarantineVersion != c.state.QuarantineVersion || r.SuspectsVersion != b.suspectsVersion {
 		a.Quarantine = c.quarantineUpdate()
 	}
 }
@@ -184,5 +206,8 @@
 
 // newBlaming returns the state of a new leader.
 func newBlaming(c *Core) blaming {
-	return blaming{detector: quarantine.NewDetector(rosterUpstreams{c}), proposed: make(map[string]time.Time)}
+	return blaming{
+		detector: quarantine.NewDetector(rosterUpstreams{c}), proposed: make(map[string]time.Time),
+		suspectsVersion: c.log.Leadership().Term << callBits,
+	}
 }
--- a/plantainlane/quarantine/blame.go
+++ b/plantainlane/quarantine/blame.go
@@ -18,6 +18,9 @@
 	// nearlyAll and mostCrashes are shares of a service's crashes, see maxChance.
 	nearlyAll   = 0.9
 	mostCrashes = 0.5
+	// answerTime is how long instances must have been asked about a part before it is blamed, so that they could have said that
+	// it was answered.
+	answerTime = 300 * time.Millisecond
 	// minRoundGap is the least time between two rounds: ends within it may have one cause.
 	minRoundGap = 250 * time.Millisecond
 	// maxEvidence is the number of upstreams that an entry names.
@@ -48,7 +51,7 @@
 		known := slices.Concat(known, out)
 		left := slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return isExplained(c, known) })
 		for {
-			guilty := d.guiltyIn(service, left, crashes)
+			guilty := d.guiltyIn(now, service, left, crashes)
 			if len(guilty) == 0 {
 				break
 			}
@@ -125,10 +128,11 @@
 
 // guiltyIn returns the findings that suffice to blame their parts, the most specific first. crashes are the service's
 // crashes that no entry explains, all includes the explained ones.
-func (d *Detector) guiltyIn(service string, crashes, all []*crash) []*finding {
+func (d *Detector) guiltyIn(now time.Time, service string, crashes, all []*crash) []*finding {
 	var out []*finding
 	for _, f := range d.findings(service, crashes) {
-		if d.suffices(f, all) {
+		askedAt := d.askedAt[servicePart{service, f.part}]
+		if !askedAt.IsZero() && now.Sub(askedAt) >= answerTime && d.suffices(f, all) {
 			out = append(out, f)
 		}
 	}
@@ -138,31 +142,39 @@
 	return out
 }
 
-// findings returns the evidence against each part of the crashes.
-func (d *Detector) findings(service string, crashes []*crash) map[string]*finding {
-	out := make(map[string]*finding)
+// findings returns the evidence against each part with at least minRounds of the crashes.
+func (d *Detector) findings(service string, crashes []*crash) []*finding {
 	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	byPart := make(map[string][]*crash)
 	for _, c := range sorted {
 		for p := range c.suspectParts() {
-			if !c.at.After(d.servedAt[servicePart{service, p}]) {
-				continue
-			}
-			f := out[p]
-			if f == nil {
-				f = &finding{part: p}
-				out[p] = f
-			}
-			f.crashes = append(f.crashes, c)
-			f.sends = append(f.sends, c.sendsWith(p)...)
-			isLater := c.at.Sub(f.lastRound) >= minRoundGap
-			if f.rounds == 0 || isLater && (d.answersBetween(service, f.lastRound, c.at) > 0 || c.hasBegunWithout(p)) {
-				f.rounds, f.lastRound = f.rounds+1, c.at
+			if c.at.After(d.servedAt[servicePart{service, p}]) {
+				byPart[p] = append(byPart[p], c)
 			}
 		}
 	}
+	var out []*finding
+	for p, list := range byPart {
+		if len(list) >= minRounds {
+			out = append(out, d.newFinding(service, p, list))
+		}
+	}
 	return out
 }
 
+// newFinding returns the evidence against a part: crashes with it, by time.
+func (d *Detector) newFinding(service, part string, crashes []*crash) *finding {
+	f := &finding{part: part, crashes: crashes}
+	for _, c := range crashes {
+		f.sends = append(f.sends, c.sendsWith(part)...)
+		isLater := c.at.Sub(f.lastRound) >= minRoundGap
+		if f.rounds == 0 || isLater && (d.answersBetween(service, f.lastRound, c.at) > 0 || c.hasBegunWithout(part)) {
+			f.rounds, f.lastRound = f.rounds+1, c.at
+		}
+	}
+	return f
+}
+
 // suspectParts returns the parts under which a crash may have happened: those of suspect sends that no send has which had been
 // answered in part.
 func (c *crash) suspectParts() map[string]bool {
--- a/plantainlane/quarantine/detector.go
+++ b/plantainlane/quarantine/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -78,12 +79,14 @@
 	servedAt map[servicePart]time.Time
 	// answered holds the answers of services with known crashes, newest report last.
 	answered map[string][]answers
-	changed  bool
+	// askedAt holds since when instances have been asked about parts of known crashes.
+	askedAt map[servicePart]time.Time
+	changed bool
 }
 
 // NewDetector returns a Detector that knows no crashes.
 func NewDetector(u Upstreams) *Detector {
-	return &Detector{upstreams: u, servedAt: make(map[servicePart]time.Time), answered: make(map[string][]answers)}
+	return &Detector{upstreams: u, servedAt: make(map[servicePart]time.Time), answered: make(map[string][]answers), askedAt: make(map[servicePart]time.Time)}
 }
 
 // Report adds what an instance reports. Reports that were added before change nothing.
@@ -171,11 +174,9 @@
 		return
 	}
 	d.changed = true
-	for key := range d.servedAt {
-		if !d.isKnown(key) {
-			delete(d.servedAt, key)
-		}
-	}
+	isUnknown := func(key servicePart, _ time.Time) bool { return !d.isKnown(key) }
+	maps.DeleteFunc(d.servedAt, isUnknown)
+	maps.DeleteFunc(d.askedAt, isUnknown)
 	for service := range d.answered {
 		if !slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.service == service }) {
 			delete(d.answered, service)
@@ -193,7 +194,7 @@
 
 // Suspects returns the parts that instances are to report if a request with one is answered whole, the most suspect first.
 // Each service with crashes is listed with anyPart.
-func (d *Detector) Suspects() []wire.SuspectPart {
+func (d *Detector) Suspects(now time.Time) []wire.SuspectPart {
 	counts := make(map[servicePart]int)
 	for _, c := range d.crashes {
 		counts[servicePart{c.service, anyPart}]++
@@ -215,7 +216,13 @@
 	slices.SortFunc(suspects, func(a, b wire.SuspectPart) int {
 		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part))
 	})
-	return suspects[:min(len(suspects), maxSuspects)]
+	suspects = suspects[:min(len(suspects), maxSuspects)]
+	for _, s := range suspects {
+		if key := (servicePart{s.Service, s.Part}); d.askedAt[key].IsZero() {
+			d.askedAt[key] = now
+		}
+	}
+	return suspects
 }
 
 // has reports whether a send of the crash has a part.
--- a/plantainlane/quarantine/history_test.go
+++ b/plantainlane/quarantine/history_test.go
@@ -151,7 +151,7 @@
 func (h *history) answer(r *simulatedRequest) {
 	h.running = slices.DeleteFunc(h.running, func(o *simulatedRequest) bool { return o == r })
 	var served []wire.ServedPart
-	for _, s := range h.detector.Suspects() {
+	for _, s := range h.detector.Suspects(h.now) {
 		if s.Part == anyPart || slices.Contains(r.request.Parts, s.Part) {
 			served = append(served, wire.ServedPart{Service: s.Service, Part: s.Part, Answers: 1})
 		}
@@ -282,3 +282,24 @@
 	}
 	return out
 }
+
+// BenchmarkBlame measures a look at as many crashes as a Detector keeps, each with 16 sends of three parts.
+func BenchmarkBlame(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 39))
+	now := time.Unix(1_000_000, 0)
+	d := NewDetector(noNews{})
+	for i := range maxCrashes {
+		var broken []wire.BrokenSend
+		for n := range 16 {
+			broken = append(broken, wire.BrokenSend{
+				Upstream: fmt.Sprint("u", i), Service: "s", Send: fmt.Sprint(i, n), Workspace: "w", Begun: n%2 == 0, AgoMs: 100 * i,
+				Parts: []string{"first", fmt.Sprint("topic-", random.IntN(3000)), fmt.Sprint("session-", random.IntN(30_000))},
+			})
+		}
+		d.Report(now, broken, nil)
+	}
+	for b.Loop() {
+		d.Suspects(now)
+		d.Blame(now.Add(time.Second), nil)
+	}
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -1126,8 +1126,7 @@
 	// instance has not confirmed; 0 for none.
 	PushedRevision int `json:"pushedRevision" cbor:"pushedRevision"`
 
-	// Quarantine, if it isn't the one that the request names or there are suspect
-	// parts.
+	// Quarantine, if it isn't the one that the request names.
 	Quarantine *QuarantineUpdate `json:"quarantine,omitempty,omitzero" cbor:"quarantine,omitempty"`
 
 	// Newest committed revision.
@@ -1185,8 +1184,8 @@
 	// request.
 	ServedParts []ServedPart `json:"servedParts" cbor:"servedParts"`
 
-	// Number of suspect parts that the sender knows.
-	Suspects int `json:"suspects" cbor:"suspects"`
+	// Version of the suspect parts that the sender has; 0 if it has none.
+	SuspectsVersion int `json:"suspectsVersion" cbor:"suspectsVersion"`
 }
 
 // Ledger lists and counts the executions at fake upstreams.
@@ -1647,6 +1646,9 @@
 	// Parts that may be to blame, the most suspect first.
 	Suspects []SuspectPart `json:"suspects" cbor:"suspects"`
 
+	// Version of the suspects. Those of different leaders differ.
+	SuspectsVersion int `json:"suspectsVersion" cbor:"suspectsVersion"`
+
 	// Version of the entries. It grows with each change.
 	Version int `json:"version" cbor:"version"`
 }
