--- a/plantainlane/order/plan.go
+++ b/plantainlane/order/plan.go
@@ -13,6 +13,8 @@
 	// Reasons of a Stall, besides weightStore.
 	reasonNoFreeSlot = "noRoom"
 	reasonNoEngine   = "noEngine"
+	// reasonEnginesLost is that of a model under whose load engines have ended.
+	reasonEnginesLost = "enginesLost"
 )
 
 // maxLoadingFraction is the fraction of the engines that may load weights at the same time, so that after an outage
@@ -211,7 +213,7 @@
 
 // planLoads orders loads for the missing replicas of each model until maxLoadingFraction or the weight store's rate
 // is reached; the models that follow then get no load either. A model for which no engine can be chosen, or that
-// reaches the weight store's rate, is reported as a stall; reaching maxLoadingFraction isn't.
+// reaches the weight store's rate, or under whose load engines have ended, is reported as a stall; reaching maxLoadingFraction isn't.
 func (p *Planner) planLoads(now time.Time, in Input, targets []*modelTarget, a *Actions) {
 	allowance := max(int(maxLoadingFraction*float64(len(p.rows))), 1)
 	for _, target := range targets {
@@ -223,6 +225,8 @@
 			switch {
 			case r == nil:
 				a.Stalls = append(a.Stalls, Stall{Model: target.key, Reason: reason})
+			case !p.lost.allows(now, target.key, target.loadingCount):
+				a.Stalls = append(a.Stalls, Stall{Model: target.key, Reason: reasonEnginesLost})
 			case allowance <= 0:
 				return
 			case !p.loadLimit.take(now, target.LoadCost):
--- a/plantainlane/order/planner.go
+++ b/plantainlane/order/planner.go
@@ -39,6 +39,8 @@
 	ids []string
 	// steps counts the calls of Step; a row with a lower lastStep belongs to an engine that is no longer announced.
 	steps int
+	// lost holds the models under whose load engines have ended.
+	lost lostLoads
 }
 
 // row is the planner's state of one engine.
@@ -85,7 +87,7 @@
 // NewPlanner returns a planner without engines. The default rate of the weight store is one unit a second.
 func NewPlanner(options ...Option) *Planner {
 	p := &Planner{
-		timing: DefaultTiming(), random: rand.New(rand.NewPCG(1, 0)), rows: make(map[string]*row),
+		timing: DefaultTiming(), random: rand.New(rand.NewPCG(1, 0)), rows: make(map[string]*row), lost: make(lostLoads),
 		loadLimit: loadLimiter{rate: wire.Rate{PerSecond: 1, Burst: 1}},
 	}
 	for _, o := range options {
@@ -99,7 +101,7 @@
 // fencing number.
 func (p *Planner) Step(now time.Time, in Input, inbox []Report) Actions {
 	p.loadLimit.refill(now)
-	p.syncRows(in.Engines)
+	p.syncRows(now, in.Engines)
 	if in.Fencing != p.fencing {
 		p.fencing, p.fencingSince, p.superseded = in.Fencing, now, false
 	}
@@ -118,12 +120,13 @@
 // syncRows keeps one row for each announced engine and replaces the row of an engine that has a new incarnation. If
 // an engine's announcement changes, and the state read contradicts both the new and the previous one, the state is due
 // to be read again immediately.
-func (p *Planner) syncRows(engines iter.Seq[*wire.Announcement]) {
+func (p *Planner) syncRows(now time.Time, engines iter.Seq[*wire.Announcement]) {
 	p.steps++
 	previousCount := len(p.rows)
 	for e := range engines {
 		r := p.rows[e.ID]
 		if r == nil || r.announced.Incarnation != e.Incarnation {
+			p.recordLoss(now, r)
 			r = &row{announced: e}
 			p.rows[e.ID] = r
 		}
@@ -136,6 +139,7 @@
 	changed := len(p.rows) != previousCount
 	for id, r := range p.rows {
 		if r.lastStep != p.steps {
+			p.recordLoss(now, r)
 			delete(p.rows, id)
 			changed = true
 		}
@@ -145,6 +149,13 @@
 	}
 }
 
+// recordLoss records that an engine, if r isn't nil, has ended. An order that it had not answered may not have reached it.
+func (p *Planner) recordLoss(now time.Time, r *row) {
+	if r != nil && r.order != nil && r.order.Kind == Load && r.answered {
+		p.lost.record(now, r.order.Model, p.timing, p.random)
+	}
+}
+
 // matchesAnnouncement reports whether an engine's state has the announced role and exactly the announced models
 // loaded.
 func matchesAnnouncement(s *wire.EngineState, a *wire.Announcement) bool {
--- a/plantainlane/order/reports.go
+++ b/plantainlane/order/reports.go
@@ -82,6 +82,7 @@
 	}
 	if r.order.Kind == Load {
 		p.loadLimit.recordSuccess()
+		delete(p.lost, r.order.Model)
 	}
 	r.order = nil
 	r.failures = 0
--- a/plantainlane/order/types.go
+++ b/plantainlane/order/types.go
@@ -106,7 +106,8 @@
 	// Model is the model as NAME@VERSION.
 	Model string
 	// Reason is noRoom (no engine can load the model now, at least one of them for lack of a free slot), noEngine (no
-	// engine can load the model now, for other reasons), or weightStore (the weight store's rate is used up).
+	// engine can load the model now, for other reasons), weightStore (the weight store's rate is used up), or enginesLost
+	// (engines have ended while they loaded the model).
 	Reason string
 }
 
