quarantine: an ended entry comes back only if its content wasn't answered since; answers are counted at any size; fewer checks

Found when reading the whole change: - an entry that an operator had lifted, because its content is sound, came back with the next end of an upstream under it, whatever its cause. Now answers are counted by time. - a broken answer of an upstream that goes on cost it four connections; two now.

--- a/plantainlane/quarantine/blame.go
+++ b/plantainlane/quarantine/blame.go
@@ -64,43 +64,69 @@
 }
 
 // repeated returns the entries to set because of a single crash, since its content is known: it matches an entry that has
-// ended since, or one that refuses requests of another workspace.
+// ended, and no request with its parts was answered since, or one that refuses requests of another workspace.
 func (d *Detector) repeated(now time.Time, known []wire.QuarantineEntry) []wire.QuarantineEntry {
 	var out []wire.QuarantineEntry
 	for i := range known {
 		e := &known[i]
+		isCovered := slices.ContainsFunc(known, func(o wire.QuarantineEntry) bool {
+			return o.Workspace == "" && IsActive(&o, now) && Covers(&o, e)
+		})
+		if isCovered || d.isSoundSince(now, e) {
+			continue
+		}
 		for _, c := range d.crashes {
-			if c.service != e.Service || !c.at.After(time.UnixMilli(int64(evidenceFrom(e, now)))) {
-				continue
-			}
-			for _, s := range c.suspects() {
-				isRefused := IsActive(e, now) && (e.Workspace == "" || e.Workspace == s.workspace)
-				if isRefused || !isSubset(e.Parts, s.parts) || slices.ContainsFunc(known, func(o wire.QuarantineEntry) bool {
-					return o.Workspace == "" && IsActive(&o, now) && Covers(&o, e)
-				}) {
-					continue
-				}
-				workspace := e.Workspace
-				if workspace != s.workspace {
-					workspace = ""
-				}
-				again := NewEntry(now, e.Service, workspace, e.Parts, DefaultPeriod)
-				again.Upstreams = append(slices.Clone(e.Upstreams), c.upstream)
-				again.Upstreams = again.Upstreams[max(0, len(again.Upstreams)-maxEvidence):]
-				again.Reason = "crashed an upstream again"
-				out = append(out, again)
+			if s := c.repeats(now, e); s != nil {
+				out = append(out, renewed(now, e, s.workspace, c.upstream))
 			}
 		}
 	}
 	return out
 }
 
-// evidenceFrom returns the time, in milliseconds since 1970, after which a crash is evidence against an entry's parts again.
-func evidenceFrom(e *wire.QuarantineEntry, now time.Time) int {
+// isSoundSince reports whether a request with a part of an entry was answered since evidence against it counts again, or
+// whether that isn't known yet.
+func (d *Detector) isSoundSince(now time.Time, e *wire.QuarantineEntry) bool {
+	return slices.ContainsFunc(e.Parts, func(p string) bool {
+		key := servicePart{e.Service, p}
+		askedAt := d.askedAt[key]
+		return askedAt.IsZero() || now.Sub(askedAt) < answerTime || d.servedAt[key].After(evidenceFrom(e, now))
+	})
+}
+
+// repeats returns a send under which a crash has happened and that an entry doesn't refuse though it has its parts; nil if
+// there is none.
+func (c *crash) repeats(now time.Time, e *wire.QuarantineEntry) *send {
+	if c.service != e.Service || !c.at.After(evidenceFrom(e, now)) {
+		return nil
+	}
+	for _, s := range c.suspects() {
+		isRefused := IsActive(e, now) && (e.Workspace == "" || e.Workspace == s.workspace)
+		if !isRefused && isSubset(e.Parts, s.parts) {
+			return &s
+		}
+	}
+	return nil
+}
+
+// renewed returns the entry in place of another one whose content has crashed one more upstream, for a workspace.
+func renewed(now time.Time, e *wire.QuarantineEntry, workspace, upstream string) wire.QuarantineEntry {
+	if workspace != e.Workspace {
+		workspace = ""
+	}
+	again := NewEntry(now, e.Service, workspace, e.Parts, DefaultPeriod)
+	again.Upstreams = append(slices.Clone(e.Upstreams), upstream)
+	again.Upstreams = again.Upstreams[max(0, len(again.Upstreams)-maxEvidence):]
+	again.Reason = "crashed an upstream again"
+	return again
+}
+
+// evidenceFrom returns the time after which a crash is evidence against an entry's parts again.
+func evidenceFrom(e *wire.QuarantineEntry, now time.Time) time.Time {
 	if IsActive(e, now) {
-		return e.SinceMs
+		return time.UnixMilli(int64(e.SinceMs))
 	}
-	return e.UntilMs
+	return time.UnixMilli(int64(e.UntilMs))
 }
 
 // isExplained reports whether a crash has an entry's content and is from before the end of the entry.
--- a/plantainlane/quarantine/detector.go
+++ b/plantainlane/quarantine/detector.go
@@ -15,8 +15,8 @@
 	// maxCrashes bounds the crashes that a Detector knows, and maxSends the sends of each; the oldest are forgotten first.
 	maxCrashes = 128
 	maxSends   = 64
-	// maxAnswers bounds the reports of answers of a service that a Detector remembers.
-	maxAnswers = 256
+	// answerBucket is the span of time whose answers of a service are counted together.
+	answerBucket = 50 * time.Millisecond
 	// maxSuspects bounds the parts that instances are asked about.
 	maxSuspects = 32
 	// survivalTime is how long after a break an announcement of the same process shows that it did not end. An earlier one
@@ -63,11 +63,12 @@
 	service, part string
 }
 
-// answers is a number of requests of any content that a service answered, the last one at a time.
-type answers struct {
-	at    time.Time
-	count int
-}
+// answerCounts holds the number of requests of any content that a service answered, by the time of the answers in units of
+// answerBucket since 1970.
+type answerCounts map[int64]int
+
+// bucketOf returns the bucket of a time.
+func bucketOf(at time.Time) int64 { return at.UnixNano() / int64(answerBucket) }
 
 // Detector derives from the reports of all instances which parts are to blame for crashes. Only the leader has one. It must
 // be used by one goroutine only.
@@ -77,8 +78,8 @@
 	crashes []*crash
 	// servedAt holds when a request with a part of a known crash was last answered whole.
 	servedAt map[servicePart]time.Time
-	// answered holds the answers of services with known crashes, newest report last.
-	answered map[string][]answers
+	// answered holds the answers of services with known crashes.
+	answered map[string]answerCounts
 	// askedAt holds since when instances have been asked about parts of known crashes.
 	askedAt map[servicePart]time.Time
 	changed bool
@@ -86,7 +87,9 @@
 
 // NewDetector returns a Detector that knows no crashes.
 func NewDetector(u Upstreams) *Detector {
-	return &Detector{upstreams: u, servedAt: make(map[servicePart]time.Time), answered: make(map[string][]answers), askedAt: make(map[servicePart]time.Time)}
+	return &Detector{
+		upstreams: u, servedAt: make(map[servicePart]time.Time), answered: make(map[string]answerCounts), askedAt: make(map[servicePart]time.Time),
+	}
 }
 
 // Report adds what an instance reports. Reports that were added before change nothing.
@@ -98,7 +101,7 @@
 		key := servicePart{s.Service, s.Part}
 		at := now.Add(-time.Duration(s.AgoMs) * time.Millisecond)
 		if key.part == anyPart {
-			d.addAnswers(key.service, answers{at, s.Answers})
+			d.addAnswers(key.service, at, s.Answers)
 		} else if at.After(d.servedAt[key]) && d.isKnown(key) {
 			d.servedAt[key] = at
 			d.changed = true
@@ -106,23 +109,30 @@
 	}
 }
 
-// addAnswers records answers of a service with a known crash.
-func (d *Detector) addAnswers(service string, a answers) {
-	if !slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.service == service }) {
+// addAnswers records answers of a service, the last one at a time, if it has a known crash.
+func (d *Detector) addAnswers(service string, at time.Time, count int) {
+	if !d.hasCrashes(service) {
 		return
 	}
-	list := append(d.answered[service], a)
-	d.answered[service] = list[max(0, len(list)-maxAnswers):]
+	if d.answered[service] == nil {
+		d.answered[service] = make(answerCounts)
+	}
+	d.answered[service][bucketOf(at)] += max(count, 1)
 	d.changed = true
 }
 
-// answersBetween returns the number of requests that a service answered after from and before to.
+// hasCrashes reports whether a crash of a service is known.
+func (d *Detector) hasCrashes(service string) bool {
+	return slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.service == service })
+}
+
+// answersBetween returns the number of requests that a service answered between two times, those in the buckets of the times
+// left out.
 func (d *Detector) answersBetween(service string, from, to time.Time) int {
 	n := 0
-	for _, a := range d.answered[service] {
-		if a.at.After(from) && a.at.Before(to) {
-			n += max(a.count, 1)
-		}
+	counts := d.answered[service]
+	for bucket := bucketOf(from) + 1; bucket < bucketOf(to); bucket++ {
+		n += counts[bucket]
 	}
 	return n
 }
@@ -170,18 +180,21 @@
 		return now.Sub(c.at) > evidenceWindow || d.upstreams.IsLeaving(c.upstream, c.incarnation) ||
 			d.upstreams.RenewedAt(c.upstream, c.incarnation).After(c.at.Add(survivalTime))
 	})
-	if len(d.crashes) == before {
-		return
+	if len(d.crashes) != before {
+		d.changed = true
+		d.forgetParts()
 	}
-	d.changed = true
+	oldest := bucketOf(now.Add(-evidenceWindow))
+	for service, counts := range d.answered {
+		maps.DeleteFunc(counts, func(bucket int64, _ int) bool { return bucket < oldest || !d.hasCrashes(service) })
+	}
+}
+
+// forgetParts drops what is known of parts that no known crash has.
+func (d *Detector) forgetParts() {
 	isUnknown := func(key servicePart, _ time.Time) bool { return !d.isKnown(key) }
 	maps.DeleteFunc(d.servedAt, isUnknown)
 	maps.DeleteFunc(d.askedAt, isUnknown)
-	for service := range d.answered {
-		if !slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.service == service }) {
-			delete(d.answered, service)
-		}
-	}
 }
 
 // TakeChanged reports whether the evidence has changed since the last call.
--- a/plantainlane/quarantine/ended.go
+++ b/plantainlane/quarantine/ended.go
@@ -10,11 +10,15 @@
 )
 
 // checkTimes are when, after a connection to a process broke, it is checked whether the process has ended: it may still be
-// ending, or another one may be starting at its address.
-var checkTimes = []time.Duration{0, 50 * time.Millisecond, 250 * time.Millisecond, time.Second}
+// ending, or another one may have started at its address and announce itself soon.
+var checkTimes = []time.Duration{0, 250 * time.Millisecond, time.Second}
 
-// dialTimeout bounds one check.
-const dialTimeout = 300 * time.Millisecond
+const (
+	// maxDials bounds the connections for one check, since one to a process that goes on may cost it a slot.
+	maxDials = 2
+	// dialTimeout is the maximum time for each of them.
+	dialTimeout = 300 * time.Millisecond
+)
 
 // Dialer is a Checker that connects to the process's address: if nothing listens there, the process has ended. A host that
 // doesn't answer says nothing about the process.
@@ -26,13 +30,13 @@
 // HasEnded reports whether the process that had an address has ended.
 func (d *Dialer) HasEnded(ctx context.Context, p Process) bool {
 	began := time.Now()
-	for _, at := range checkTimes {
+	for i, at := range checkTimes {
 		select {
 		case <-time.After(at - time.Since(began)):
 		case <-ctx.Done():
 			return false
 		}
-		if d.IsReplaced(p) || isRefused(ctx, p.Address) {
+		if d.IsReplaced(p) || i < maxDials && isRefused(ctx, p.Address) {
 			return true
 		}
 	}
