--- a/standin/announce/announce.go
+++ b/standin/announce/announce.go
@@ -46,8 +46,9 @@
 	source      Source
 	ttl         time.Duration
 	incarnation int
-	sequence    int // Sequence number of the last request.
-	current     int // Index of the target in use.
+	ends        func() int // Counts the processes that have ended.
+	sequence    int        // Sequence number of the last request.
+	current     int        // Index of the target in use.
 }
 
 // Option is an option of New.
@@ -64,6 +65,10 @@
 // WithIncarnation sets the incarnation. The default is the time of the call of New in milliseconds since 1970.
 func WithIncarnation(n int) Option { return func(a *Announcer) { a.incarnation = n } }
 
+// WithEnds sets what counts the ends of the upstream's processes; each has an incarnation of its own. By default the process
+// doesn't end.
+func WithEnds(ends func() int) Option { return func(a *Announcer) { a.ends = ends } }
+
 // WithCredential sets the credential of announcements. By default they have none.
 func WithCredential(credential string) Option {
 	return func(a *Announcer) { a.credential = credential }
@@ -78,6 +83,7 @@
 		source:      source,
 		ttl:         3 * time.Second,
 		incarnation: int(time.Now().UnixMilli()),
+		ends:        func() int { return 0 },
 	}
 	for _, o := range options {
 		o(a)
@@ -133,7 +139,7 @@
 func (a *Announcer) send(ctx context.Context, target string) (time.Duration, error) {
 	a.sequence++
 	m := a.source.Announcement()
-	m.Incarnation, m.Sequence, m.TTLMs = a.incarnation, a.sequence, int(a.ttl.Milliseconds())
+	m.Incarnation, m.Sequence, m.TTLMs = a.incarnation+a.ends(), a.sequence, int(a.ttl.Milliseconds())
 	body, err := json.Marshal(m)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode")
@@ -152,7 +158,7 @@
 	for range a.targets {
 		a.sequence++
 		endpoint := fmt.Sprintf("%s?incarnation=%d&sequence=%d",
-			a.upstreamURL(a.targets[a.current]), a.incarnation, a.sequence)
+			a.upstreamURL(a.targets[a.current]), a.incarnation+a.ends(), a.sequence)
 		if lastErr = a.call(ctx, http.MethodDelete, endpoint, nil, nil); lastErr == nil {
 			return nil
 		}
--- a/standin/fake/call.go
+++ b/standin/fake/call.go
@@ -41,6 +41,7 @@
 	row wire.LedgerRow
 	// attemptEcho is the attempt ID in the answer. A crossed answer has the ID of another attempt.
 	attemptEcho string
+	input       []byte
 	// out is the output for the call's path and input.
 	out chain.Output
 }
@@ -75,6 +76,10 @@
 		return f.refuse(in)
 	}
 	exec := f.ledger.start(in.row)
+	if isCrashedBy(fault, in.input) {
+		f.crash(time.Duration(fault.CrashMs) * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
 	if !f.simulateWork(ctx, fault) {
 		return nil
 	}
@@ -99,7 +104,7 @@
 		Upstream: f.id, Workspace: r.Header.Get(HeaderWorkspace), Path: r.URL.Path, Input: digest,
 		Request: r.Header.Get(HeaderRequest), Attempt: attempt, Units: f.profile.CallUnits,
 	}
-	return call{w: w, r: r, row: row, out: chain.Derive(r.URL.Path, digest)}, 0
+	return call{w: w, r: r, row: row, input: body, out: chain.Derive(r.URL.Path, digest)}, 0
 }
 
 // attemptToEcho returns the attempt ID for the answer. Under the fault CrossShare this is the ID of the previous call,
--- a/standin/fake/fake.go
+++ b/standin/fake/fake.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +31,16 @@
 	// closing is closed by Stop and ends the waits of the calls in flight.
 	closing chan struct{}
 
+	handler http.Handler
+
+	mu       sync.Mutex
 	server   *http.Server
 	listener net.Listener
+	// isDown is set from the end of a process until the next one starts, crashes counts the ends. restarted receives a value at
+	// each start after an end.
+	isDown    bool
+	crashes   int
+	restarted chan struct{}
 }
 
 // New returns a fake upstream of a service. Serve accepts its calls on l.
@@ -44,6 +53,8 @@
 		random:   newRandomSource(1),
 		closing:  make(chan struct{}),
 		listener: l,
+
+		restarted: make(chan struct{}, 1),
 	}
 	for _, o := range options {
 		o(f)
@@ -53,18 +64,29 @@
 	f.fault.Store(&wire.Fault{})
 	e := echo.New()
 	e.POST("/*", f.serveCall)
-	f.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	f.handler = e
+	f.server = f.newServer()
 	return f
 }
 
+// newServer returns the server of a process.
+func (f *Fake) newServer() *http.Server {
+	return &http.Server{Handler: f.handler, ReadHeaderTimeout: 5 * time.Second}
+}
+
 // ID returns the upstream ID.
 func (f *Fake) ID() string { return f.id }
 
 // Address returns the host and port of the fake.
 func (f *Fake) Address() string { return f.address }
 
-// Fault returns the fault in force.
-func (f *Fake) Fault() wire.Fault { return *f.fault.Load() }
+// Fault returns the fault in force. While the process is down, it doesn't renew its announcement.
+func (f *Fake) Fault() wire.Fault {
+	fault := *f.fault.Load()
+	isDown, _ := f.lifetime()
+	fault.StopRenewing = fault.StopRenewing || isDown
+	return fault
+}
 
 // SetFault replaces the fault in force.
 func (f *Fake) SetFault(fault wire.Fault) { f.fault.Store(&fault) }
@@ -79,4 +101,17 @@
 }
 
 // Serve serves calls until Stop is called. It then returns http.ErrServerClosed.
-func (f *Fake) Serve() error { return f.server.Serve(f.listener) }
+func (f *Fake) Serve() error {
+	for {
+		server, listener := f.current()
+		err := server.Serve(listener)
+		if isDown, _ := f.lifetime(); !isDown && len(f.restarted) == 0 {
+			return err
+		}
+		select {
+		case <-f.restarted:
+		case <-f.closing:
+			return err
+		}
+	}
+}
--- a/standin/fake/stop.go
+++ b/standin/fake/stop.go
@@ -7,10 +7,11 @@
 // Stop stops accepting connections and waits for the calls in flight. When ctx ends, it aborts the remaining
 // calls, and returns an error only if the server can't be closed.
 func (f *Fake) Stop(ctx context.Context) error {
-	err := f.server.Shutdown(ctx)
+	server, _ := f.current()
+	err := server.Shutdown(ctx)
 	close(f.closing)
 	if err != nil {
-		return f.server.Close()
+		return server.Close()
 	}
 	return nil
 }
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -169,7 +169,7 @@
 	announcers := make([]*announce.Announcer, 0, len(fakes))
 	for i, f := range fakes {
 		a := announce.New(client, f, targets, announce.WithTTL(c.Duration("ttl")),
-			announce.WithCredential(c.String("credential")), announce.WithFirstTarget(i))
+			announce.WithCredential(c.String("credential")), announce.WithFirstTarget(i), announce.WithEnds(f.Crashes))
 		announcers = append(announcers, a)
 		pending.Add(1)
 		running.Go(func() { a.Run(ctx, pending.Done) })
--- a/wire/types.go
+++ b/wire/types.go
@@ -663,6 +663,14 @@
 	// Calls that run and whose connection is closed without an answer.
 	CloseShare float64 `json:"closeShare" cbor:"closeShare"`
 
+	// Text in the input of calls that end the upstream's process as soon as they run:
+	// it closes its listener and all connections. Empty for none.
+	CrashInput string `json:"crashInput" cbor:"crashInput"`
+
+	// Time in milliseconds after which a process that a call has ended starts again,
+	// as a new incarnation at the same address.
+	CrashMs int `json:"crashMs" cbor:"crashMs"`
+
 	// Calls answered with the attempt ID of another call.
 	CrossShare float64 `json:"crossShare" cbor:"crossShare"`
 
