operator, platform: the quarantine can be seen and changed on the users' platform

The platform's settings name no operators' credentials, so plantainctl reached no instance there and a false entry couldn't have been lifted. The control address, which takes configurations without a credential, serves these endpoints too.

--- a/plantainlane/instance/quarantine.go
+++ b/plantainlane/instance/quarantine.go
@@ -1,6 +1,17 @@
 package instance
 
-import "plantainlane/plantainlane/quarantine"
+import (
+	"github.com/labstack/echo/v5"
+
+	"plantainlane/plantainlane/operator"
+	"plantainlane/plantainlane/quarantine"
+)
+
+// RegisterQuarantine adds the operators' endpoints of the quarantine to a listener that only operators can reach: they check no
+// credentials.
+func (x *Instance) RegisterQuarantine(e *echo.Echo) {
+	(&operator.Server{Control: x.loop, Quarantine: x.guard}).RegisterQuarantine(e)
+}
 
 // isReplaced reports whether a process is known to have ended because its upstream has announced a newer incarnation, or
 // another upstream announces its address.
--- a/plantainlane/operator/quarantine.go
+++ b/plantainlane/operator/quarantine.go
@@ -29,6 +29,21 @@
 	Known() wire.QuarantineUpdate
 }
 
+// Router is where endpoints are added: an echo instance or a group.
+type Router interface {
+	GET(path string, h echo.HandlerFunc, m ...echo.MiddlewareFunc) echo.RouteInfo
+	POST(path string, h echo.HandlerFunc, m ...echo.MiddlewareFunc) echo.RouteInfo
+	DELETE(path string, h echo.HandlerFunc, m ...echo.MiddlewareFunc) echo.RouteInfo
+}
+
+// RegisterQuarantine adds only the endpoints of the quarantine, which use the fields Control and Quarantine. It doesn't check
+// credentials.
+func (s *Server) RegisterQuarantine(r Router) {
+	r.GET("/v1/quarantine", s.quarantine)
+	r.POST("/v1/quarantine", s.setQuarantine)
+	r.DELETE("/v1/quarantine/:id", s.liftQuarantine)
+}
+
 // quarantine answers with the quarantine as this instance knows it.
 func (s *Server) quarantine(c *echo.Context) error {
 	u := s.Quarantine.Known()
--- a/plantainlane/operator/server.go
+++ b/plantainlane/operator/server.go
@@ -78,9 +78,7 @@
 	g.POST("/v1/instances/:id/drain", s.drain)
 	g.GET("/v1/cost", s.cost)
 	g.GET("/v1/timeline", s.timeline)
-	g.GET("/v1/quarantine", s.quarantine)
-	g.POST("/v1/quarantine", s.setQuarantine)
-	g.DELETE("/v1/quarantine/:id", s.liftQuarantine)
+	s.RegisterQuarantine(g)
 	g.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 }
 
