--- a/plantainlane/forward/quarantine.go
+++ b/plantainlane/forward/quarantine.go
@@ -11,10 +11,6 @@
 	"plantainlane/plantainlane/route"
 )
 
-// maxQuarantineRetry is the longest time after which callers are told to come back with a request that is refused for its
-// content.
-const maxQuarantineRetry = time.Hour
-
 // refuseQuarantined returns the refusal of a request whose content is in quarantine; nil if it isn't.
 func (q *request) refuseQuarantined() *Refusal {
 	now := time.Now()
@@ -24,7 +20,7 @@
 	}
 	return &Refusal{
 		Status: http.StatusServiceUnavailable, Reason: "content in quarantine, it has crashed upstreams: " + e.ID,
-		RetryAfter: min(time.UnixMilli(int64(e.UntilMs)).Sub(now), maxQuarantineRetry),
+		RetryAfter: quarantine.RetryAfter(e, now),
 	}
 }
 
--- a/plantainlane/order/plan.go
+++ b/plantainlane/order/plan.go
@@ -212,8 +212,8 @@
 }
 
 // planLoads orders loads for the missing replicas of each model until maxLoadingFraction or the weight store's rate
-// is reached; the models that follow then get no load either. A model for which no engine can be chosen, or that
-// reaches the weight store's rate, or under whose load engines have ended, is reported as a stall; reaching maxLoadingFraction isn't.
+// is reached; the models that follow then get no load either. A model for which no engine can be chosen, under whose load
+// engines have ended, or that reaches the weight store's rate, is reported as a stall; reaching maxLoadingFraction isn't.
 func (p *Planner) planLoads(now time.Time, in Input, targets []*modelTarget, a *Actions) {
 	allowance := max(int(maxLoadingFraction*float64(len(p.rows))), 1)
 	for _, target := range targets {
--- a/plantainlane/pipeline/quarantine.go
+++ b/plantainlane/pipeline/quarantine.go
@@ -14,14 +14,10 @@
 	"plantainlane/plantainlane/upstream"
 )
 
-// maxQuarantineRetry is the longest time after which callers are told to come back with a request whose input is in
-// quarantine.
-const maxQuarantineRetry = time.Hour
-
 // quarantined is the error of a stage whose input is in quarantine. It matches ErrQuarantined.
 type quarantined struct {
-	entry string
-	until time.Time
+	entry      string
+	retryAfter time.Duration
 }
 
 // Error returns a text with the ID of the entry.
@@ -41,8 +37,9 @@
 
 // checkQuarantine returns an error that is ErrQuarantined if the input of a stage is in quarantine.
 func (x *execution) checkQuarantine(s *stageRun) error {
-	if e := x.Guard.Refusal(time.Now(), s.content); e != nil {
-		return &quarantined{entry: e.ID, until: time.UnixMilli(int64(e.UntilMs))}
+	now := time.Now()
+	if e := x.Guard.Refusal(now, s.content); e != nil {
+		return &quarantined{entry: e.ID, retryAfter: quarantine.RetryAfter(e, now)}
 	}
 	return nil
 }
--- a/plantainlane/pipeline/runner.go
+++ b/plantainlane/pipeline/runner.go
@@ -195,7 +195,7 @@
 	case ctx.Err() != nil:
 		f.Reason = ErrCancelled
 	case errors.As(err, &inQuarantine):
-		f.Reason, f.RetryAfter = ErrQuarantined, min(time.Until(inQuarantine.until), maxQuarantineRetry)
+		f.Reason, f.RetryAfter = ErrQuarantined, inQuarantine.retryAfter
 	case errors.Is(err, ErrNoUpstream):
 		f.Reason = ErrNoUpstream
 		f.RetryAfter = time.Second
--- a/plantainlane/quarantine/entry.go
+++ b/plantainlane/quarantine/entry.go
@@ -14,6 +14,8 @@
 const (
 	// DefaultPeriod is how long an entry refuses requests unless an operator states another time.
 	DefaultPeriod = 24 * time.Hour
+	// maxRetryAfter is the longest time after which callers are told to come back.
+	maxRetryAfter = time.Hour
 	// MaxParts is the number of parts of a request's content that are considered.
 	MaxParts = 16
 	// maxPartBytes is the length above which a part is replaced by its hash, since callers choose the parts.
@@ -55,6 +57,11 @@
 // IsActive reports whether an entry refuses requests at the time now.
 func IsActive(e *wire.QuarantineEntry, now time.Time) bool { return now.UnixMilli() < int64(e.UntilMs) }
 
+// RetryAfter returns the time after which the caller of a request that an entry refuses may come back.
+func RetryAfter(e *wire.QuarantineEntry, now time.Time) time.Duration {
+	return min(time.UnixMilli(int64(e.UntilMs)).Sub(now), maxRetryAfter)
+}
+
 // Covers reports whether an entry refuses all requests that another one refuses, as far as their contents go.
 func Covers(e, other *wire.QuarantineEntry) bool {
 	return e.Service == other.Service && (e.Workspace == "" || e.Workspace == other.Workspace) && isSubset(e.Parts, other.Parts)
