--- a/plantainlane/instance/load.go
+++ b/plantainlane/instance/load.go
@@ -20,6 +20,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	lastUsed, lastAt := processorTime(), time.Now()
+	use := newProcessorUse()
 	for {
 		select {
 		case <-ctx.Done():
@@ -27,6 +28,7 @@
 		case now := <-ticker.C:
 			used := processorTime()
 			fraction := float64(used-lastUsed) / float64(now.Sub(lastAt)) / float64(runtime.GOMAXPROCS(0))
+			use.log(used-lastUsed, now.Sub(lastAt), fraction)
 			lastUsed, lastAt = used, now
 			x.loop.Deliver(ctx, control.LoadMeasured{Share: min(max(fraction, 0), 1)})
 		}
