--- a/plantainlane/batch/large_site_model_test.go
+++ b/plantainlane/batch/large_site_model_test.go
@@ -84,8 +84,11 @@
 	upstreams []map[string]*largeUpstream
 	results   map[string]*largeResult
 	handles   int
-	// earned and owed hold the worth by second of arrival.
-	earned, owed []float64
+	// earned and owed hold the worth by second of arrival, classEarned and classOwed by class.
+	earned, owed           []float64
+	classEarned, classOwed map[string]float64
+	// machines holds the machine of each queue's owner; nil if what an owner does takes no time.
+	machines []*largeMachine
 	// noMemory and made count pieces, by service; busy is the time that upstreams worked.
 	noMemory, made []int
 	busy           []time.Duration
@@ -107,6 +110,7 @@
 	r := &largeReplay{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), start: time.Unix(1000, 0),
 		events: make(map[time.Time][]func()), waits: make([]WaitTimes, len(largeStages)), results: make(map[string]*largeResult),
+		classEarned: make(map[string]float64), classOwed: make(map[string]float64), machines: make([]*largeMachine, len(largeStages)),
 		noMemory: make([]int, len(largeStages)), made: make([]int, len(largeStages)), busy: make([]time.Duration, len(largeStages)),
 	}
 	for i, s := range largeStages {
@@ -141,6 +145,27 @@
 	}
 }
 
+// toOwner passes a message to the owner of a queue, which handles it once its machine gets to it.
+func (r *largeReplay) toOwner(service int, handle func()) {
+	r.after(largeTransfer, func() {
+		d := r.work(service, largeMessageWork, largeMessageBytes)
+		if d == 0 {
+			handle()
+			return
+		}
+		r.after(d, handle)
+	})
+}
+
+// work gives work to the machine of a queue's owner, and returns the time until it is done.
+func (r *largeReplay) work(service int, takes time.Duration, bytes int) time.Duration {
+	m := r.machines[service]
+	if m == nil {
+		return 0
+	}
+	return m.work(r.now, takes, bytes)
+}
+
 // after runs do after a time, which is rounded to a multiple of largeStep.
 func (r *largeReplay) after(d time.Duration, do func()) {
 	t := r.now.Add(max(d.Round(largeStep), largeStep))
@@ -211,6 +236,7 @@
 		q.pieces = append(q.pieces, min(n, int(4*s.mean)))
 	}
 	r.owed[q.second] += c.worth
+	r.classOwed[c.name] += c.worth
 	r.begin(q)
 }
 
@@ -258,7 +284,7 @@
 	j.OnDone = func(out Outcome) {
 		r.after(largeTransfer, func() { r.stageEnded(q, stage, try, out) })
 	}
-	r.after(largeTransfer, func() { r.queues[s.service].Add(r.now, j) })
+	r.toOwner(s.service, func() { r.queues[s.service].Add(r.now, j) })
 }
 
 func (r *largeReplay) stageEnded(q *largeRequest, stage, try int, out Outcome) {
@@ -323,12 +349,15 @@
 // readByEngine ends a request whose stages are completed.
 func (r *largeReplay) readByEngine(q *largeRequest) {
 	r.after(q.class.engineTime, func() {
+		worth := 0.0
 		switch took := r.now.Sub(q.arrived); {
 		case took <= q.class.target:
-			r.earned[q.second] += q.class.worth
+			worth = q.class.worth
 		case took <= q.class.deadline:
-			r.earned[q.second] += q.class.late
+			worth = q.class.late
 		}
+		r.earned[q.second] += worth
+		r.classEarned[q.class.name] += worth
 		r.giveUp(q)
 	})
 }
@@ -338,7 +367,7 @@
 	if len(handles) == 0 {
 		return
 	}
-	r.after(largeTransfer, func() {
+	r.toOwner(service, func() {
 		if unknown := r.queues[service].Release(handles); len(unknown) > 0 {
 			r.after(largeTransfer, func() { r.drop(unknown) })
 		}
@@ -365,7 +394,7 @@
 		})
 	}
 	for c := q.Next(r.now); c != nil; c = q.Next(r.now) {
-		r.after(largeTransfer, func() { r.runCall(service, q, c) })
+		r.after(r.work(service, largeCallWork, largeCallBytes)+largeTransfer, func() { r.runCall(service, q, c) })
 	}
 }
 
@@ -394,7 +423,9 @@
 		}
 	}
 	r.after(took+spec.KeepFor, func() { r.drop(handles) })
-	r.after(took+largeTransfer, func() { q.Release(q.Done(r.now, c, results, false)) })
+	r.after(took, func() {
+		r.toOwner(service, func() { q.Release(q.Done(r.now, c, results, false)) })
+	})
 }
 
 // workOf returns the work of a piece, which its size tells.
--- a/plantainlane/batch/large_site_test.go
+++ b/plantainlane/batch/large_site_test.go
@@ -92,3 +92,36 @@
 		})
 	}
 }
+
+const (
+	// rewriteFloor is the least share of its worth that the class of rewrites has to earn on a day of high load.
+	rewriteFloor = 0.34
+	// largeInstances is the number of instances, all of which submit jobs to the owner of a queue.
+	largeInstances = 200
+)
+
+// TestOwnerCollectsGarbageInsteadOfServing guards against an owner whose connections to all instances hold so much memory
+// that its collector leaves it no processor time: upstreams idle while pieces wait.
+func TestOwnerCollectsGarbageInsteadOfServing(t *testing.T) {
+	skipReplay(t)
+	is := is.New(t)
+	connection := connectionBytes(t)
+	live := largeOtherMemory + largeInstances*connection
+	// After a cut, a replica has half as many connections more for a while.
+	liveAfterCut := live + largeInstances*connection/2
+	for seed := range uint64(2) {
+		r := newLargeReplay(seed)
+		a, b, leader := besideReplica(live, live), besideReplica(live, liveAfterCut), besideLeader(live, live)
+		r.machines = []*largeMachine{a, a, a}
+		r.moveQueues(besideReplica(live, live), 1)
+		r.moveQueues(besideReplica(live, live), 2)
+		// A cut leaves two queues to the leader's machine. When that ends, one machine has all for some seconds.
+		r.after(7*time.Second, func() { r.moveQueues(leader, 0, 2) })
+		r.after(17*time.Second, func() { r.moveQueues(b, 0, 1, 2) })
+		r.after(21*time.Second, func() { r.moveQueues(a, 0) })
+		r.play(34, largeBurst{"guide", 4.4, 10.1, 2.5}, largeBurst{"rewrite", 16, 22, 2.4}, largeBurst{"", 26, 30, 1.7})
+		rewrite := r.classEarned["rewrite"] / r.classOwed["rewrite"]
+		t.Logf("live %d MB, rewrite %.3f, %s", live>>20, rewrite, r.summary())
+		is.True(rewrite >= rewriteFloor)
+	}
+}
