peer: connections hold memory only for frames that wait

Cause: each connection reserved room for 1,024 frames of 336 bytes when it was opened. An instance that owns a queue, and each replica of the control log, has a connection to each other instance: 70 MB at 200 instances, of a soft limit of 110 MB. The collector ran whenever the rest was used up, and scanned all of it.

Fix: an outbox that grows with what waits, bounded by as many frames as before. What waits is written together at one wake-up.

--- a/plantainlane/peer/conn.go
+++ b/plantainlane/peer/conn.go
@@ -12,9 +12,6 @@
 	"plantainlane/wire"
 )
 
-// queueSize is the number of frames that may wait to be written to one connection.
-const queueSize = 1024
-
 // lateHandling is the time for handling a frame above which it is logged.
 const lateHandling = 100 * time.Millisecond
 
@@ -31,8 +28,8 @@
 	ws  *websocket.Conn
 	// info describes the instance at the other end.
 	info wire.InstanceInfo
-	// out is the queue of frames to write.
-	out chan wire.Frame
+	// out holds the frames to write.
+	out *outbox
 	// dialed is set if this instance opened the connection.
 	dialed bool
 	// lastUsed is when a frame other than a heartbeat was last sent or received, in nanoseconds since 1970.
@@ -57,9 +54,7 @@
 // enqueue adds a frame to the queue of frames to write, or drops the frame if the queue is full. Frames in the queue
 // are also lost if the connection fails.
 func (c *conn) enqueue(f wire.Frame) {
-	select {
-	case c.out <- f:
-	default:
+	if !c.out.put(f) {
 		c.dropped.Add(1)
 		klog.V(1).InfoS("peer queue full, frame dropped", "peer", c.info.ID)
 	}
@@ -138,7 +133,7 @@
 	defer heartbeat.Stop()
 	sequence := 0
 	for {
-		var f wire.Frame
+		var frames []wire.Frame
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
@@ -147,16 +142,27 @@
 				return errUnused
 			}
 			sequence++
-			f.Heartbeat = &wire.Heartbeat{Sequence: sequence}
-		case f = <-c.out:
-			if f.Heartbeat == nil {
-				c.markUsed()
-			}
+			frames = []wire.Frame{{Heartbeat: &wire.Heartbeat{Sequence: sequence}}}
+		case <-c.out.wake:
+			frames = c.out.take()
+		}
+		if err := c.writeFrames(ctx, frames); err != nil {
+			return err
+		}
+	}
+}
+
+// writeFrames writes frames one after another.
+func (c *conn) writeFrames(ctx context.Context, frames []wire.Frame) error {
+	for _, f := range frames {
+		if f.Heartbeat == nil {
+			c.markUsed()
 		}
 		if err := c.writeFrame(ctx, f); err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
 // writeFrame sets the sender and the time of a frame and writes it. A write may take Timing.SilentAfter at most.
--- a/plantainlane/peer/handshake.go
+++ b/plantainlane/peer/handshake.go
@@ -63,7 +63,7 @@
 // other end is not a hello with an instance ID and this protocol version, or if the other end is this instance.
 func (n *Net) handshake(ctx context.Context, ws *websocket.Conn) (*conn, error) {
 	ws.SetReadLimit(wire.MaxFrameBytes)
-	c := &conn{net: n, ws: ws, out: make(chan wire.Frame, queueSize)}
+	c := &conn{net: n, ws: ws, out: newOutbox()}
 	hello := wire.Frame{Hello: &wire.Hello{Info: n.self, Protocol: wire.Protocol}}
 	if err := c.writeFrame(ctx, hello); err != nil {
 		return nil, err
