--- a/plantainlane/engine/index.go
+++ b/plantainlane/engine/index.go
@@ -57,7 +57,8 @@
 	startedAt time.Time
 	// maxEngineBlocks bounds the blocks of one engine.
 	maxEngineBlocks int
-	// entries has a fixed capacity, the bound of all blocks; freeEntries are the indexes of the removed ones.
+	// maxBlocks bounds the entries. freeEntries are the indexes of the removed ones.
+	maxBlocks   int
 	entries     []entry
 	freeEntries []int32
 	// entryOf has the index of each entry.
@@ -78,24 +79,21 @@
 
 // WithTotalBlocks sets the bound of the blocks over all engines.
 func WithTotalBlocks(n int) IndexOption {
-	return func(x *Index) { x.entries = make([]entry, 0, n) }
+	return func(x *Index) { x.maxBlocks = n }
 }
 
 // WithEngineBlocks sets the bound of the blocks of one engine.
 func WithEngineBlocks(n int) IndexOption { return func(x *Index) { x.maxEngineBlocks = n } }
 
-// NewIndex returns an empty index. It allocates the memory of all entries.
+// NewIndex returns an empty index. Its memory grows with the entries.
 func NewIndex(now time.Time, options ...IndexOption) *Index {
 	x := &Index{
-		startedAt: now, maxEngineBlocks: DefaultEngineBlocks, entryOf: make(map[blockOnEngine]int32),
+		startedAt: now, maxBlocks: DefaultTotalBlocks, maxEngineBlocks: DefaultEngineBlocks, entryOf: make(map[blockOnEngine]int32),
 		holders: make(map[uint64]int32), engineByID: make(map[string]int32),
 	}
 	for _, o := range options {
 		o(x)
 	}
-	if x.entries == nil {
-		x.entries = make([]entry, 0, DefaultTotalBlocks)
-	}
 	return x
 }
 
@@ -213,13 +211,13 @@
 // allocate returns an unused entry for an engine, none if the engine's limit is 0. An engine at its limit loses its
 // least recently used block; if all entries are in use, another engine at its limit loses one.
 func (x *Index) allocate(engine int32) int32 {
-	limit := min(x.maxEngineBlocks, cap(x.entries)/max(len(x.engineByID), 1))
+	limit := min(x.maxEngineBlocks, x.maxBlocks/max(len(x.engineByID), 1))
 	if limit == 0 {
 		return none
 	}
 	if v := &x.engines[engine]; v.blocks >= limit {
 		x.remove(v.oldest)
-	} else if len(x.freeEntries) == 0 && len(x.entries) == cap(x.entries) {
+	} else if len(x.freeEntries) == 0 && len(x.entries) == x.maxBlocks {
 		x.removeFromFullEngine(limit)
 	}
 	if n := len(x.freeEntries); n > 0 {
--- a/plantainlane/engine/index_test.go
+++ b/plantainlane/engine/index_test.go
@@ -196,3 +196,15 @@
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(x.Stats().Blocks), "B/block")
 	}
 }
+
+// TestEmptyIndexTakesMemoryOfFullOne guards against instances that serve no engines and hold the memory for all of their
+// blocks all the same: the collector runs the more often, the less is left.
+func TestEmptyIndexTakesMemoryOfFullOne(t *testing.T) {
+	is := is.New(t)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	x := NewIndex(time.Now())
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < uint64(DefaultTotalBlocks))
+	runtime.KeepAlive(x)
+}
