--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -136,8 +136,7 @@
 		return false
 	}
 	hasSlack := now.Add(q.spec.CallTime + sameZoneSlack).Before(j.effectiveDue)
-	wait := time.Duration(float64(j.CrossBytes) / 1e6 * float64(sameZoneWaitPerMB))
-	return hasSlack && now.Sub(j.addedAt) < min(wait, maxSameZoneWait)
+	return hasSlack && now.Sub(j.addedAt) < crossingWait(j)
 }
 
 // allWaitForSameZone reports whether every job still waits for an upstream in its preferred zone instead of being sent
--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -13,13 +13,16 @@
 
 // Member is an instance that submits jobs and may own queues, see Owner.
 type Member struct {
-	ID string
+	ID   string
+	Zone string
 	// Cores is the number of processor cores that the instance may use.
 	Cores float64
 	// Owns holds the queues that the instance claims, as text of Peers.Claim; empty for none.
 	Owns string
 	// BesideLeader is set if the instance runs on the machine of the leader of the control log.
 	BesideLeader bool
+	// BesideControl is set if a replica of the control log, or an instance that serves only control, runs on its machine.
+	BesideControl bool
 }
 
 // Peers gives a Dispatcher access to the other instances. It is safe for concurrent use.
@@ -39,7 +42,7 @@
 	memberCheckPeriod = 150 * time.Millisecond
 	// validPeriods is the number of publish periods for which published wait times remain valid.
 	validPeriods = 3
-	// minOwnerCores is the number of processor cores that the owner of a queue should have at least.
+	// minOwnerCores is the number of processor cores that the owner of a queue of several zones should have at least.
 	minOwnerCores = 0.25
 	// maxSubmissions is the maximum number of times that a job is submitted, each time to the owner at that time.
 	maxSubmissions = 4
@@ -49,25 +52,28 @@
 // owns. It is safe for concurrent use.
 type Dispatcher struct {
 	self     string
+	zone     string
 	peers    Peers
 	executor Executor
 	source   func(service string) Source
 	ctx      context.Context
 
 	mu     sync.Mutex
-	owners map[string]*owner
+	owners map[queueID]*owner
+	// layouts holds the division of each service's upstreams into queues.
+	layouts map[string]layout
 	// pending holds the jobs that were submitted to other instances and haven't ended, by the Call number of their
 	// frames. lastFrameCall is the latest such number.
 	pending       map[int]pendingJob
 	lastFrameCall int
-	// waitTimes holds the last published wait times of the queues, by service.
-	waitTimes map[string]publishedWait
-	// recent holds the newest releases of results, by service.
-	recent map[string]*recentReleases
+	// waitTimes holds the last published wait times of the queues.
+	waitTimes map[queueID]publishedWait
+	// recent holds the newest releases of results.
+	recent map[queueID]*recentReleases
 	// owned holds the queues that this instance claims. It is replaced, not changed. numbers holds the highest number of an
 	// ownership that was seen of each queue. No queue is claimed before claimFrom.
 	owned     ownerships
-	numbers   map[string]int
+	numbers   map[queueID]int
 	claimFrom time.Time
 	// remote holds the jobs that other instances submitted to this one and that haven't ended.
 	remote map[remoteKey]remoteJob
@@ -98,19 +104,20 @@
 	owner *owner
 }
 
-// NewDispatcher returns a dispatcher. Its goroutines end with ctx. The frames that submit jobs are numbered upwards
+// NewDispatcher returns a dispatcher of an instance in a zone. Its goroutines end with ctx. The frames that submit jobs are numbered upwards
 // from firstFrameCall, so that answers to frames of a previous start of the instance are not taken for answers to its
 // own.
-func NewDispatcher(ctx context.Context, self string, firstFrameCall int, peers Peers, executor Executor, source func(service string) Source) *Dispatcher {
+func NewDispatcher(ctx context.Context, self, zone string, firstFrameCall int, peers Peers, executor Executor, source func(service string) Source) *Dispatcher {
 	return &Dispatcher{
-		self: self, peers: peers, executor: executor, source: source, ctx: ctx, lastFrameCall: firstFrameCall,
-		owners:    make(map[string]*owner),
+		self: self, zone: zone, peers: peers, executor: executor, source: source, ctx: ctx, lastFrameCall: firstFrameCall,
+		owners:    make(map[queueID]*owner),
+		layouts:   make(map[string]layout),
 		pending:   make(map[int]pendingJob),
 		remote:    make(map[remoteKey]remoteJob),
-		waitTimes: make(map[string]publishedWait),
-		recent:    make(map[string]*recentReleases),
+		waitTimes: make(map[queueID]publishedWait),
+		recent:    make(map[queueID]*recentReleases),
 		owned:     make(ownerships),
-		numbers:   make(map[string]int),
+		numbers:   make(map[queueID]int),
 		claimFrom: time.Now().Add(claimAfter),
 	}
 }
@@ -124,42 +131,43 @@
 	return eligible
 }
 
-// ownerOf returns the ID of the current owner of a service's queue, "" if there is none. If the owner has changed since
+// ownerOf returns the ID of the current owner of a queue, "" if there is none. If the owner has changed since
 // the last call, it sends the newest releases again to the new one: the previous owner may have been lost before it
 // freed the results, which would then occupy the upstreams' memory until they expire.
-func (d *Dispatcher) ownerOf(service string) string {
-	to := d.ownerAmong(service, d.members())
-	if again := d.releases(service).changeOwner(time.Now(), to); len(again) > 0 {
-		klog.InfoS("releases sent again", "service", service, "owner", to, "results", len(again))
-		d.sendRelease(to, service, again)
+func (d *Dispatcher) ownerOf(q queueID) string {
+	to := d.ownerAmong(q, d.members())
+	if again := d.releases(q).changeOwner(time.Now(), to); len(again) > 0 {
+		klog.InfoS("releases sent again", "service", q.service, "queueZone", q.zone, "owner", to, "results", len(again))
+		d.sendRelease(to, q, again)
 	}
 	return to
 }
 
-// releases returns the newest releases of results of a service.
-func (d *Dispatcher) releases(service string) *recentReleases {
+// releases returns the newest releases of results to a queue.
+func (d *Dispatcher) releases(q queueID) *recentReleases {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.recent[service]
+	r := d.recent[q]
 	if r == nil {
 		r = &recentReleases{}
-		d.recent[service] = r
+		d.recent[q] = r
 	}
 	return r
 }
 
-// Run submits a job to the owner of the service's queue and waits until the job has ended or ctx is done. If the owner
-// is lost or no longer owns the queue, Run submits the job to the new owner, up to maxSubmissions times in all.
+// Run submits a job to the owner of one of the service's queues and waits until the job has ended or ctx is done. If the
+// owner is lost or no longer owns the queue, Run submits the job again, up to maxSubmissions times in all.
 func (d *Dispatcher) Run(ctx context.Context, service string, j Job) Outcome {
 	previous := ""
 	for range maxSubmissions {
-		to := d.ownerOf(service)
+		q := d.queueFor(service, &j, time.Now())
+		to := d.ownerOf(q)
 		if to == previous {
 			// The owner may need some time to notice that it is the owner again.
 			wait(ctx, memberCheckPeriod)
 		}
 		previous = to
-		out := d.runAt(ctx, to, service, j)
+		out := d.runAt(ctx, to, q, j)
 		if out.Reason != ReasonNoOwner || ctx.Err() != nil {
 			return out
 		}
@@ -177,7 +185,7 @@
 
 // runAt submits a job to the given owner of the queue and waits until the job has ended or ctx is done. The outcome is
 // ReasonNoOwner if the owner becomes unreachable or hands the job back.
-func (d *Dispatcher) runAt(ctx context.Context, to, service string, j Job) Outcome {
+func (d *Dispatcher) runAt(ctx context.Context, to string, q queueID, j Job) Outcome {
 	if to == "" {
 		return Outcome{Reason: ReasonNoOwner}
 	}
@@ -186,9 +194,9 @@
 	send := func() {}
 	var cancel func()
 	if to == d.self {
-		cancel = d.submitLocal(service, &j, reply)
+		cancel = d.submitLocal(q, &j, reply)
 	} else {
-		send, cancel = d.submitRemote(to, service, &j, reply)
+		send, cancel = d.submitRemote(to, q, &j, reply)
 	}
 	send()
 	ticker := time.NewTicker(memberCheckPeriod)
@@ -219,25 +227,25 @@
 }
 
 // submitLocal adds a job to a queue of this instance. The returned function cancels the job.
-func (d *Dispatcher) submitLocal(service string, j *Job, reply chan Outcome) (cancel func()) {
+func (d *Dispatcher) submitLocal(q queueID, j *Job, reply chan Outcome) (cancel func()) {
 	j.OnDone = func(out Outcome) { reply <- out }
 	if inputsRead := j.OnInputsRead; inputsRead != nil {
 		// The owner calls it, and would wait for itself if it released results to an inbox that is full.
 		j.OnInputsRead = func() { go inputsRead() }
 	}
-	ow := d.owner(service)
+	ow := d.owner(q)
 	d.deliver(ow, added{j})
 	return func() { d.deliver(ow, cancelled{j}) }
 }
 
 // submitRemote submits a job to another instance. Each call of send sends it; cancel cancels it.
-func (d *Dispatcher) submitRemote(to, service string, j *Job, reply chan Outcome) (send, cancel func()) {
+func (d *Dispatcher) submitRemote(to string, q queueID, j *Job, reply chan Outcome) (send, cancel func()) {
 	d.mu.Lock()
 	d.lastFrameCall++
 	call := d.lastFrameCall
 	d.pending[call] = pendingJob{reply, j.OnInputsRead}
 	d.mu.Unlock()
-	send = func() { d.peers.Send(to, wire.Frame{Call: call, PieceOrder: pieceOrder(service, j, time.Now())}) }
+	send = func() { d.peers.Send(to, wire.Frame{Call: call, PieceOrder: pieceOrder(q, j, time.Now())}) }
 	cancel = func() {
 		d.mu.Lock()
 		delete(d.pending, call)
@@ -249,9 +257,9 @@
 }
 
 // pieceOrder returns a job as a message that is sent now.
-func pieceOrder(service string, j *Job, now time.Time) *wire.PieceOrder {
+func pieceOrder(q queueID, j *Job, now time.Time) *wire.PieceOrder {
 	return &wire.PieceOrder{
-		Service: service, Request: j.Request, Stage: j.Stage, Pieces: j.Pieces, Key: j.Key,
+		Service: q.service, QueueZone: q.zone, Request: j.Request, Stage: j.Stage, Pieces: j.Pieces, Key: j.Key,
 		Inputs: append([]string{}, j.Inputs...), Next: append([]string{}, j.NextServices...),
 		Zone: j.Zone, CrossBytes: j.CrossBytes, HoldsRoom: j.HoldsMemory, Bytes: j.Bytes, Priority: j.Priority,
 		DueMs:  int(j.Due.Sub(now) / time.Millisecond),
@@ -259,42 +267,49 @@
 	}
 }
 
-// Release tells the owner of a service's queue that results are no longer needed. The message may be lost; the results
-// then expire at their upstreams, or are freed by the next owner, see ownerOf.
-func (d *Dispatcher) Release(service string, handles []string) {
-	to := d.ownerOf(service)
-	d.releases(service).add(time.Now(), handles)
-	d.sendRelease(to, service, handles)
+// Release tells the owner of a queue that results of a service, most of which are in a zone, are no longer needed. The message
+// may be lost; the results then expire at their upstreams, or are freed by the next owner, see ownerOf.
+func (d *Dispatcher) Release(service, zone string, handles []string) {
+	q := d.queueNear(service, zone)
+	to := d.ownerOf(q)
+	d.releases(q).add(time.Now(), handles)
+	d.sendRelease(to, q, handles)
 }
 
 // sendRelease sends released handles to an owner, which may be this instance. It does nothing if there is no owner.
-func (d *Dispatcher) sendRelease(to, service string, handles []string) {
+func (d *Dispatcher) sendRelease(to string, q queueID, handles []string) {
 	switch to {
 	case "":
 	case d.self:
-		d.deliver(d.owner(service), released{handles})
+		d.deliver(d.owner(q), released{handles})
 	default:
-		d.peers.Send(to, wire.Frame{PieceRelease: &wire.PieceRelease{Service: service, Handles: handles}})
+		d.peers.Send(to, wire.Frame{PieceRelease: &wire.PieceRelease{Service: q.service, QueueZone: q.zone, Handles: handles}})
 	}
 }
 
-// WaitTimes returns the last published wait times of a service's queue; zero if they are unknown or too old.
-func (d *Dispatcher) WaitTimes(service string) WaitTimes {
+// WaitTimes returns the last published wait times of the queue that serves the upstreams of a service in a zone; zero if
+// they are unknown or too old.
+func (d *Dispatcher) WaitTimes(service, zone string) WaitTimes {
+	return d.publishedWait(d.queueNear(service, zone), time.Now())
+}
+
+// publishedWait returns the last published wait times of a queue; zero if they are unknown or too old.
+func (d *Dispatcher) publishedWait(q queueID, now time.Time) WaitTimes {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := d.waitTimes[service]
-	if time.Now().After(w.validUntil) {
+	w := d.waitTimes[q]
+	if now.After(w.validUntil) {
 		return WaitTimes{}
 	}
 	return w.times
 }
 
-// recordWaitTimes stores the published wait times of a service's queue, with the time until which they are valid.
-func (d *Dispatcher) recordWaitTimes(service string, w WaitTimes) {
+// recordWaitTimes stores the published wait times of a queue, with the time until which they are valid.
+func (d *Dispatcher) recordWaitTimes(q queueID, w WaitTimes) {
 	validUntil := time.Now().Add(validPeriods * publishPeriod(len(d.peers.Members())))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.waitTimes[service] = publishedWait{w, validUntil}
+	d.waitTimes[q] = publishedWait{w, validUntil}
 }
 
 // publishPeriod returns how often the wait times of a long queue are published to all members.
@@ -302,19 +317,15 @@
 	return min(max(minPublishPeriod, time.Duration(members)*publishPeriodPerMember), maxPublishPeriod)
 }
 
-// publishWaitTimes sends the wait times of a queue of this instance to all members, or only to the eligible owners. It
+// publishWaitTimes sends the wait times of a queue of this instance to all members, or only to those that own queues. It
 // returns the period for publishing to all members, which grows with their number.
-func (d *Dispatcher) publishWaitTimes(service string, w WaitTimes, toAll bool) (period time.Duration) {
-	d.recordWaitTimes(service, w)
+func (d *Dispatcher) publishWaitTimes(q queueID, w WaitTimes, toAll bool) (period time.Duration) {
+	d.recordWaitTimes(q, w)
 	members := d.peers.Members()
-	recipients := members
-	if !toAll {
-		recipients = eligibleOwners(members)
-	}
-	for _, m := range recipients {
-		if m.ID != d.self {
+	for _, m := range members {
+		if m.ID != d.self && (toAll || m.Owns != "") {
 			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{
-				Service: service, WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond),
+				Service: q.service, QueueZone: q.zone, WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond),
 			}})
 		}
 	}
@@ -333,12 +344,12 @@
 	case f.PieceCancel != nil:
 		d.handleCancel(remoteKey{f.From, f.Call})
 	case f.PieceQueue != nil:
-		d.recordWaitTimes(f.PieceQueue.Service, WaitTimes{
+		d.recordWaitTimes(queueID{f.PieceQueue.Service, f.PieceQueue.QueueZone}, WaitTimes{
 			OnTime: time.Duration(f.PieceQueue.WaitMs) * time.Millisecond,
 			All:    time.Duration(f.PieceQueue.AllMs) * time.Millisecond,
 		})
 	case f.PieceRelease != nil:
-		d.deliver(d.owner(f.PieceRelease.Service), released{f.PieceRelease.Handles})
+		d.deliver(d.owner(queueID{f.PieceRelease.Service, f.PieceRelease.QueueZone}), released{f.PieceRelease.Handles})
 	default:
 		return false
 	}
@@ -372,7 +383,7 @@
 		yes := true
 		j.OnInputsRead = func() { d.peers.Send(from, wire.Frame{Call: call, PieceBegun: &yes}) }
 	}
-	ow := d.owner(p.Service)
+	ow := d.owner(queueID{p.Service, p.QueueZone})
 	d.mu.Lock()
 	_, known := d.remote[key]
 	if !known {
@@ -428,18 +439,19 @@
 	}
 }
 
-// owner returns this instance's owner loop for a service's queue, and starts the loop on first use.
-func (d *Dispatcher) owner(service string) *owner {
+// owner returns this instance's owner loop for a queue, and starts the loop on first use.
+func (d *Dispatcher) owner(q queueID) *owner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ow := d.owners[service]
+	ow := d.owners[q]
 	if ow == nil {
-		publish := func(w WaitTimes, toAll bool) (period time.Duration) { return d.publishWaitTimes(service, w, toAll) }
-		isOwner := func() bool { return d.ownerAmong(service, d.members()) == d.self }
-		ow = newOwner(service, d.executor, d.source(service), publish, d.WaitTimes, isOwner)
-		ow.claim = func(now time.Time, owns bool) { d.claim(now, service, owns) }
-		ow.stalled = func(now time.Time) { d.stalled(now, service) }
-		d.owners[service] = ow
+		publish := func(w WaitTimes, toAll bool) (period time.Duration) { return d.publishWaitTimes(q, w, toAll) }
+		isOwner := func() bool { return d.isLaidOut(q) && d.ownerAmong(q, d.members()) == d.self }
+		waitTimesOf := func(service string) WaitTimes { return d.WaitTimes(service, q.zone) }
+		ow = newOwner(q, d.executor, d.upstreamsOf(q), publish, waitTimesOf, isOwner)
+		ow.claim = func(now time.Time, owns bool) { d.claim(now, q, owns) }
+		ow.stalled = func(now time.Time) { d.stalled(now, q) }
+		d.owners[q] = ow
 		go ow.run(d.ctx)
 	}
 	return ow
--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -105,7 +105,7 @@
 		return func() (site.Batch, []Upstream, bool) { return spec, upstreams("z", "z"), true }
 	}
 	for i, id := range ids {
-		n.dispatchers[id] = NewDispatcher(ctx, id, i<<20, memberPeers{n, id}, executor, source)
+		n.dispatchers[id] = NewDispatcher(ctx, id, "z", i<<20, memberPeers{n, id}, executor, source)
 	}
 	return n
 }
@@ -137,7 +137,7 @@
 	is := is.New(t)
 	executor := &fakeExecutor{stuck: true}
 	n := newDispatchers(t, executor, "a", "b", "c")
-	owner := Owner("encode", memberPeers{n, "a"}.Members())
+	owner := Owner("encode", "", memberPeers{n, "a"}.Members())
 	caller := "a"
 	if owner == "a" {
 		caller = "b"
@@ -168,7 +168,7 @@
 			executor := &fakeExecutor{}
 			n := newDispatchers(t, executor, "a", "b")
 			caller := "a"
-			if Owner("encode", memberPeers{n, "a"}.Members()) == "a" {
+			if Owner("encode", "", memberPeers{n, "a"}.Members()) == "a" {
 				caller = "b"
 			}
 			n.isLost = func(_ string, f wire.Frame) bool { return n.losses == 0 && isLost(f) }
@@ -188,7 +188,7 @@
 	executor := &fakeExecutor{stuck: true}
 	n := newDispatchers(t, executor, "a", "b")
 	caller := "a"
-	if Owner("encode", memberPeers{n, "a"}.Members()) == "a" {
+	if Owner("encode", "", memberPeers{n, "a"}.Members()) == "a" {
 		caller = "b"
 	}
 	go func() {
@@ -212,7 +212,7 @@
 		is := is.New(t)
 		executor := &fakeExecutor{}
 		n := newDispatchers(t, executor, "a", "b", "c")
-		owner := Owner("encode", memberPeers{n, "a"}.Members())
+		owner := Owner("encode", "", memberPeers{n, "a"}.Members())
 		caller := "a"
 		if owner == "a" {
 			caller = "b"
@@ -222,7 +222,7 @@
 		n.mu.Lock()
 		n.dispatchers[owner] = nil // the owner doesn't run, but still counts as reachable
 		n.mu.Unlock()
-		d.Release("encode", []string{"released/0", "released/1"})
+		d.Release("encode", "", []string{"released/0", "released/1"})
 		n.mu.Lock()
 		n.unreachable[owner] = true
 		n.mu.Unlock()
@@ -248,7 +248,7 @@
 	is := is.New(t)
 	all := []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
 	for _, service := range []string{"encode", "retrieve", "rerank"} {
-		owner := Owner(service, all)
+		owner := Owner(service, "", all)
 		for _, m := range all {
 			if m.ID == owner {
 				continue
@@ -259,10 +259,10 @@
 					rest = append(rest, o)
 				}
 			}
-			is.Equal(Owner(service, rest), owner) // the loss of another member changes no owner
+			is.Equal(Owner(service, "", rest), owner) // the loss of another member changes no owner
 		}
 	}
-	is.Equal(Owner("encode", nil), "")
+	is.Equal(Owner("encode", "", nil), "")
 }
 
 // TestInstancesWithFewCoresOwnNoQueue guards against queues on instances that are too small to serve them.
@@ -270,9 +270,9 @@
 	is := is.New(t)
 	members := []Member{{ID: "a", Cores: 0.1}, {ID: "b", Cores: 0.5}, {ID: "c", Cores: 0.1}}
 	for _, service := range []string{"encode", "retrieve", "rerank", "generate"} {
-		is.Equal(Owner(service, members), "b")
+		is.Equal(Owner(service, "", members), "b")
 	}
-	is.True(Owner("encode", []Member{members[0], members[2]}) != "") // without eligible members, any member owns the queue
+	is.True(Owner("encode", "", []Member{members[0], members[2]}) != "") // without eligible members, any member owns the queue
 }
 
 // TestOwnerDoesNotWaitForItself guards against the owner of a queue that stands still: a report that inputs were read
@@ -287,7 +287,7 @@
 		j := testJob("second")
 		j.OnInputsRead = func() {
 			for range 2 * ownerInbox {
-				d.Release("encode", []string{"released"})
+				d.Release("encode", "", []string{"released"})
 			}
 		}
 		is.Equal(d.Run(context.Background(), "encode", j).Reason, Reason(""))
--- a/plantainlane/batch/large_site_model_test.go
+++ b/plantainlane/batch/large_site_model_test.go
@@ -9,12 +9,15 @@
 	"plantainlane/plantainlane/site"
 )
 
-// largeStages are the services of the site's stages, with the number of upstreams of each.
-var largeStages = []struct {
+// largeStageSpec is a service of the site's stages, with the number of its upstreams.
+type largeStageSpec struct {
 	service   string
 	upstreams int
 	spec      site.Batch
-}{
+}
+
+// largeStages are the services of the site's stages.
+var largeStages = []largeStageSpec{
 	{"catalogue", 45, site.Batch{Slots: 1, MaxPieces: 8, CallTime: 240 * time.Millisecond, PieceTime: 26 * time.Millisecond, MemoryBytes: 9_600_000, KeepFor: 4 * time.Second}},
 	{"audio", 36, site.Batch{Slots: 1, MaxPieces: 22, CallTime: 240 * time.Millisecond, PieceTime: 9400 * time.Microsecond, MemoryBytes: 2_400_000, KeepFor: 4 * time.Second}},
 	{"notices", 43, site.Batch{Slots: 1, MaxPieces: 28, CallTime: 240 * time.Millisecond, PieceTime: 7300 * time.Microsecond, MemoryBytes: 310_000, KeepFor: 4 * time.Second}},
@@ -78,9 +81,12 @@
 	now    time.Time
 	start  time.Time
 	events map[time.Time][]func()
-	queues []*Queue
-	waits  []WaitTimes
-	// upstreams holds the upstreams of each service by ID, results the sizes of the results by handle.
+	// zones is the number of queues of each service: one for all upstreams, or one for each zone. The queues of a service stand
+	// one after another. waits holds their wait times, published those that the callers' instances know.
+	zones            int
+	queues           []*Queue
+	waits, published []WaitTimes
+	// upstreams holds the upstreams of each queue by ID, results the sizes of the results by handle.
 	upstreams []map[string]*largeUpstream
 	results   map[string]*largeResult
 	handles   int
@@ -106,49 +112,91 @@
 	largeTransfer = 10 * time.Millisecond
 )
 
-func newLargeReplay(seed uint64) *largeReplay {
+// largeZones is the number of the site's zones.
+const largeZones = 5
+
+// newLargeReplay returns a replay with one queue for each service.
+func newLargeReplay(seed uint64) *largeReplay { return newZonedReplay(seed, 1) }
+
+// newZonedReplay returns a replay with a number of queues for each service: 1 or largeZones.
+func newZonedReplay(seed uint64, zones int) *largeReplay {
 	r := &largeReplay{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), start: time.Unix(1000, 0),
-		events: make(map[time.Time][]func()), waits: make([]WaitTimes, len(largeStages)), results: make(map[string]*largeResult),
-		classEarned: make(map[string]float64), classOwed: make(map[string]float64), machines: make([]*largeMachine, len(largeStages)),
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), start: time.Unix(1000, 0), zones: zones,
+		events: make(map[time.Time][]func()), results: make(map[string]*largeResult),
+		waits: make([]WaitTimes, len(largeStages)*zones), published: make([]WaitTimes, len(largeStages)*zones),
+		classEarned: make(map[string]float64), classOwed: make(map[string]float64), machines: make([]*largeMachine, len(largeStages)*zones),
 		noMemory: make([]int, len(largeStages)), made: make([]int, len(largeStages)), busy: make([]time.Duration, len(largeStages)),
 	}
-	for i, s := range largeStages {
+	for queue := range r.waits {
 		all := make(map[string]*largeUpstream)
-		for _, u := range upstreams(make([]string, s.upstreams)...) {
-			all[u.ID] = &largeUpstream{memory: s.spec.MemoryBytes, slowness: 1}
+		for _, u := range upstreams(r.upstreamZones(queue)...) {
+			all[u.ID] = &largeUpstream{memory: r.stage(queue).spec.MemoryBytes, slowness: 1}
 		}
 		r.upstreams = append(r.upstreams, all)
 		r.queues = append(r.queues, nil)
-		r.changeOwner(i)
+		r.changeOwner(queue)
 	}
 	return r
 }
 
-// changeOwner gives a queue to an owner that knows nothing. What waits is submitted again to the new one.
-func (r *largeReplay) changeOwner(service int) {
-	old := r.queues[service]
+// stage returns the stage of a queue's service.
+func (r *largeReplay) stage(queue int) *largeStageSpec { return &largeStages[queue/r.zones] }
+
+// zoneOf returns the zone of a queue; empty if it serves all.
+func (r *largeReplay) zoneOf(queue int) string {
+	if r.zones == 1 {
+		return ""
+	}
+	return largeZone(queue % r.zones)
+}
+
+// largeZone returns the name of a zone.
+func largeZone(i int) string { return string(rune('a' + i%largeZones)) }
+
+// upstreamZones returns the zones of the upstreams that a queue serves.
+func (r *largeReplay) upstreamZones(queue int) []string {
 	var zones []string
-	for i := range largeStages[service].upstreams {
-		zones = append(zones, string(rune('a'+i%5)))
+	for i := range r.stage(queue).upstreams {
+		if zone := largeZone(i); r.zones == 1 || zone == r.zoneOf(queue) {
+			zones = append(zones, zone)
+		}
 	}
-	q := newQueue(largeStages[service].spec, zones...)
+	return zones
+}
+
+// queueFor returns the queue of a service for a job of a request.
+func (r *largeReplay) queueFor(service int, zone string, crossing time.Duration) int {
+	if r.zones == 1 {
+		return service
+	}
+	l := layout{zones: make(map[string]int)}
+	for i := range r.zones {
+		l.zones[largeZone(i)] = len(r.upstreams[service*r.zones+i])
+	}
+	index := func(q queueID) int { return service*r.zones + int(q.zone[0]-'a') }
+	return index(l.queueFor("", zone, crossing, func(q queueID) time.Duration { return r.published[index(q)].OnTime }))
+}
+
+// changeOwner gives a queue to an owner that knows nothing. What waits is submitted again to the new one.
+func (r *largeReplay) changeOwner(queue int) {
+	old := r.queues[queue]
+	q := newQueue(r.stage(queue).spec, r.upstreamZones(queue)...)
 	q.ObserveDelay(largeTransfer)
 	q.WaitTimesOf = func(service string) WaitTimes {
 		var i int
 		_, _ = fmt.Sscan(service, &i)
-		return r.waits[i]
+		return r.waits[i*r.zones+queue%r.zones]
 	}
-	r.queues[service] = q
+	r.queues[queue] = q
 	if old != nil {
 		old.ReturnUnsent(false)
 	}
 }
 
 // toOwner passes a message to the owner of a queue, which handles it once its machine gets to it.
-func (r *largeReplay) toOwner(service int, handle func()) {
+func (r *largeReplay) toOwner(queue int, handle func()) {
 	r.after(largeTransfer, func() {
-		d := r.work(service, largeMessageWork, largeMessageBytes)
+		d := r.work(queue, largeMessageWork, largeMessageBytes)
 		if d == 0 {
 			handle()
 			return
@@ -158,8 +206,8 @@
 }
 
 // work gives work to the machine of a queue's owner, and returns the time until it is done.
-func (r *largeReplay) work(service int, takes time.Duration, bytes int) time.Duration {
-	m := r.machines[service]
+func (r *largeReplay) work(queue int, takes time.Duration, bytes int) time.Duration {
+	m := r.machines[queue]
 	if m == nil {
 		return 0
 	}
@@ -198,6 +246,9 @@
 			if step%20 == 0 {
 				r.waits[i] = r.queues[i].WaitTimes(r.now)
 			}
+			if step%200 == 0 {
+				r.published[i] = r.waits[i]
+			}
 		}
 	}
 }
@@ -224,10 +275,12 @@
 	// handles holds the results of each stage that is completed. left is the number of stages that aren't.
 	handles [][]string
 	left    int
+	// queues holds the queue to which each stage was submitted.
+	queues []int
 }
 
 func (r *largeReplay) arrive(c *largeClass) {
-	q := &largeRequest{class: c, zone: string(rune('a' + r.random.IntN(5))), arrived: r.now, second: int(r.now.Sub(r.start).Seconds())}
+	q := &largeRequest{class: c, zone: largeZone(r.random.IntN(largeZones)), queues: make([]int, len(c.stages)), arrived: r.now, second: int(r.now.Sub(r.start).Seconds())}
 	for _, s := range c.stages {
 		n := 0
 		if r.random.Float64() < s.share {
@@ -277,19 +330,29 @@
 	rest, next := q.remaining(stage)
 	j := &Job{
 		Request: "r", Stage: stage, Pieces: q.pieces[stage], Bytes: s.bytes, Inputs: inputs, NextServices: next, Priority: q.class.priority,
-		HoldsMemory: s.service == 2, Zone: q.zone,
+		HoldsMemory: s.service == 2, Zone: r.zoneFor(q, stage),
 		Due:      q.arrived.Add(q.class.target*9/10 - rest),
 		Deadline: q.arrived.Add(q.class.deadline - rest),
 	}
 	j.OnDone = func(out Outcome) {
 		r.after(largeTransfer, func() { r.stageEnded(q, stage, try, out) })
 	}
-	r.toOwner(s.service, func() { r.queues[s.service].Add(r.now, j) })
+	queue := r.queueFor(s.service, j.Zone, 0)
+	q.queues[stage] = queue
+	r.toOwner(queue, func() { r.queues[queue].Add(r.now, j) })
+}
+
+// zoneFor returns the preferred zone of a stage: that of its inputs where each zone has a queue, or that of the request.
+func (r *largeReplay) zoneFor(q *largeRequest, stage int) string {
+	if after := q.class.stages[stage].after; after >= 0 && r.zones > 1 {
+		return r.zoneOf(q.queues[after])
+	}
+	return q.zone
 }
 
 func (r *largeReplay) stageEnded(q *largeRequest, stage, try int, out Outcome) {
 	if q.try != try {
-		r.release(q.class.stages[stage].service, out.Handles)
+		r.release(q.queues[stage], out.Handles)
 		return
 	}
 	switch {
@@ -306,7 +369,7 @@
 		return
 	}
 	if after := q.class.stages[stage].after; after >= 0 {
-		r.release(q.class.stages[after].service, q.handles[after])
+		r.release(q.queues[after], q.handles[after])
 		q.handles[after] = nil
 	}
 	q.handles[stage] = out.Handles
@@ -333,7 +396,7 @@
 func (r *largeReplay) giveUp(q *largeRequest) {
 	q.try++
 	for i, handles := range q.handles {
-		r.release(q.class.stages[i].service, handles)
+		r.release(q.queues[i], handles)
 	}
 	q.handles = make([][]string, len(q.pieces))
 }
@@ -363,12 +426,12 @@
 }
 
 // release tells the owner of a queue that results are no longer needed. Those that it doesn't know are freed at once.
-func (r *largeReplay) release(service int, handles []string) {
+func (r *largeReplay) release(queue int, handles []string) {
 	if len(handles) == 0 {
 		return
 	}
-	r.toOwner(service, func() {
-		if unknown := r.queues[service].Release(handles); len(unknown) > 0 {
+	r.toOwner(queue, func() {
+		if unknown := r.queues[queue].Release(handles); len(unknown) > 0 {
 			r.after(largeTransfer, func() { r.drop(unknown) })
 		}
 	})
@@ -385,8 +448,8 @@
 }
 
 // startCalls frees results and starts the calls that can be sent now.
-func (r *largeReplay) startCalls(service int) {
-	q := r.queues[service]
+func (r *largeReplay) startCalls(queue int) {
+	q := r.queues[queue]
 	for id, handles := range q.Freeable() {
 		r.after(largeTransfer, func() {
 			r.drop(handles)
@@ -394,28 +457,28 @@
 		})
 	}
 	for c := q.Next(r.now); c != nil; c = q.Next(r.now) {
-		r.after(r.work(service, largeCallWork, largeCallBytes)+largeTransfer, func() { r.runCall(service, q, c) })
+		r.after(r.work(queue, largeCallWork, largeCallBytes)+largeTransfer, func() { r.runCall(queue, q, c) })
 	}
 }
 
 // runCall runs a call once its upstream has ended the calls before it.
-func (r *largeReplay) runCall(service int, q *Queue, c *Call) {
-	u := r.upstreams[service][c.Upstream.ID]
+func (r *largeReplay) runCall(queue int, q *Queue, c *Call) {
+	u := r.upstreams[queue][c.Upstream.ID]
 	if u.free.After(r.now) {
-		r.after(u.free.Sub(r.now), func() { r.runCall(service, q, c) })
+		r.after(u.free.Sub(r.now), func() { r.runCall(queue, q, c) })
 		return
 	}
-	spec, took := largeStages[service].spec, largeStages[service].spec.CallTime
+	spec, took := r.stage(queue).spec, r.stage(queue).spec.CallTime
 	results := make([]Result, len(c.Items))
 	for i, item := range c.Items {
-		results[i] = r.makePiece(service, u, item)
+		results[i] = r.makePiece(queue, u, item)
 		if results[i].Handle != "" {
-			took += time.Duration(float64(spec.PieceTime) * r.workOf(service, item))
+			took += time.Duration(float64(spec.PieceTime) * r.workOf(queue, item))
 		}
 	}
 	took = time.Duration(float64(took) * u.slowness)
 	u.free = r.now.Add(took.Round(largeStep))
-	r.busy[service] += took
+	r.busy[queue/r.zones] += took
 	var handles []string
 	for _, res := range results {
 		if res.Handle != "" {
@@ -424,30 +487,30 @@
 	}
 	r.after(took+spec.KeepFor, func() { r.drop(handles) })
 	r.after(took, func() {
-		r.toOwner(service, func() { q.Release(q.Done(r.now, c, results, false)) })
+		r.toOwner(queue, func() { q.Release(q.Done(r.now, c, results, false)) })
 	})
 }
 
 // workOf returns the work of a piece, which its size tells.
-func (r *largeReplay) workOf(service int, item Item) float64 {
-	if service == 0 && item.Job.Bytes < 100_000 {
+func (r *largeReplay) workOf(queue int, item Item) float64 {
+	if queue/r.zones == 0 && item.Job.Bytes < 100_000 {
 		return 0.3
 	}
 	return 1
 }
 
 // makePiece reserves the memory of a piece's result at an upstream.
-func (r *largeReplay) makePiece(service int, u *largeUpstream, item Item) Result {
+func (r *largeReplay) makePiece(queue int, u *largeUpstream, item Item) Result {
 	for _, input := range item.Job.Inputs {
 		if r.results[input] == nil {
 			return Result{Reason: ReasonGone}
 		}
 	}
 	if u.memory < item.Job.Bytes {
-		r.noMemory[service]++
+		r.noMemory[queue/r.zones]++
 		return Result{Reason: ReasonNoMemory}
 	}
-	r.made[service]++
+	r.made[queue/r.zones]++
 	u.memory -= item.Job.Bytes
 	r.handles++
 	h := fmt.Sprint("h", r.handles)
--- a/plantainlane/batch/large_site_test.go
+++ b/plantainlane/batch/large_site_test.go
@@ -125,3 +125,30 @@
 		is.True(rewrite >= rewriteFloor)
 	}
 }
+
+// TestQueuesBesideControlStarve guards against queues whose owners have no processor time left because few machines own all of
+// them and serve control too: requests stay late for as long as the queues are there. What a burst leaves is gone two seconds
+// after it, also when an owner in each service is lost.
+func TestQueuesBesideControlStarve(t *testing.T) {
+	skipReplay(t)
+	is := is.New(t)
+	live := largeOtherMemory + largeInstances*connectionBytes(t)
+	for seed := range uint64(2) {
+		r := newZonedReplay(seed, largeZones)
+		for i := range r.machines {
+			r.machines[i] = entryMachine(live)
+		}
+		r.after(17*time.Second, func() {
+			for service := range largeStages {
+				r.moveQueues(entryMachine(live), service*largeZones)
+			}
+		})
+		r.play(34, largeBurst{"guide", 4.4, 10.1, 2.5}, largeBurst{"rewrite", 16, 22, 2.4}, largeBurst{"", 26, 30, 1.7})
+		rewrite := r.classEarned["rewrite"] / r.classOwed["rewrite"]
+		t.Logf("rewrite %.3f, %s", rewrite, r.summary())
+		is.True(rewrite >= rewriteFloor)
+		for _, calm := range [][2]int{{0, 4}, {13, 16}, {24, 26}, {32, 34}} {
+			is.True(r.share(calm[0], calm[1]) >= calmShare)
+		}
+	}
+}
--- /dev/null
+++ b/plantainlane/batch/layout_test.go
@@ -0,0 +1,152 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/site"
+)
+
+// zonedUpstreams returns upstreams in zones named a, b, c and so on, as many in each as given.
+func zonedUpstreams(counts ...int) []Upstream {
+	var zones []string
+	for i, n := range counts {
+		for range n {
+			zones = append(zones, string(rune('a'+i)))
+		}
+	}
+	return upstreams(zones...)
+}
+
+// TestZoneWithFewUpstreamsHasOwnQueue guards against jobs that wait for the few upstreams of a zone while others are free, and
+// against queues that come and go with single upstreams.
+func TestZoneWithFewUpstreamsHasOwnQueue(t *testing.T) {
+	is := is.New(t)
+	unclaimed, claimed := func(string) bool { return false }, func(string) bool { return true }
+	tests := []struct {
+		counts  []int
+		claimed func(string) bool
+		zones   map[string]int
+		others  int
+	}{
+		{[]int{9, 9, 8}, unclaimed, map[string]int{"a": 9, "b": 9, "c": 8}, 0},
+		{[]int{2, 2, 1}, unclaimed, map[string]int{}, 5},
+		{[]int{9, 5, 2}, unclaimed, map[string]int{"a": 9}, 7},
+		{[]int{9, 5, 2}, claimed, map[string]int{"a": 9, "b": 5}, 2},
+		{nil, claimed, map[string]int{}, 0},
+	}
+	for _, tt := range tests {
+		l := newLayout(zonedUpstreams(tt.counts...), tt.claimed)
+		is.Equal(l.zones, tt.zones)
+		is.Equal(l.others, tt.others)
+	}
+	leaving := zonedUpstreams(6)
+	leaving[0].Leaving = true
+	l := newLayout(leaving, unclaimed)
+	is.Equal(l.others, 5)
+}
+
+// largeMembers returns the members of a site with five zones: in each one machine that serves control, and 39 others. The
+// first one's replica leads.
+func largeMembers() []Member {
+	var members []Member
+	for i := range 200 {
+		m := Member{ID: fmt.Sprint("m", i), Zone: string(rune('a' + i%5)), Cores: 0.192}
+		if i < 5 {
+			m.Cores, m.BesideControl, m.BesideLeader = 0.512, true, i == 0
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+// TestMachinesThatServeControlOwnQueues guards against queues on the machines that serve control, when others could own
+// them: their processors are busy when the load is high, a cut between them gives each queue two owners, and when one ends, the
+// others get its queues.
+func TestMachinesThatServeControlOwnQueues(t *testing.T) {
+	is := is.New(t)
+	members := largeMembers()
+	owners := make(map[string]int)
+	for _, service := range []string{"catalogue", "audio", "notices"} {
+		for _, zone := range []string{"a", "b", "c", "d", "e"} {
+			owner := Owner(service, zone, members)
+			for i := range members {
+				if members[i].ID == owner {
+					is.True(!members[i].BesideControl)
+					is.Equal(members[i].Zone, zone)
+					members[i].Owns = ownerships{queueID{service, zone}.String(): 1}.String()
+				}
+			}
+			owners[owner]++
+		}
+	}
+	is.Equal(len(owners), 15) // one queue a machine
+}
+
+// newZonedDispatcher returns a dispatcher in zone a of services with as many upstreams in each zone as given.
+func newZonedDispatcher(t *testing.T, counts ...int) *Dispatcher {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	n := &network{dispatchers: make(map[string]*Dispatcher), unreachable: make(map[string]bool), owns: make(map[string]string)}
+	source := func(string) Source {
+		return func() (site.Batch, []Upstream, bool) { return spec, zonedUpstreams(counts...), true }
+	}
+	n.dispatchers["i"] = NewDispatcher(ctx, "i", "a", 0, memberPeers{n, "i"}, &fakeExecutor{}, source)
+	return n.dispatchers["i"]
+}
+
+// TestJobsWaitInLongQueueOfZone guards against jobs that wait in the queue of their zone while another zone's is much
+// shorter, and against jobs whose inputs cross zones to save little.
+func TestJobsWaitInLongQueueOfZone(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		zone       string
+		crossBytes int
+		waits      map[string]time.Duration
+		want       []string
+	}{
+		"own zone":                 {"", 0, nil, []string{"a"}},
+		"zone of the inputs":       {"b", 100, nil, []string{"b"}},
+		"longer, but not by much":  {"b", 0, map[string]time.Duration{"b": 100 * time.Millisecond}, []string{"b"}},
+		"much longer":              {"b", 0, map[string]time.Duration{"b": time.Second, "a": 900 * time.Millisecond}, []string{"c"}},
+		"inputs that are dear":     {"b", 3_000_000, map[string]time.Duration{"b": 400 * time.Millisecond}, []string{"b"}},
+		"two shorter ones":         {"b", 0, map[string]time.Duration{"b": time.Second}, []string{"a", "c"}},
+		"a zone with no upstreams": {"x", 0, nil, []string{"a", "b", "c"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newZonedDispatcher(t, 9, 9, 9)
+			for zone, wait := range tt.waits {
+				d.recordWaitTimes(queueID{"encode", zone}, WaitTimes{OnTime: wait, All: wait})
+			}
+			j := Job{Zone: tt.zone, CrossBytes: tt.crossBytes, Due: now.Add(time.Second)}
+			seen := make(map[string]bool)
+			for range 200 {
+				seen[d.queueFor("encode", &j, now).zone] = true
+			}
+			is.Equal(len(seen), len(tt.want))
+			for _, zone := range tt.want {
+				is.True(seen[zone])
+			}
+		})
+	}
+}
+
+// TestResultsAreReleasedToQueueThatMadeThem guards against results that hold memory until they expire, because their release
+// goes to the owner of another zone's queue.
+func TestResultsAreReleasedToQueueThatMadeThem(t *testing.T) {
+	is := is.New(t)
+	d := newZonedDispatcher(t, 9, 9, 2)
+	is.Equal(d.queueNear("encode", "b"), queueID{"encode", "b"})
+	is.Equal(d.queueNear("encode", "c"), queueID{"encode", ""})
+	_, served, _ := d.upstreamsOf(queueID{"encode", "b"})()
+	is.Equal(len(served), 9)
+	_, served, _ = d.upstreamsOf(queueID{"encode", ""})()
+	is.Equal(len(served), 2)
+}
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -102,10 +102,10 @@
 // called only from the owner's main loop.
 type Source func() (spec site.Batch, upstreams []Upstream, ok bool)
 
-// owner is the loop that serves the queue of one service on this instance. After another instance has become
+// owner is the loop that serves one queue on this instance. After another instance has become
 // the owner, it keeps running to complete the jobs that have sent pieces.
 type owner struct {
-	service  string
+	id       queueID
 	queue    *Queue
 	executor Executor
 	source   Source
@@ -150,11 +150,11 @@
 	busy time.Duration
 }
 
-func newOwner(service string, executor Executor, source Source, publish func(w WaitTimes, toAll bool) (period time.Duration), waitTimesOf func(service string) WaitTimes, isOwner func() bool) *owner {
+func newOwner(id queueID, executor Executor, source Source, publish func(w WaitTimes, toAll bool) (period time.Duration), waitTimesOf func(service string) WaitTimes, isOwner func() bool) *owner {
 	o := &owner{
 		isOwner:  isOwner,
 		publish:  publish,
-		service:  service,
+		id:       id,
 		queue:    NewQueue(site.Batch{}),
 		executor: executor,
 		source:   source,
@@ -204,7 +204,7 @@
 			o.stalled(now)
 			returned = o.queue.ReturnUnsent(true)
 		}
-		klog.InfoS("queue stalled", "service", o.service, "ms", pause.Milliseconds(), "returned", returned)
+		klog.InfoS("queue stalled", "service", o.id.service, "queueZone", o.id.zone, "ms", pause.Milliseconds(), "returned", returned)
 		o.queue.Resume(now)
 	}
 	o.awakeAt = now
@@ -265,14 +265,14 @@
 	o.claim(now, isOwner)
 	if o.wasOwner && !isOwner {
 		n := o.queue.ReturnUnsent(false)
-		klog.InfoS("queue handed on", "service", o.service, "orders", n)
+		klog.InfoS("queue handed on", "service", o.id.service, "queueZone", o.id.zone, "orders", n)
 	}
 	o.wasOwner = isOwner
 }
 
 func (o *owner) logRejections() {
 	for _, r := range o.queue.TakeRejections() {
-		klog.InfoS("order refused", "request", r.Job.Request, "service", o.service, "stage", r.Job.Stage,
+		klog.InfoS("order refused", "request", r.Job.Request, "service", o.id.service, "queueZone", o.id.zone, "stage", r.Job.Stage,
 			"pieces", r.Job.Pieces, "ahead", r.PiecesWaiting, "estimateMs", r.Estimate.Milliseconds(),
 			"waitedMs", r.Waited.Milliseconds(), "leftMs", r.Left.Milliseconds(), "upstreams", o.queue.fastUpstreams())
 	}
@@ -288,7 +288,7 @@
 	used, memory := o.queue.Memory()
 	all, busy, restricted := o.queue.Upstreams(now)
 	took, expected := c.meanTimes()
-	klog.InfoS("queue", "service", o.service, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
+	klog.InfoS("queue", "service", o.id.service, "queueZone", o.id.zone, "waiting", o.queue.Waiting(), "calls", c.Calls, "pieces", c.Pieces,
 		"callMs", took.Milliseconds(), "expectedMs", expected.Milliseconds(),
 		"noRoom", c.NoMemory, "failed", c.Failed, "gone", c.Gone, "late", c.Rejected,
 		"unused", c.Unused, "expired", c.Expired, "roomUsed", used, "room", memory,
@@ -387,7 +387,7 @@
 	}
 	if err != nil {
 		c.Broken = exchange.IsBroken(err)
-		klog.InfoS("pieces not made", "service", o.service, "upstream", c.Upstream.ID, "pieces", len(c.Items),
+		klog.InfoS("pieces not made", "service", o.id.service, "queueZone", o.id.zone, "upstream", c.Upstream.ID, "pieces", len(c.Items),
 			"busy", busy, "broken", c.Broken, "took", time.Since(c.StartedAt), "err", err)
 		results = nil
 	}
--- a/plantainlane/batch/owner_test.go
+++ b/plantainlane/batch/owner_test.go
@@ -45,7 +45,7 @@
 		return true
 	}
 	publish := func(WaitTimes, bool) time.Duration { return time.Second }
-	o := newOwner("encode", executor, source, publish, func(string) WaitTimes { return WaitTimes{} }, isOwner)
+	o := newOwner(queueID{service: "encode"}, executor, source, publish, func(string) WaitTimes { return WaitTimes{} }, isOwner)
 	go o.run(ctx)
 	return o
 }
--- a/plantainlane/batch/ownership.go
+++ b/plantainlane/batch/ownership.go
@@ -15,7 +15,7 @@
 // instance's claim takes to reach it.
 const claimAfter = 2 * time.Second
 
-// ownerships are the queues that an instance owns, by service. The number of an ownership is its beginning in
+// ownerships are the queues that an instance owns, by name. The number of an ownership is its beginning in
 // milliseconds since 1970, or one more than the highest that was known of an earlier one of the queue. So the newest owner
 // has the highest number, if the clocks agree roughly; if not, all instances still agree on the owner.
 //
@@ -26,14 +26,14 @@
 // String returns the text that is sent to the other instances.
 func (o ownerships) String() string {
 	values := make(url.Values, len(o))
-	for service, number := range o {
-		values.Set(service, strconv.Itoa(number))
+	for queue, number := range o {
+		values.Set(queue, strconv.Itoa(number))
 	}
 	return values.Encode()
 }
 
 // ownershipNumber returns the number of a member's ownership of a queue; 0 if it doesn't claim the queue.
-func ownershipNumber(service string, m Member) int {
+func ownershipNumber(q queueID, m Member) int {
 	if m.Owns == "" {
 		return 0
 	}
@@ -41,19 +41,21 @@
 	if err != nil {
 		return 0
 	}
-	number, err := strconv.Atoi(values.Get(service))
+	number, err := strconv.Atoi(values.Get(q.String()))
 	if err != nil {
 		return 0
 	}
 	return number
 }
 
-// Owner returns the ID of the member that owns a service's queue: the one that claims it with the highest number, or if
-// none does, one of the candidates by rendezvous hashing. It returns "" if there are no members.
-func Owner(service string, members []Member) string {
+// Owner returns the ID of the member that owns the queue of a service for a zone, or, without a zone, that for all zones that
+// have no queue of their own: the one that claims it with the highest number, or if none does,
+// one of the candidates by rendezvous hashing. It returns "" if there are no members.
+func Owner(service, zone string, members []Member) string {
+	q := queueID{service, zone}
 	best, bestNumber := "", 0
 	for _, m := range members {
-		number := ownershipNumber(service, m)
+		number := ownershipNumber(q, m)
 		if number > bestNumber || number == bestNumber && number > 0 && m.ID < best {
 			best, bestNumber = m.ID, number
 		}
@@ -62,8 +64,8 @@
 		return best
 	}
 	highest := uint64(0)
-	for _, m := range candidates(members) {
-		weight := xxhash.Sum64String(service + "\x00" + m.ID)
+	for _, m := range candidates(q, members) {
+		weight := xxhash.Sum64String(q.String() + "\x00" + m.ID)
 		if best == "" || weight > highest || weight == highest && m.ID < best {
 			best, highest = m.ID, weight
 		}
@@ -71,19 +73,32 @@
 	return best
 }
 
-// candidates returns the eligible owners of a queue that nobody claims: those that own the fewest queues, and not those on
-// the leader's machine, unless there are no others. A machine that leads and owns queues is short of processor time just
-// when the load is at its worst, and its loss would be that of all.
-func candidates(members []Member) []Member {
-	eligible := eligibleOwners(members)
-	if others := slices.DeleteFunc(slices.Clone(eligible), func(m Member) bool { return m.BesideLeader }); len(others) > 0 {
-		eligible = others
+// candidates returns the eligible owners of a queue that nobody claims: not those on the leader's machine, of these the ones
+// that own the fewest queues, of these the ones on machines that serve no control, of these the ones in the queue's zone;
+// each only if there are any. A machine that serves control and owns queues is short of processor time just when the load is
+// at its worst, and its loss would be that of both.
+func candidates(q queueID, members []Member) []Member {
+	list := members
+	if q.zone == "" {
+		list = eligibleOwners(members)
 	}
+	list = preferred(list, func(m Member) bool { return !m.BesideLeader })
 	fewest := math.MaxInt
-	for _, m := range eligible {
+	for _, m := range list {
 		fewest = min(fewest, ownedCount(m))
 	}
-	return slices.DeleteFunc(slices.Clone(eligible), func(m Member) bool { return ownedCount(m) > fewest })
+	list = preferred(list, func(m Member) bool { return ownedCount(m) == fewest })
+	list = preferred(list, func(m Member) bool { return !m.BesideControl })
+	return preferred(list, func(m Member) bool { return q.zone == "" || m.Zone == q.zone })
+}
+
+// preferred returns the members that meet a condition, or all if there are none.
+func preferred(members []Member, meets func(Member) bool) []Member {
+	list := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !meets(m) })
+	if len(list) == 0 {
+		return members
+	}
+	return list
 }
 
 // ownedCount returns the number of queues that a member claims.
@@ -108,34 +123,35 @@
 	return list
 }
 
-// ownerAmong returns the current owner of a service's queue, and remembers the number of its ownership.
-func (d *Dispatcher) ownerAmong(service string, members []Member) string {
-	owner := Owner(service, members)
+// ownerAmong returns the current owner of a queue, and remembers the number of its ownership.
+func (d *Dispatcher) ownerAmong(q queueID, members []Member) string {
+	owner := Owner(q.service, q.zone, members)
 	for _, m := range members {
-		if number := ownershipNumber(service, m); number > 0 {
+		if number := ownershipNumber(q, m); number > 0 {
 			d.mu.Lock()
-			d.numbers[service] = max(d.numbers[service], number)
+			d.numbers[q] = max(d.numbers[q], number)
 			d.mu.Unlock()
 		}
 	}
 	return owner
 }
 
-// claim records that this instance owns a service's queue, or no longer does, and tells the other instances. It claims no
+// claim records that this instance owns a queue, or no longer does, and tells the other instances. It claims no
 // queue until claimAfter after the start or the last stall.
-func (d *Dispatcher) claim(now time.Time, service string, owns bool) {
+func (d *Dispatcher) claim(now time.Time, q queueID, owns bool) {
 	d.mu.Lock()
-	_, known := d.owned[service]
+	name := q.String()
+	_, known := d.owned[name]
 	if known == owns || owns && now.Before(d.claimFrom) {
 		d.mu.Unlock()
 		return
 	}
 	// The map is shared with nobody while it is changed.
 	d.owned = maps.Clone(d.owned)
-	delete(d.owned, service)
+	delete(d.owned, name)
 	if owns {
-		d.numbers[service] = max(d.numbers[service]+1, int(now.UnixMilli()))
-		d.owned[service] = d.numbers[service]
+		d.numbers[q] = max(d.numbers[q]+1, int(now.UnixMilli()))
+		d.owned[name] = d.numbers[q]
 	}
 	text := d.owned.String()
 	d.mu.Unlock()
@@ -143,9 +159,9 @@
 }
 
 // stalled records that this instance stood still until now: another may own its queues.
-func (d *Dispatcher) stalled(now time.Time, service string) {
+func (d *Dispatcher) stalled(now time.Time, q queueID) {
 	d.mu.Lock()
 	d.claimFrom = now.Add(claimAfter)
 	d.mu.Unlock()
-	d.claim(now, service, false)
+	d.claim(now, q, false)
 }
--- a/plantainlane/batch/ownership_test.go
+++ b/plantainlane/batch/ownership_test.go
@@ -18,7 +18,7 @@
 // ownerAt returns the owner of the queue as an instance sees it.
 func (n *network) ownerAt(id string) string {
 	d := n.dispatchers[id]
-	return d.ownerAmong("encode", d.members())
+	return d.ownerAmong(queueID{service: "encode"}, d.members())
 }
 
 // TestQueueReturnsToRestartedInstance guards against a queue that goes back to an instance which was lost, although its
@@ -66,15 +66,15 @@
 		d := n.dispatchers["a"]
 		time.Sleep(claimAfter)
 		n.run(is, "a")
-		before := ownershipNumber("encode", Member{Owns: n.owns["a"]})
+		before := ownershipNumber(queueID{service: "encode"}, Member{Owns: n.owns["a"]})
 		is.True(before > 0)
-		d.stalled(time.Now(), "encode")
+		d.stalled(time.Now(), queueID{service: "encode"})
 		is.Equal(n.owns["a"], "")
 		n.run(is, "a")
 		is.Equal(n.owns["a"], "")
 		time.Sleep(claimAfter)
 		n.run(is, "a")
-		is.True(ownershipNumber("encode", Member{Owns: n.owns["a"]}) > before)
+		is.True(ownershipNumber(queueID{service: "encode"}, Member{Owns: n.owns["a"]}) > before)
 	})
 }
 
@@ -83,11 +83,11 @@
 func TestMalformedClaimOwnsQueue(t *testing.T) {
 	is := is.New(t)
 	for _, text := range []string{"", "%", "encode", "encode=x", "encode=-1", "other=3"} {
-		is.True(ownershipNumber("encode", Member{Owns: text}) <= 0)
+		is.True(ownershipNumber(queueID{service: "encode"}, Member{Owns: text}) <= 0)
 	}
 	o := ownerships{"encode": 3, "a=b&c, d": 7}
 	for service, number := range o {
-		is.Equal(ownershipNumber(service, Member{Owns: o.String()}), number)
+		is.Equal(ownershipNumber(queueID{service: service}, Member{Owns: o.String()}), number)
 	}
 }
 
@@ -98,7 +98,7 @@
 	members := []Member{{ID: "a"}, {ID: "b", BesideLeader: true}, {ID: "c"}, {ID: "d"}}
 	owners := make(map[string]int)
 	for i, service := range []string{"encode", "retrieve", "rerank"} {
-		owner := Owner(service, members)
+		owner := Owner(service, "", members)
 		owners[owner]++
 		for j := range members {
 			if members[j].ID == owner {
@@ -110,6 +110,6 @@
 	is.Equal(len(owners), 3)
 	// A claim stands wherever the leader goes, and all machines count if there are no others.
 	members[0].Owns, members[0].BesideLeader = ownerships{"other": 5}.String(), true
-	is.Equal(Owner("other", members), "a")
-	is.Equal(Owner("other", []Member{{ID: "b", BesideLeader: true}}), "b")
+	is.Equal(Owner("other", "", members), "a")
+	is.Equal(Owner("other", "", []Member{{ID: "b", BesideLeader: true}}), "b")
 }
--- a/plantainlane/batch/rest_test.go
+++ b/plantainlane/batch/rest_test.go
@@ -52,7 +52,7 @@
 			is.True(time.Since(started) < 200*time.Millisecond)
 			time.Sleep(100 * time.Millisecond)
 		}
-		u := n.dispatchers["a"].owner("encode").queue.upstreams["w0"]
+		u := n.dispatchers["a"].owner(queueID{service: "encode"}).queue.upstreams["w0"]
 		is.Equal(u.failures, 0)
 		is.True(executor.sent["w0"] >= 1 && executor.sent["w0"] <= 6)
 		is.True(executor.sent["w1"] >= 30)
--- a/plantainlane/batch/silent_test.go
+++ b/plantainlane/batch/silent_test.go
@@ -28,7 +28,7 @@
 		}
 		executor := &timedExecutor{spec: grownStage}
 		publish := func(WaitTimes, bool) time.Duration { return time.Second }
-		o := newOwner("encode", executor, source, publish, func(string) WaitTimes { return WaitTimes{} }, func() bool { return true })
+		o := newOwner(queueID{service: "encode"}, executor, source, publish, func(string) WaitTimes { return WaitTimes{} }, func() bool { return true })
 		go o.run(ctx)
 		j, out := newJob(time.Now(), 1, time.Second, 5*time.Second)
 		o.send(ctx, added{j})
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -95,13 +95,13 @@
 	return out
 }
 
-func (d *fakeDispatcher) Release(_ string, handles []string) {
+func (d *fakeDispatcher) Release(_, _ string, handles []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.released = append(d.released, handles...)
 }
 
-func (d *fakeDispatcher) WaitTimes(string) batch.WaitTimes { return batch.WaitTimes{} }
+func (d *fakeDispatcher) WaitTimes(string, string) batch.WaitTimes { return batch.WaitTimes{} }
 
 // harness is a Server behind a test listener, with fake upstreams in its roster and balancer.
 type harness struct {
--- a/plantainlane/forward/site_size_test.go
+++ b/plantainlane/forward/site_size_test.go
@@ -73,6 +73,9 @@
 	{"tone", 149, 1, 2200 * time.Millisecond, 6 * time.Second, []int{1, 2, 4}, 2},
 }
 
+// siteZone returns the zone of a member or an upstream.
+func siteZone(i int) string { return string(rune('a' + i%3)) }
+
 // siteMember is an instance of the simulated site.
 type siteMember struct {
 	id    string
@@ -143,7 +146,7 @@
 				return *m.site.Services[service].Batch, m.upstreamsOf(service), true
 			}
 		}
-		member.dispatcher = batch.NewDispatcher(ctx, member.id, i<<24, sitePeers{m, i}, siteExecutor{m, i}, source)
+		member.dispatcher = batch.NewDispatcher(ctx, member.id, siteZone(i), i<<24, sitePeers{m, i}, siteExecutor{m, i}, source)
 		go m.handleFrames(ctx, i)
 	}
 	return m
@@ -155,7 +158,7 @@
 		for i := range s.upstreams {
 			if s.service == service {
 				id := fmt.Sprint(service, i)
-				out = append(out, batch.Upstream{Peer: quota.Peer{ID: id, Address: id}, Zone: string(rune('a' + i%3))})
+				out = append(out, batch.Upstream{Peer: quota.Peer{ID: id, Address: id}, Zone: siteZone(i)})
 			}
 		}
 	}
@@ -223,7 +226,7 @@
 	out := make([]batch.Member, 0, siteMembers)
 	for i, member := range m.members {
 		if i != m.frozen || !isLost || i == p.member {
-			out = append(out, batch.Member{ID: member.id, Cores: member.cores, Owns: owns[member.id]})
+			out = append(out, batch.Member{ID: member.id, Zone: siteZone(i), Cores: member.cores, Owns: owns[member.id]})
 		}
 	}
 	return out
@@ -336,7 +339,7 @@
 	defer cancel()
 	x := &stageRun{
 		dispatcher: m.members[member].dispatcher, site: m.site, route: &route,
-		call: &Call{ID: id, Pieces: c.pieces, PieceKey: id}, zone: string(rune('a' + member%3)),
+		call: &Call{ID: id, Pieces: c.pieces, PieceKey: id}, zone: siteZone(member),
 		received: received, deadline: deadline, priority: c.priority,
 	}
 	_, err := x.run(ctx)
@@ -391,7 +394,7 @@
 		defer cancel()
 		m := newSiteModel(ctx)
 		if freeze {
-			owner := batch.Owner(siteStages[1].service, sitePeers{m, 0}.Members())
+			owner := batch.Owner(siteStages[1].service, "", sitePeers{m, 0}.Members())
 			for i, member := range m.members {
 				if member.id == owner {
 					m.frozen = i
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -17,10 +17,10 @@
 type Dispatcher interface {
 	// Run runs the pieces of a job and waits for their results until ctx ends.
 	Run(ctx context.Context, service string, job batch.Job) batch.Outcome
-	// Release tells the owner of the service's queue that results are no longer needed.
-	Release(service string, handles []string)
-	// WaitTimes returns the last published wait times of a service's queue; zero if none are known.
-	WaitTimes(service string) batch.WaitTimes
+	// Release tells the owner of the queue that results of a service, most of which are in a zone, are no longer needed.
+	Release(service, zone string, handles []string)
+	// WaitTimes returns the last published wait times of a service's queue for a zone; zero if none are known.
+	WaitTimes(service, zone string) batch.WaitTimes
 }
 
 // stageError reports a stage that was not completed.
@@ -202,7 +202,7 @@
 // are then released as soon as they have been read, to free result memory earlier, although a piece that needs them
 // may have to be run again.
 func (x *stageRun) isBacklogged(stages []int) bool {
-	return slices.ContainsFunc(stages, func(i int) bool { return x.dispatcher.WaitTimes(x.route.Stages[i].Service).All > 0 })
+	return slices.ContainsFunc(stages, func(i int) bool { return x.dispatcher.WaitTimes(x.route.Stages[i].Service, x.zones[i]).All > 0 })
 }
 
 // consumeResults records that one more stage no longer needs the results of the stages in deps. It releases the
@@ -228,7 +228,7 @@
 // releaseResults releases results of a stage. The caller must not hold x.mu, as the queue's owner may be waiting for it.
 func (x *stageRun) releaseResults(stage int, handles []string) {
 	if len(handles) > 0 {
-		x.dispatcher.Release(x.route.Stages[stage].Service, handles)
+		x.dispatcher.Release(x.route.Stages[stage].Service, x.zones[stage], handles)
 	}
 }
 
--- a/plantainlane/forward/stages_test.go
+++ b/plantainlane/forward/stages_test.go
@@ -36,10 +36,14 @@
 	return batch.Outcome{Handles: []string{service + "/result"}}
 }
 
-func (d *lateReader) Release(_ string, handles []string) { d.released = append(d.released, handles...) }
+func (d *lateReader) Release(_, _ string, handles []string) {
+	d.released = append(d.released, handles...)
+}
 
 // WaitTimes returns those of a long queue, so that results are released as soon as they were read.
-func (d *lateReader) WaitTimes(string) batch.WaitTimes { return batch.WaitTimes{All: time.Second} }
+func (d *lateReader) WaitTimes(string, string) batch.WaitTimes {
+	return batch.WaitTimes{All: time.Second}
+}
 
 // twoStages returns the run of two stages, of which the second needs the results of the first.
 func twoStages(d Dispatcher) *stageRun {
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -76,7 +76,9 @@
 	// ownedQueues is the newest claim of queues, which is passed on under claiming until proxyCtx ends.
 	ownedQueues atomic.Pointer[string]
 	claiming    sync.Mutex
-	proxyCtx    context.Context
+	// memberList is the newest list of the members that may own queues.
+	memberList atomic.Pointer[memberList]
+	proxyCtx   context.Context
 	// net holds the connections to other instances.
 	net *peer.Net
 	// answers holds the outcomes of requests that this instance ran.
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"strings"
 	"sync"
 	"time"
 
@@ -175,35 +173,19 @@
 func (p queuePeers) Members() []batch.Member {
 	x := p.instance
 	v := x.View()
-	leader, _ := v.Instances.Get(v.Leader)
-	leaderMachine := machineOf(leader)
-	var out []batch.Member
-	for id, i := range v.Instances.All() {
-		if i.ControlOnly || i.Silent || i.Draining || id == x.self.ID || !x.net.IsReachable(id) {
-			continue
+	l := x.membersOf(v)
+	out := make([]batch.Member, 0, len(l.others)+1)
+	for _, m := range l.others {
+		if x.net.IsReachable(m.ID) {
+			out = append(out, m)
 		}
-		out = append(out, batch.Member{ID: id, Cores: i.Cores, Owns: i.Owns, BesideLeader: isOnMachine(i, leaderMachine)})
 	}
 	if v.Instances.Has(x.self.ID) && !x.self.ControlOnly && (!v.Draining || len(out) == 0) {
-		out = append(out, batch.Member{ID: x.self.ID, Cores: x.self.Cores, BesideLeader: isOnMachine(x.self, leaderMachine)})
+		out = append(out, l.self)
 	}
 	return out
 }
 
-// machineOf returns the start of the peer addresses of all instances on an instance's machine; empty if not known.
-func machineOf(i wire.InstanceInfo) string {
-	host, _, err := net.SplitHostPort(i.PeerAddress)
-	if err != nil {
-		return ""
-	}
-	return net.JoinHostPort(host, "")
-}
-
-// isOnMachine reports whether an instance is on a machine, as returned by machineOf.
-func isOnMachine(i wire.InstanceInfo, machine string) bool {
-	return machine != "" && strings.HasPrefix(i.PeerAddress, machine)
-}
-
 // batchSource returns the source from which the owner of a service's queue reads the batch specification and the
 // upstreams of the service.
 func (x *Instance) batchSource(service string) batch.Source {
@@ -238,7 +220,7 @@
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(upstreamIdleTimeout)
 	client := &quota.Client{Pool: pool, Gate: x.gate, Read: x.proxy.ReadNotice}
-	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
+	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, x.self.Zone, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
 	x.proxy.Retries.Instances = x.activeCount
 	handler := &forward.Server{
 		Codec: x.proxy.Codec, Views: x.sites, Picker: x.services, Client: client, Dispatcher: x.dispatcher,
--- a/wire/types.go
+++ b/wire/types.go
@@ -1442,6 +1442,10 @@
 	// Priority of the request; 0 is the highest.
 	Priority int `json:"priority" cbor:"priority"`
 
+	// Availability zone whose upstreams the queue serves; empty for the queue of all
+	// zones that have none of their own.
+	QueueZone string `json:"queueZone" cbor:"queueZone"`
+
 	// Request ID.
 	Request string `json:"request" cbor:"request"`
 
@@ -1462,6 +1466,10 @@
 	// waitMs.
 	AllMs int `json:"allMs" cbor:"allMs"`
 
+	// Availability zone whose upstreams the queue serves; empty for the queue of all
+	// zones that have none of their own.
+	QueueZone string `json:"queueZone" cbor:"queueZone"`
+
 	// Service that runs the pieces.
 	Service string `json:"service" cbor:"service"`
 
@@ -1475,6 +1483,10 @@
 	// Handles of the results.
 	Handles []string `json:"handles" cbor:"handles"`
 
+	// Availability zone whose upstreams the queue serves; empty for the queue of all
+	// zones that have none of their own.
+	QueueZone string `json:"queueZone" cbor:"queueZone"`
+
 	// Service that computed the results.
 	Service string `json:"service" cbor:"service"`
 }
