forward: what is no event of a stream is not in it, and its rest is a stream

Callers would have found the text or the head of an upstream's error in the middle of their stream, or a stream that ends as if it were whole (a report from other operators): when a stream broke off and the next upstream answered 200 without a length and wrote a whole error, or nothing; with another content type, 202 or 204; and when the only upstream wrote an error after its first events.

Cause: every block of lines up to an empty one counted as an event, and a resumed answer was asked only for a 2xx.

An event has a field that events have, or is a comment; none of its lines begins another answer; in a resumed stream it has an ID. The rest of a stream has its status and content type. A long line no longer ends an event at the end of the read buffer.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -312,10 +312,11 @@
 		return sendOutcome{result: mayHaveRun, err: errUnsigned}, false
 	case res.Header.Get("Content-Encoding") != "":
 		return sendOutcome{result: mayHaveRun, err: errEncoded}, false
+	case q.headSent && !q.continues(res):
+		return sendOutcome{result: mayHaveRun, err: errors.Newf("expected the rest of the stream, got status %d with content type %q",
+			res.StatusCode, res.Header.Get("Content-Type"))}, false
 	case isSuccess && q.route.Stream:
 		return q.forwardStream(c, t, res)
-	case q.headSent:
-		return sendOutcome{result: mayHaveRun, err: errors.Newf("expected the rest of the stream, got status %d", res.StatusCode)}, false
 	}
 	body, err := q.server.Client.Pool.Memory.ReadBody(res, maxBodyBytes)
 	if err != nil {
@@ -329,6 +330,11 @@
 	return sendOutcome{result: delivered}, true
 }
 
+// continues reports whether an answer can be the rest of the stream of which the head was sent to the caller.
+func (q *request) continues(res *http.Response) bool {
+	return res.StatusCode == q.statusSent && res.Header.Get("Content-Type") == q.writer.Header().Get("Content-Type")
+}
+
 // handleRefusal handles an answer that says that the request did not run. Without the request's ID, it is believed only
 // on a new connection: on a reused one it may be a late answer to an earlier request.
 func (q *request) handleRefusal(c *exchange.Conn, t route.Target, res *http.Response, a Answer) (out sendOutcome, complete bool) {
@@ -350,7 +356,7 @@
 // deliver forwards a whole answer to the caller and records the end of the request.
 func (q *request) deliver(a *exchange.Reply) {
 	q.copyHeader(a.Header)
-	q.headSent = true
+	q.headSent, q.statusSent = true, a.Status
 	q.writer.WriteHeader(a.Status)
 	outcome := "answered"
 	if a.Status >= http.StatusBadRequest {
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -13,6 +13,10 @@
 	"plantainlane/plantainlane/site"
 )
 
+// errForeignBytes reports bytes in a stream that are none of its events, such as an error of the upstream. They are not
+// forwarded. The rest of a resumed stream has IDs, since it was asked for by one.
+var errForeignBytes = errors.New("bytes in the stream that are no event of it")
+
 // forwardStream forwards the events of a stream as they arrive. If the stream is interrupted, the caller's answer stays
 // open after the last forwarded event, so that another upstream can resume the stream. The result complete is true if
 // the stream was read to its end.
@@ -21,12 +25,15 @@
 	memory := q.server.Client.Pool.Memory.Reserve()
 	defer memory.Release()
 	reader := newEventReader(res.Body, memory)
-	first := true
+	first, resumes := true, q.headSent
 	for {
 		e, err := reader.next()
-		if errors.Is(err, io.EOF) && first && !exchange.HasEnd(res) && q.events == 0 {
+		if errors.Is(err, io.EOF) && first && !exchange.HasEnd(res) {
 			err = io.ErrUnexpectedEOF
 		}
+		if err == nil && (e.isForeign || resumes && e.id == "" && !e.isComment) {
+			err = errForeignBytes
+		}
 		if errors.Is(err, io.EOF) {
 			return q.endStream(res), true
 		}
@@ -60,7 +67,7 @@
 // heads of answers that resume the stream are not forwarded.
 func (q *request) forwardEvent(res *http.Response, e event, flush bool) error {
 	if !q.headSent {
-		q.headSent = true
+		q.headSent, q.statusSent = true, res.StatusCode
 		q.copyHeader(res.Header)
 		q.writer.WriteHeader(res.StatusCode)
 		_ = q.control.SetWriteDeadline(q.deadline.Add(time.Second))
@@ -92,7 +99,7 @@
 // endStream ends the caller's answer after the last event and records the end of the request.
 func (q *request) endStream(res *http.Response) sendOutcome {
 	if !q.headSent {
-		q.headSent = true
+		q.headSent, q.statusSent = true, res.StatusCode
 		q.copyHeader(res.Header)
 		q.writer.WriteHeader(res.StatusCode)
 	}
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -116,8 +116,9 @@
 	sends, runs int
 	// connected is set once the request had a connection to an upstream. Further sends then count as retries.
 	connected bool
-	// headSent is set once the head of an answer was sent to the caller.
-	headSent bool
+	// headSent is set once the head of an answer was sent to the caller, with the status statusSent.
+	headSent   bool
+	statusSent int
 	// events is the number of events forwarded.
 	events int
 	// lastEvent is the ID of the last event that the caller has, either forwarded or stated in the call.
--- a/plantainlane/forward/stream.go
+++ b/plantainlane/forward/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -19,8 +20,49 @@
 	bytes []byte
 	// id of the event; empty if the event has none.
 	id string
+	// isComment is set if all lines are comments. isForeign is set if the bytes are no event: no line has a field of events or
+	// is a comment, or one begins another answer.
+	isComment, isForeign bool
 }
 
+// eventFields are the names of the fields that events have. Others are ignored by who reads an event.
+var eventFields = []string{"id", "data", "event", "retry"}
+
+// lineKind is what a line of a stream is.
+type lineKind int
+
+const (
+	lineUnknown lineKind = iota
+	lineComment
+	lineField
+	lineHead
+)
+
+// kindOf returns the kind of a line that isn't empty.
+func kindOf(line []byte) lineKind {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch {
+	case len(name) == 0:
+		return lineComment
+	case slices.Contains(eventFields, string(name)):
+		return lineField
+	case bytes.HasPrefix(line, []byte("HTTP/1.")):
+		return lineHead
+	}
+	return lineUnknown
+}
+
+// lineKinds counts the lines of an event by their kind.
+type lineKinds [lineHead + 1]int
+
+// isForeign reports whether the lines are no event.
+func (k *lineKinds) isForeign() bool {
+	return k[lineHead] > 0 || k[lineField] == 0 && k[lineComment] == 0
+}
+
+// isComment reports whether all lines are comments.
+func (k *lineKinds) isComment() bool { return k[lineField] == 0 && k[lineUnknown] == 0 }
+
 // eventReader splits a stream into complete events, so that no part of a truncated event is forwarded.
 type eventReader struct {
 	in     *bufio.Reader
@@ -42,6 +84,8 @@
 // it has none for the event.
 func (r *eventReader) next() (event, error) {
 	var e event
+	var kinds lineKinds
+	isContinued := false
 	for {
 		line, err := r.in.ReadSlice('\n')
 		if err := r.memory.Grow(len(e.bytes) + len(line)); err != nil {
@@ -49,6 +93,10 @@
 		}
 		e.bytes = append(e.bytes, line...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(e.bytes) < maxEventBytes {
+			if !isContinued {
+				kinds[kindOf(line)]++
+			}
+			isContinued = true
 			continue
 		}
 		if err != nil {
@@ -58,9 +106,15 @@
 			return event{}, errEventTooLarge
 		}
 		text := bytes.TrimRight(line, "\r\n")
+		if isContinued {
+			isContinued = false
+			continue
+		}
 		if len(text) == 0 {
+			e.isForeign, e.isComment = len(e.bytes) > len(line) && kinds.isForeign(), kinds.isComment()
 			return e, nil
 		}
+		kinds[kindOf(text)]++
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
