quota, exchange: a second copy of an earlier answer is no answer to a call for pieces

Callers: pieces of a request could run at a second upstream while the first one worked on them, and an upstream could be paused as busy (a report from other operators): a refusal of, or an answer to, an earlier release of results, or an answer without a result, that was written once more on a kept connection counted as the answer to the next call for pieces.

Cause: a call's answer is known by its handles; releases shared the calls' connections, and connections were kept after answers without a handle. Control calls have connections of their own now; a connection whose answer can't be told from a copy of it isn't kept.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -170,7 +170,8 @@
 	// request isn't written, and fails with this error. It may be nil.
 	Check func() error
 	// Accept reads a whole answer of RoundTrip. If it returns an error, the connection is closed, and RoundTrip returns
-	// the error. A token that isn't empty identifies the answer: no two answers have the same one. It may be nil.
+	// the error. A token that isn't empty identifies the answer: no two answers have the same one. After an answer without a
+	// token the connection isn't kept. Accept may be nil where a late copy of another answer does no harm.
 	Accept func(r *Reply) (token string, err error)
 }
 
@@ -245,23 +246,23 @@
 }
 
 // accept passes a whole answer to r.Accept. It returns ErrRepeatedAnswer if an earlier answer on the connection has the
-// same token.
-func (c *Conn) accept(r *Request, reply *Reply) error {
+// same token. The result isKnown is false if a second copy of the answer couldn't be told from the answer to the next request.
+func (c *Conn) accept(r *Request, reply *Reply) (isKnown bool, err error) {
 	if r.Accept == nil {
-		return nil
+		return true, nil
 	}
 	token, err := r.Accept(reply)
 	if err != nil || token == "" {
-		return err
+		return false, err
 	}
 	if slices.Contains(c.tokens, token) {
-		return ErrRepeatedAnswer
+		return false, ErrRepeatedAnswer
 	}
 	c.tokens = append(c.tokens, token)
 	if len(c.tokens) > maxTokens {
 		c.tokens = c.tokens[1:]
 	}
-	return nil
+	return true, nil
 }
 
 // SetDeadline sets the time after which reads and writes fail. The zero time means no deadline.
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -176,5 +176,9 @@
 		return nil, 0, err
 	}
 	reply := &Reply{Status: res.StatusCode, Header: res.Header, Body: body}
-	return reply, KeepFor(res), c.accept(r, reply)
+	isKnown, err := c.accept(r, reply)
+	if !isKnown {
+		return reply, 0, err
+	}
+	return reply, KeepFor(res), nil
 }
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -149,16 +149,15 @@
 
 // newClient returns a client with an allocator of permits of its own.
 func newClient() *quota.Client {
-	return &quota.Client{
-		Pool: exchange.NewPool(time.Minute), Gate: quota.NewGate(&localAsker{allocator: quota.NewAllocator(1)}),
-		Read: func(status int, h http.Header) (quota.Notice, error) {
-			n := quota.Notice{Leaving: h.Get("X-Leaving") != ""}
-			var limitErr, pauseErr error
-			n.PerSecond, n.Limited, limitErr = quota.ReadLimit(h.Get("X-Limit"))
-			n.Pause, pauseErr = quota.ReadPause(time.Now(), status, h)
-			return n, errors.Join(limitErr, pauseErr)
-		},
-	}
+	read := func(status int, h http.Header) (quota.Notice, error) {
+		n := quota.Notice{Leaving: h.Get("X-Leaving") != ""}
+		var limitErr, pauseErr error
+		n.PerSecond, n.Limited, limitErr = quota.ReadLimit(h.Get("X-Limit"))
+		n.Pause, pauseErr = quota.ReadPause(time.Now(), status, h)
+		return n, errors.Join(limitErr, pauseErr)
+	}
+	gate := quota.NewGate(&localAsker{allocator: quota.NewAllocator(1)})
+	return quota.NewClient(exchange.NewPool(time.Minute), gate, read)
 }
 
 // localAsker answers queries for permits from an allocator of the same process.
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -219,7 +219,7 @@
 	x.proxyCtx = ctx
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(upstreamIdleTimeout)
-	client := &quota.Client{Pool: pool, Gate: x.gate, Read: x.proxy.ReadNotice}
+	client := quota.NewClient(pool, x.gate, x.proxy.ReadNotice)
 	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, x.self.Zone, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
 	x.proxy.Retries.Instances = x.activeCount
 	handler := &forward.Server{
--- a/plantainlane/quota/client.go
+++ b/plantainlane/quota/client.go
@@ -18,15 +18,26 @@
 // Client sends requests with a permit each, and reads the notices in their answers. It is safe for concurrent use.
 type Client struct {
 	Pool *exchange.Pool
+	// Control holds the connections for RoundTripControl. They carry nothing else, since a second copy of an answer to a control
+	// call doesn't tell that it isn't the answer to the next request.
+	Control *exchange.Pool
 	Gate *Gate
 	Read Reader
 }
 
+// NewClient returns a client that sends requests on connections of a pool, and control calls on connections of their own.
+func NewClient(pool *exchange.Pool, g *Gate, r Reader) *Client {
+	control := exchange.NewPool(pool.IdleLimit)
+	control.Memory = pool.Memory
+	return &Client{Pool: pool, Control: control, Gate: g, Read: r}
+}
+
 // Acquire obtains a permit as Gate.Acquire does. It closes the idle connections to an earlier process at the peer's
 // address: what answers on them say isn't about the peer.
 func (c *Client) Acquire(ctx context.Context, p Peer) (Permit, error) {
 	if c.Gate.Replaced(time.Now(), p) {
 		c.Pool.CloseIdle(p.Address)
+		c.Control.CloseIdle(p.Address)
 	}
 	return c.Gate.Acquire(ctx, p)
 }
@@ -34,7 +45,7 @@
 // RoundTrip obtains a permit, sends a request and reads the whole answer, as exchange.Pool.RoundTrip does. If there is
 // no permit, it returns a *Refusal marked with exchange.ErrNotSent.
 func (c *Client) RoundTrip(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
-	reply, sentAt, err := c.roundTrip(ctx, p, r, maxBody)
+	reply, sentAt, err := c.roundTrip(ctx, c.Pool, p, r, maxBody)
 	if reply != nil && !errors.Is(err, exchange.ErrRepeatedAnswer) {
 		isRefusal := reply.Status == http.StatusServiceUnavailable
 		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header, IsOwn: err == nil || isRefusal, MayEndLimit: err == nil})
@@ -45,7 +56,7 @@
 // RoundTripControl does the same for a call that is no work for the upstream. The answer may leave out the limit, so it
 // doesn't tell that a limit has ended.
 func (c *Client) RoundTripControl(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
-	reply, sentAt, err := c.roundTrip(ctx, p, r, maxBody)
+	reply, sentAt, err := c.roundTrip(ctx, c.Control, p, r, maxBody)
 	if reply != nil {
 		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header})
 	}
@@ -53,7 +64,7 @@
 }
 
 // roundTrip obtains a permit, sends a request and reads the whole answer. It also returns when the request was sent.
-func (c *Client) roundTrip(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, time.Time, error) {
+func (c *Client) roundTrip(ctx context.Context, pool *exchange.Pool, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, time.Time, error) {
 	permit, err := c.Acquire(ctx, p)
 	if err != nil {
 		return nil, time.Time{}, errors.Mark(err, exchange.ErrNotSent)
@@ -63,7 +74,7 @@
 		sentAt = time.Now()
 		return permit.Check()
 	}
-	reply, err := c.Pool.RoundTrip(ctx, p.Address, r, maxBody)
+	reply, err := pool.RoundTrip(ctx, p.Address, r, maxBody)
 	return reply, sentAt, err
 }
 
--- a/plantainlane/quota/client_test.go
+++ b/plantainlane/quota/client_test.go
@@ -36,10 +36,7 @@
 	defer s.Close()
 	address := s.Listener.Addr().String()
 	peer := Peer{Address: address}
-	c := &Client{
-		Pool: exchange.NewPool(time.Minute), Gate: NewGate(&slowAsker{}),
-		Read: readNotice,
-	}
+	c := NewClient(exchange.NewPool(time.Minute), NewGate(&slowAsker{}), readNotice)
 	request := func(path string) *exchange.Request {
 		return &exchange.Request{Method: http.MethodPost, Target: path, Host: "h"}
 	}
--- a/plantainlane/quota/notice_test.go
+++ b/plantainlane/quota/notice_test.go
@@ -123,7 +123,7 @@
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Leaving", "1") }))
 	defer s.Close()
 	address := s.Listener.Addr().String()
-	c := &Client{Pool: exchange.NewPool(time.Minute), Gate: NewGate(nil), Read: readNotice}
+	c := NewClient(exchange.NewPool(time.Minute), NewGate(nil), readNotice)
 	old, successor := Peer{Address: address, ID: "u", Incarnation: 1}, Peer{Address: address, ID: "u", Incarnation: 2}
 	_, err := c.RoundTrip(t.Context(), old, &exchange.Request{Method: http.MethodPost, Target: "/", Host: "h"}, 100)
 	is.NoErr(err)
