--- a/plantainlane/announce/server.go
+++ b/plantainlane/announce/server.go
@@ -191,6 +191,8 @@
 	switch {
 	case errors.Is(err, roster.ErrStale):
 		return problem.Write(c, problem.New(http.StatusConflict, "stale", err.Error()))
+	case errors.Is(err, roster.ErrImplausible):
+		return problem.Write(c, problem.New(http.StatusConflict, "implausible", err.Error()))
 	case errors.Is(err, roster.ErrForeign):
 		return problem.Write(c, problem.New(http.StatusForbidden, "foreign-upstream", err.Error()))
 	}
--- a/plantainlane/quota/client.go
+++ b/plantainlane/quota/client.go
@@ -21,8 +21,8 @@
 	// Control holds the connections for RoundTripControl. They carry nothing else, since a second copy of an answer to a control
 	// call doesn't tell that it isn't the answer to the next request.
 	Control *exchange.Pool
-	Gate *Gate
-	Read Reader
+	Gate    *Gate
+	Read    Reader
 }
 
 // NewClient returns a client that sends requests on connections of a pool, and control calls on connections of their own.
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -14,6 +14,13 @@
 // ErrStale reports an announcement whose (incarnation, sequence) is not newer than that of the known announcement.
 var ErrStale = errors.New("roster: stale announcement")
 
+// ErrImplausible reports an announcement that contradicts the known one of the same process: with another service or address,
+// or with a sequence that it can't have reached. Taking it would make the process's own announcements count as old ones.
+var ErrImplausible = errors.New("roster: implausible announcement")
+
+// maxLead is the largest number by which the sequence of an announcement may be ahead of the known one.
+const maxLead = 1 << 24
+
 // ErrForeign reports an announcement of an upstream that was announced with another credential.
 var ErrForeign = errors.New("roster: upstream belongs to another credential")
 
@@ -70,7 +77,8 @@
 }
 
 // Announce applies an announcement that an upstream sent to this instance. It returns ErrForeign if another credential
-// announced the upstream, and ErrStale if the announcement is not newer than the known one. Then nothing changes.
+// announced the upstream, ErrStale if the announcement is not newer than the known one, and ErrImplausible if it contradicts
+// it. Then nothing changes.
 func (r *Roster) Announce(a wire.Announcement, credential string, now time.Time) error {
 	old, ok := r.view.Rows.Get(a.ID)
 	if ok && old.Credential != "" && old.Credential != credential {
@@ -80,6 +88,9 @@
 		return errors.Wrapf(ErrStale, "upstream %s is known with incarnation %d, sequence %d",
 			a.ID, old.Announcement.Incarnation, old.Announcement.Sequence)
 	}
+	if ok && contradicts(a, old.Announcement) {
+		return errors.Wrapf(ErrImplausible, "upstream %s", a.ID)
+	}
 	onlyRenewed := ok && !old.Expired && isRenewal(a, old.Announcement)
 	if pendingOnlyRenewed, pending := r.announced[a.ID]; pending {
 		onlyRenewed = onlyRenewed && pendingOnlyRenewed
@@ -194,6 +205,12 @@
 	r.newAnnouncements = append(r.newAnnouncements, row.Announcement)
 }
 
+// contradicts reports whether a can't be an announcement of the process that b, an older one, is of.
+func contradicts(a, b wire.Announcement) bool {
+	isSameProcess := a.Incarnation == b.Incarnation
+	return isSameProcess && (a.Service != b.Service || a.Address != b.Address || a.Sequence-b.Sequence > maxLead)
+}
+
 // newer reports whether a has a higher incarnation than b, or the same and a higher sequence.
 func newer(a, b wire.Announcement) bool {
 	if a.Incarnation != b.Incarnation {
--- a/plantainlane/roster/roster_test.go
+++ b/plantainlane/roster/roster_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// TestOddAnnouncementHidesSoundUpstream guards against an entry of another writer under the ID of a sound upstream, after which
+// the upstream's own announcements would count as old.
+func TestOddAnnouncementHidesSoundUpstream(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	is.NoErr(r.Announce(announcement(2, 5, false), "c", start))
+	elsewhere, other := announcement(2, 6, false), announcement(2, 6, false)
+	elsewhere.Address, other.Service = "10.0.0.1:1", "other"
+	for _, odd := range []wire.Announcement{announcement(2, 1<<40, false), elsewhere, other} {
+		is.True(errors.Is(r.Announce(odd, "c", start), ErrImplausible))
+		is.NoErr(r.Announce(announcement(2, 6, false), "c", start))
+		row, _ := r.View().Rows.Get("u")
+		is.Equal(row.Announcement.Sequence, 6)
+		r = New()
+		is.NoErr(r.Announce(announcement(2, 5, false), "c", start))
+	}
+}
+
 // A leaving upstream must stay unusable when older announcements arrive again, also after it has expired. Only a new
 // incarnation is usable.
 func TestLeavingIsNotRevived(t *testing.T) {
