batch: instances learn wait times from the answers to their jobs

Owners publish to owners only. An answer tells the wait times of its queue and the service's shortest other queue, by which instances choose; nobody needs a connection to an owner whose queue it doesn't use. Three constants went. The layout is derived each 250 ms.

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -40,8 +40,8 @@
 const (
 	// memberCheckPeriod is how often a waiting job checks that the owner of its queue is still reachable.
 	memberCheckPeriod = 150 * time.Millisecond
-	// validPeriods is the number of publish periods for which published wait times remain valid.
-	validPeriods = 3
+	// waitTimesValid is how long published wait times remain valid.
+	waitTimesValid = time.Second
 	// minOwnerCores is the number of processor cores that the owner of a queue of several zones should have at least.
 	minOwnerCores = 0.25
 	// maxSubmissions is the maximum number of times that a job is submitted, each time to the owner at that time.
@@ -66,8 +66,10 @@
 	// frames. lastFrameCall is the latest such number.
 	pending       map[int]pendingJob
 	lastFrameCall int
-	// waitTimes holds the last published wait times of the queues.
+	// waitTimes holds the wait times of the queues that were last published or told in answers, detours what the owners of
+	// queues told of others.
 	waitTimes map[queueID]publishedWait
+	detours   map[queueID]detour
 	// recent holds the newest releases of results.
 	recent map[queueID]*recentReleases
 	// owned holds the queues that this instance claims. It is replaced, not changed. numbers holds the highest number of an
@@ -88,6 +90,7 @@
 
 // pendingJob is a job that was submitted to another instance and hasn't ended.
 type pendingJob struct {
+	queue        queueID
 	reply        chan Outcome
 	onInputsRead func()
 }
@@ -115,6 +118,7 @@
 		pending:   make(map[int]pendingJob),
 		remote:    make(map[remoteKey]remoteJob),
 		waitTimes: make(map[queueID]publishedWait),
+		detours:   make(map[queueID]detour),
 		recent:    make(map[queueID]*recentReleases),
 		owned:     make(ownerships),
 		numbers:   make(map[queueID]int),
@@ -243,7 +247,7 @@
 	d.mu.Lock()
 	d.lastFrameCall++
 	call := d.lastFrameCall
-	d.pending[call] = pendingJob{reply, j.OnInputsRead}
+	d.pending[call] = pendingJob{q, reply, j.OnInputsRead}
 	d.mu.Unlock()
 	send = func() { d.peers.Send(to, wire.Frame{Call: call, PieceOrder: pieceOrder(q, j, time.Now())}) }
 	cancel = func() {
@@ -304,32 +308,25 @@
 	return w.times
 }
 
-// recordWaitTimes stores the published wait times of a queue, with the time until which they are valid.
+// recordWaitTimes stores the wait times of a queue.
 func (d *Dispatcher) recordWaitTimes(q queueID, w WaitTimes) {
-	validUntil := time.Now().Add(validPeriods * publishPeriod(len(d.peers.Members())))
+	validUntil := time.Now().Add(waitTimesValid)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.waitTimes[q] = publishedWait{w, validUntil}
 }
 
-// publishPeriod returns how often the wait times of a long queue are published to all members.
-func publishPeriod(members int) time.Duration {
-	return min(max(minPublishPeriod, time.Duration(members)*publishPeriodPerMember), maxPublishPeriod)
-}
-
-// publishWaitTimes sends the wait times of a queue of this instance to all members, or only to those that own queues. It
-// returns the period for publishing to all members, which grows with their number.
-func (d *Dispatcher) publishWaitTimes(q queueID, w WaitTimes, toAll bool) (period time.Duration) {
+// publishWaitTimes sends the wait times of a queue of this instance to all members that own queues. The others learn them
+// from the answers to their jobs: an instance needn't have a connection to each owner.
+func (d *Dispatcher) publishWaitTimes(q queueID, w WaitTimes) {
 	d.recordWaitTimes(q, w)
-	members := d.peers.Members()
-	for _, m := range members {
-		if m.ID != d.self && (toAll || m.Owns != "") {
+	for _, m := range d.peers.Members() {
+		if m.ID != d.self && m.Owns != "" {
 			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{
 				Service: q.service, QueueZone: q.zone, WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond),
 			}})
 		}
 	}
-	return publishPeriod(len(members))
 }
 
 // HandleFrame handles a frame from another instance and reports whether the frame was meant for a dispatcher.
@@ -361,7 +358,7 @@
 func (d *Dispatcher) handlePieceOrder(from string, call int, p *wire.PieceOrder) {
 	if p.Pieces < 1 || p.Pieces > MaxJobPieces || p.Bytes < 0 || p.CrossBytes < 0 {
 		klog.InfoS("malformed order", "from", from, "service", p.Service, "pieces", p.Pieces, "bytes", p.Bytes)
-		d.sendAnswer(from, call, Outcome{Reason: ReasonFailed})
+		d.sendAnswer(from, call, queueID{p.Service, p.QueueZone}, Outcome{Reason: ReasonFailed})
 		return
 	}
 	now := time.Now()
@@ -377,7 +374,7 @@
 		d.mu.Lock()
 		delete(d.remote, key)
 		d.mu.Unlock()
-		d.sendAnswer(from, call, out)
+		d.sendAnswer(from, call, queueID{p.Service, p.QueueZone}, out)
 	}
 	if len(p.Inputs) > 0 {
 		yes := true
@@ -395,13 +392,19 @@
 	}
 }
 
-func (d *Dispatcher) sendAnswer(to string, call int, out Outcome) {
+// sendAnswer sends the outcome of a job in a queue of this instance.
+func (d *Dispatcher) sendAnswer(to string, call int, q queueID, out Outcome) {
 	handles := out.Handles
 	if handles == nil {
 		handles = []string{}
 	}
+	now := time.Now()
+	w := d.publishedWait(q, now)
+	other := d.shortestOther(q, now)
 	d.peers.Send(to, wire.Frame{Call: call, PieceAnswer: &wire.PieceAnswer{
 		Handles: handles, Zone: out.Zone, Reason: string(out.Reason), RetryAfterMs: int(out.RetryAfter / time.Millisecond),
+		WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond),
+		OtherZone: other.zone, OtherWaitMs: int(other.wait / time.Millisecond),
 	}})
 }
 
@@ -412,6 +415,7 @@
 	delete(d.pending, call)
 	d.mu.Unlock()
 	if c.reply != nil {
+		d.recordAnswer(c.queue, a)
 		c.reply <- Outcome{
 			Handles: a.Handles, Zone: a.Zone, Reason: Reason(a.Reason),
 			RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond,
@@ -445,7 +449,7 @@
 	defer d.mu.Unlock()
 	ow := d.owners[q]
 	if ow == nil {
-		publish := func(w WaitTimes, toAll bool) (period time.Duration) { return d.publishWaitTimes(q, w, toAll) }
+		publish := func(w WaitTimes) { d.publishWaitTimes(q, w) }
 		isOwner := func() bool { return d.isLaidOut(q) && d.ownerAmong(q, d.members()) == d.self }
 		waitTimesOf := func(service string) WaitTimes { return d.WaitTimes(service, q.zone) }
 		ow = newOwner(q, d.executor, d.upstreamsOf(q), publish, waitTimesOf, isOwner)
--- a/plantainlane/batch/large_site_model_test.go
+++ b/plantainlane/batch/large_site_model_test.go
@@ -170,11 +170,16 @@
 		return service
 	}
 	l := layout{zones: make(map[string]int)}
+	index := func(zone string) int { return service*r.zones + int(zone[0]-'a') }
+	var other detour
 	for i := range r.zones {
-		l.zones[largeZone(i)] = len(r.upstreams[service*r.zones+i])
+		near := largeZone(i)
+		l.zones[near] = len(r.upstreams[index(near)])
+		if wait := r.published[index(near)].OnTime; near != zone && (other.zone == "" || wait < other.wait) {
+			other = detour{zone: near, wait: wait}
+		}
 	}
-	index := func(q queueID) int { return service*r.zones + int(q.zone[0]-'a') }
-	return index(l.queueFor("", zone, crossing, func(q queueID) time.Duration { return r.published[index(q)].OnTime }))
+	return index(l.queueFor(queueID{zone: zone}, r.published[index(zone)].OnTime, other, crossing).zone)
 }
 
 // changeOwner gives a queue to an owner that knows nothing. What waits is submitted again to the new one.
--- a/plantainlane/batch/layout.go
+++ b/plantainlane/batch/layout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
 )
 
 // queueID names a queue of a service: that of its upstreams in one availability zone, or, without a zone, that of its
@@ -33,7 +34,7 @@
 	// leastZoneUpstreams is the number of upstreams below which a zone's queue ends. Between the two, queues stay as they are.
 	leastZoneUpstreams = 3
 	// layoutPeriod is how often the queues of a service are derived from its upstreams.
-	layoutPeriod = 25 * time.Millisecond
+	layoutPeriod = 250 * time.Millisecond
 	// spillCost is the wait that another zone's queue must save at least, see sameZoneWaitPerMB.
 	spillCost = 150 * time.Millisecond
 )
@@ -120,38 +121,94 @@
 	if home == "" {
 		home = d.zone
 	}
-	wait := func(q queueID) time.Duration {
-		w := d.publishedWait(q, now)
-		if now.After(j.Due) {
-			return w.All
+	near := queueID{service, l.zoneOf(home)}
+	w := d.publishedWait(near, now)
+	wait := w.OnTime
+	if now.After(j.Due) {
+		wait = w.All
+	}
+	return l.queueFor(near, wait, d.detourOf(near, now), crossingWait(j))
+}
+
+// detour is the shortest other queue of a service, as the owner of a queue told it.
+type detour struct {
+	// zone is that of the queue; empty for none.
+	zone string
+	// wait is how long a job that can still meet its latency target waits there.
+	wait time.Duration
+	// until is when this becomes too old to be used.
+	until time.Time
+}
+
+// queueFor returns the queue for a job, given that of its home zone and how long the job would wait there. The detour is taken
+// if the job has to wait so much less there that it makes up for the transfer of its inputs, which is worth a wait of crossing.
+// If the zone has no upstream, one of the other queues is drawn.
+func (l *layout) queueFor(home queueID, wait time.Duration, other detour, crossing time.Duration) queueID {
+	if home.zone == "" && l.others == 0 {
+		return l.draw(home)
+	}
+	if l.zones[other.zone] > 0 && other.wait < wait-max(spillCost, crossing) {
+		return queueID{home.service, other.zone}
+	}
+	return home
+}
+
+// draw returns the queue of one of the zones, each with the probability of its share of the upstreams; q if there is none.
+func (l *layout) draw(q queueID) queueID {
+	total := 0
+	for zone, n := range l.zones {
+		total += n
+		if rand.IntN(total) < n {
+			q.zone = zone
 		}
-		return w.OnTime
 	}
-	return l.queueFor(service, home, crossingWait(j), wait)
+	return q
 }
 
-// queueFor returns the queue for a job, given how long it would wait in each: that of its home zone. Another one is taken if
-// the job has to wait so much less there that it makes up for the transfer of its inputs, which is worth a wait of crossing, or
-// if the zone has no upstream. Of several such queues one is drawn, as all instances know the same wait times for a while.
-func (l *layout) queueFor(service, home string, crossing time.Duration, wait func(queueID) time.Duration) queueID {
-	near := queueID{service, l.zoneOf(home)}
-	isEmpty := near.zone == "" && l.others == 0
-	limit := wait(near) - max(spillCost, crossing)
-	total, chosen := 0, near
-	consider := func(q queueID, upstreams int) {
-		if q == near || upstreams == 0 || !isEmpty && wait(q) >= limit {
-			return
+// shortestOther returns the shortest other queue of a zone of the service. This instance owns q, so that it knows the wait
+// times of all long ones. Of those that aren't long, one is drawn.
+func (d *Dispatcher) shortestOther(q queueID, now time.Time) detour {
+	l := d.layoutOf(q.service, now)
+	var best detour
+	ties := 0
+	for zone := range l.zones {
+		if zone == q.zone {
+			continue
 		}
-		total += upstreams
-		if rand.IntN(total) < upstreams {
-			chosen = q
+		wait := d.publishedWait(queueID{q.service, zone}, now).OnTime
+		switch {
+		case best.zone == "" || wait < best.wait:
+			best, ties = detour{zone: zone, wait: wait}, 1
+		case wait == best.wait:
+			if ties++; rand.IntN(ties) == 0 {
+				best.zone = zone
+			}
 		}
 	}
-	for zone, n := range l.zones {
-		consider(queueID{service, zone}, n)
+	return best
+}
+
+// recordAnswer records what the answer to a job in a queue says about wait times.
+func (d *Dispatcher) recordAnswer(q queueID, a *wire.PieceAnswer) {
+	d.recordWaitTimes(q, WaitTimes{
+		OnTime: time.Duration(a.WaitMs) * time.Millisecond, All: time.Duration(a.AllMs) * time.Millisecond,
+	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.detours[q] = detour{
+		zone: a.OtherZone, wait: time.Duration(a.OtherWaitMs) * time.Millisecond, until: time.Now().Add(waitTimesValid),
+	}
+}
+
+// detourOf returns what the owner of a queue last told of others.
+func (d *Dispatcher) detourOf(q queueID, now time.Time) detour {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	other := d.detours[q]
+	if now.After(other.until) {
+		return detour{}
 	}
-	consider(queueID{service: service}, l.others)
-	return chosen
+	return other
 }
 
 // crossingWait is how long a job waits for an upstream in its preferred zone rather than have its inputs cross zones.
--- a/plantainlane/batch/layout_test.go
+++ b/plantainlane/batch/layout_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
 )
 
 // zonedUpstreams returns upstreams in zones named a, b, c and so on, as many in each as given.
@@ -107,24 +108,24 @@
 	tests := map[string]struct {
 		zone       string
 		crossBytes int
-		waits      map[string]time.Duration
+		answer     wire.PieceAnswer
 		want       []string
 	}{
-		"own zone":                 {"", 0, nil, []string{"a"}},
-		"zone of the inputs":       {"b", 100, nil, []string{"b"}},
-		"longer, but not by much":  {"b", 0, map[string]time.Duration{"b": 100 * time.Millisecond}, []string{"b"}},
-		"much longer":              {"b", 0, map[string]time.Duration{"b": time.Second, "a": 900 * time.Millisecond}, []string{"c"}},
-		"inputs that are dear":     {"b", 3_000_000, map[string]time.Duration{"b": 400 * time.Millisecond}, []string{"b"}},
-		"two shorter ones":         {"b", 0, map[string]time.Duration{"b": time.Second}, []string{"a", "c"}},
-		"a zone with no upstreams": {"x", 0, nil, []string{"a", "b", "c"}},
+		"own zone":                 {"", 0, wire.PieceAnswer{}, []string{"a"}},
+		"zone of the inputs":       {"b", 100, wire.PieceAnswer{}, []string{"b"}},
+		"longer, but not by much":  {"b", 0, wire.PieceAnswer{WaitMs: 100, OtherZone: "c"}, []string{"b"}},
+		"much longer":              {"b", 0, wire.PieceAnswer{WaitMs: 1000, OtherZone: "c", OtherWaitMs: 800}, []string{"c"}},
+		"all are long":             {"b", 0, wire.PieceAnswer{WaitMs: 1000, OtherZone: "c", OtherWaitMs: 900}, []string{"b"}},
+		"no other":                 {"b", 0, wire.PieceAnswer{WaitMs: 1000}, []string{"b"}},
+		"other has ended":          {"b", 0, wire.PieceAnswer{WaitMs: 1000, OtherZone: "x"}, []string{"b"}},
+		"inputs that are dear":     {"b", 3_000_000, wire.PieceAnswer{WaitMs: 400, OtherZone: "c"}, []string{"b"}},
+		"a zone with no upstreams": {"x", 0, wire.PieceAnswer{}, []string{"a", "b", "c"}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			d := newZonedDispatcher(t, 9, 9, 9)
-			for zone, wait := range tt.waits {
-				d.recordWaitTimes(queueID{"encode", zone}, WaitTimes{OnTime: wait, All: wait})
-			}
+			d.recordAnswer(queueID{"encode", "b"}, &tt.answer)
 			j := Job{Zone: tt.zone, CrossBytes: tt.crossBytes, Due: now.Add(time.Second)}
 			seen := make(map[string]bool)
 			for range 200 {
@@ -138,6 +139,19 @@
 	}
 }
 
+// TestOwnerKnowsShortestQueue guards against an owner that sends jobs to a queue which is long itself.
+func TestOwnerKnowsShortestQueue(t *testing.T) {
+	is := is.New(t)
+	d, now := newZonedDispatcher(t, 9, 9, 9), time.Now()
+	is.True(d.shortestOther(queueID{"encode", "a"}, now).zone != "a")
+	d.recordWaitTimes(queueID{"encode", "b"}, WaitTimes{OnTime: time.Second, All: time.Second})
+	is.Equal(d.shortestOther(queueID{"encode", "a"}, now).zone, "c")
+	d.recordWaitTimes(queueID{"encode", "c"}, WaitTimes{OnTime: 2 * time.Second, All: 2 * time.Second})
+	other := d.shortestOther(queueID{"encode", "a"}, now)
+	is.Equal(other.zone, "b")
+	is.Equal(other.wait, time.Second)
+}
+
 // TestResultsAreReleasedToQueueThatMadeThem guards against results that hold memory until they expire, because their release
 // goes to the owner of another zone's queue.
 func TestResultsAreReleasedToQueueThatMadeThem(t *testing.T) {
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -31,13 +31,8 @@
 	decisionInterval = 5 * time.Millisecond
 	// reportPeriod is how often the state of a queue in use is logged.
 	reportPeriod = 2 * time.Second
-	// ownersPublishPeriod is how often the wait times of a long queue are published to the eligible owners.
-	ownersPublishPeriod = 100 * time.Millisecond
-	// The wait times are published to all members every publishPeriodPerMember times the number of members, but at
-	// least minPublishPeriod and at most maxPublishPeriod apart.
-	minPublishPeriod       = 200 * time.Millisecond
-	publishPeriodPerMember = 15 * time.Millisecond
-	maxPublishPeriod       = time.Second
+	// publishPeriod is how often the wait times of a long queue are published to the other owners.
+	publishPeriod = 100 * time.Millisecond
 	// minPublishedWait is the wait time below which a queue's wait times aren't published.
 	minPublishedWait = 50 * time.Millisecond
 	// stallTime is the time without work from which an owner that should have worked each ownerTick counts as stalled: its
@@ -110,14 +105,11 @@
 	executor Executor
 	source   Source
 	inbox    chan delivery
-	// publish sends the wait times of the queue to all members, or only to the eligible owners. It returns the period
-	// for publishing to all members.
-	publish func(w WaitTimes, toAll bool) (period time.Duration)
-	// published holds the last published wait times. nextPublish is when they are published again, and nextPublishAll
-	// when to all members.
-	published      WaitTimes
-	nextPublish    time.Time
-	nextPublishAll time.Time
+	// publish sends the wait times of the queue to the other owners.
+	publish func(w WaitTimes)
+	// published holds the last published wait times. nextPublish is when they are published again.
+	published   WaitTimes
+	nextPublish time.Time
 	// isOwner reports whether this instance should own the queue now. wasOwner is its last result.
 	isOwner  func() bool
 	wasOwner bool
@@ -150,7 +142,7 @@
 	busy time.Duration
 }
 
-func newOwner(id queueID, executor Executor, source Source, publish func(w WaitTimes, toAll bool) (period time.Duration), waitTimesOf func(service string) WaitTimes, isOwner func() bool) *owner {
+func newOwner(id queueID, executor Executor, source Source, publish func(w WaitTimes), waitTimesOf func(service string) WaitTimes, isOwner func() bool) *owner {
 	o := &owner{
 		isOwner:  isOwner,
 		publish:  publish,
@@ -239,8 +231,8 @@
 	}
 }
 
-// publishWaitTimes publishes the wait times while All is at least minPublishedWait, and once more when it falls below:
-// every ownersPublishPeriod to the eligible owners, and to all members after the period that publish returned.
+// publishWaitTimes publishes the wait times every publishPeriod while All is at least minPublishedWait, and once more when it
+// falls below.
 func (o *owner) publishWaitTimes(now time.Time) {
 	if now.Before(o.nextPublish) {
 		return
@@ -249,13 +241,9 @@
 	if w.All < minPublishedWait && o.published.All < minPublishedWait {
 		return
 	}
-	toAll := !now.Before(o.nextPublishAll)
-	period := o.publish(w, toAll)
-	if toAll {
-		o.nextPublishAll = now.Add(period)
-	}
+	o.publish(w)
 	o.published = w
-	o.nextPublish = now.Add(ownersPublishPeriod)
+	o.nextPublish = now.Add(publishPeriod)
 }
 
 // returnUnsent claims the queue while this instance owns it. Once it no longer does, returnUnsent ends the jobs that have
--- a/plantainlane/batch/owner_test.go
+++ b/plantainlane/batch/owner_test.go
@@ -44,7 +44,7 @@
 		read()
 		return true
 	}
-	publish := func(WaitTimes, bool) time.Duration { return time.Second }
+	publish := func(WaitTimes) {}
 	o := newOwner(queueID{service: "encode"}, executor, source, publish, func(string) WaitTimes { return WaitTimes{} }, isOwner)
 	go o.run(ctx)
 	return o
--- a/plantainlane/batch/silent_test.go
+++ b/plantainlane/batch/silent_test.go
@@ -27,7 +27,7 @@
 			return grownStage, upstreams("z"), true
 		}
 		executor := &timedExecutor{spec: grownStage}
-		publish := func(WaitTimes, bool) time.Duration { return time.Second }
+		publish := func(WaitTimes) {}
 		o := newOwner(queueID{service: "encode"}, executor, source, publish, func(string) WaitTimes { return WaitTimes{} }, func() bool { return true })
 		go o.run(ctx)
 		j, out := newJob(time.Now(), 1, time.Second, 5*time.Second)
--- a/wire/types.go
+++ b/wire/types.go
@@ -1390,9 +1390,18 @@
 
 // PieceAnswer is the outcome of a PieceOrder.
 type PieceAnswer struct {
+	// Time in milliseconds until all pieces that wait in the queue are completed.
+	AllMs int `json:"allMs" cbor:"allMs"`
+
 	// Handles of the results by piece; empty unless all pieces were completed.
 	Handles []string `json:"handles" cbor:"handles"`
 
+	// waitMs of that queue.
+	OtherWaitMs int `json:"otherWaitMs" cbor:"otherWaitMs"`
+
+	// Zone of the service's shortest other queue, empty if it has none.
+	OtherZone string `json:"otherZone" cbor:"otherZone"`
+
 	// Reason why the pieces were not completed: late (the deadline can't be met),
 	// gone (an input is no longer held), failed, room (no result memory left),
 	// noOwner or cancelled; empty if they were.
@@ -1401,6 +1410,10 @@
 	// Time in milliseconds after which a retry may succeed, if the job was rejected.
 	RetryAfterMs int `json:"retryAfterMs" cbor:"retryAfterMs"`
 
+	// Time in milliseconds that a new job which can still meet its latency target
+	// waits in the queue.
+	WaitMs int `json:"waitMs" cbor:"waitMs"`
+
 	// Availability zone that holds most of the results.
 	Zone string `json:"zone" cbor:"zone"`
 }
