--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -150,8 +150,9 @@
 	job.NextServices = next
 	consumeInputs := sync.OnceFunc(func() { x.consumeResults(stage.After, generation) })
 	if len(stage.After) > 0 {
+		inputs := x.queuesOf(stage.After)
 		job.OnInputsRead = func() {
-			if x.isBacklogged(stage.After) {
+			if x.isBacklogged(inputs) {
 				consumeInputs()
 			}
 		}
@@ -198,37 +199,61 @@
 	return zone, crossBytes
 }
 
-// isBacklogged reports whether pieces wait in the queue of any of the given stages' services. Results of these stages
-// are then released as soon as they have been read, to free result memory earlier, although a piece that needs them
-// may have to be run again.
-func (x *stageRun) isBacklogged(stages []int) bool {
-	return slices.ContainsFunc(stages, func(i int) bool { return x.dispatcher.WaitTimes(x.route.Stages[i].Service, x.zones[i]).All > 0 })
+// stageQueue is the queue that made the results of a stage: that of a service for a zone.
+type stageQueue struct{ service, zone string }
+
+// queuesOf returns the queues of stages that are completed.
+func (x *stageRun) queuesOf(stages []int) []stageQueue {
+	queues := make([]stageQueue, 0, len(stages))
+	for _, i := range stages {
+		queues = append(queues, stageQueue{x.route.Stages[i].Service, x.zones[i]})
+	}
+	return queues
+}
+
+// isBacklogged reports whether pieces wait in any of the given queues. Results of these are then released as soon as they have
+// been read, to free result memory earlier, although a piece that needs them may have to be run again.
+func (x *stageRun) isBacklogged(queues []stageQueue) bool {
+	return slices.ContainsFunc(queues, func(q stageQueue) bool { return x.dispatcher.WaitTimes(q.service, q.zone).All > 0 })
 }
 
 // consumeResults records that one more stage no longer needs the results of the stages in deps. It releases the
 // results that no other stage needs. It does nothing for an earlier generation, since the owner of a queue may report
 // that inputs were read when the request has already ended or runs its stages again.
 func (x *stageRun) consumeResults(deps []int, generation int) {
+	var unneeded []stageResults
 	x.mu.Lock()
-	unneeded := make([][]string, len(deps))
 	if generation == x.generation {
-		for n, i := range deps {
+		for _, i := range deps {
 			x.consumers[i]--
 			if x.consumers[i] == 0 {
-				unneeded[n], x.handles[i] = x.handles[i], nil
+				unneeded = append(unneeded, x.takeResults(i))
 			}
 		}
 	}
 	x.mu.Unlock()
-	for n, i := range deps {
-		x.releaseResults(i, unneeded[n])
-	}
+	x.releaseResults(unneeded)
+}
+
+// stageResults are results of a stage, with the queue that made them.
+type stageResults struct {
+	queue   stageQueue
+	handles []string
+}
+
+// takeResults removes and returns the results of a stage. The caller must hold x.mu.
+func (x *stageRun) takeResults(stage int) stageResults {
+	r := stageResults{stageQueue{x.route.Stages[stage].Service, x.zones[stage]}, x.handles[stage]}
+	x.handles[stage] = nil
+	return r
 }
 
-// releaseResults releases results of a stage. The caller must not hold x.mu, as the queue's owner may be waiting for it.
-func (x *stageRun) releaseResults(stage int, handles []string) {
-	if len(handles) > 0 {
-		x.dispatcher.Release(x.route.Stages[stage].Service, x.zones[stage], handles)
+// releaseResults releases results. The caller must not hold x.mu, as the queue's owner may be waiting for it.
+func (x *stageRun) releaseResults(results []stageResults) {
+	for _, r := range results {
+		if len(r.handles) > 0 {
+			x.dispatcher.Release(r.queue.service, r.queue.zone, r.handles)
+		}
 	}
 }
 
@@ -289,12 +314,13 @@
 
 // release releases all results that are left. No stage may be running.
 func (x *stageRun) release() {
+	var unneeded []stageResults
 	x.mu.Lock()
 	x.generation++
-	unneeded := x.handles
+	for i := range x.handles {
+		unneeded = append(unneeded, x.takeResults(i))
+	}
 	x.handles = nil
 	x.mu.Unlock()
-	for i, handles := range unneeded {
-		x.releaseResults(i, handles)
-	}
+	x.releaseResults(unneeded)
 }
--- a/plantainlane/peer/conn.go
+++ b/plantainlane/peer/conn.go
@@ -66,11 +66,9 @@
 	ctx, cancel := context.WithCancelCause(c.net.ctx)
 	defer cancel(nil)
 	defer c.net.remove(c)
-	c.net.wait.Go(func() {
-		cancel(c.write(ctx))
-	})
-	err := c.read(ctx)
-	cancel(err)
+	if c.net.start(func() { cancel(c.write(ctx)) }) {
+		cancel(c.read(ctx))
+	}
 	_ = c.ws.CloseNow()
 	klog.V(1).InfoS("peer connection ended", "peer", c.info.ID, "err", context.Cause(ctx))
 }
--- a/plantainlane/peer/net.go
+++ b/plantainlane/peer/net.go
@@ -202,16 +202,32 @@
 	return total
 }
 
-// Wait blocks until all goroutines that the Net started have ended. They end after the context passed to New.
+// Wait blocks until all goroutines that the Net started have ended. It must be called after the context passed to New has
+// ended, with which they end.
 func (n *Net) Wait() {
+	// A goroutine that is started meanwhile is counted before, see start.
+	n.mu.Lock()
+	n.mu.Unlock() //nolint:staticcheck // the lock orders the starts before the wait
 	n.wait.Wait()
 }
 
+// start runs f in a goroutine, unless the context of the Net has ended. It reports whether it does. The caller must not hold
+// n.mu.
+func (n *Net) start(f func()) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		return false
+	}
+	n.wait.Go(f)
+	return true
+}
+
 // dial starts a goroutine that connects to an address, unless another goroutine is already connecting to it. id is the
 // ID of the instance at the address; empty if not known. If the goroutine ends and there is no connection to the
 // instance, the pending frames for the instance are dropped. The caller must hold n.mu.
 func (n *Net) dial(address, id string) {
-	if n.dialing[address] {
+	if n.dialing[address] || n.ctx.Err() != nil {
 		return
 	}
 	n.dialing[address] = true
@@ -267,7 +283,7 @@
 	list := slices.Clone(n.conns[id])
 	n.mu.Unlock()
 	for _, c := range list {
-		n.wait.Go(func() {
+		n.start(func() {
 			_ = c.ws.CloseNow()
 			n.remove(c)
 		})
