--- a/plantainlane/batch/layout_test.go
+++ b/plantainlane/batch/layout_test.go
@@ -164,3 +164,20 @@
 	_, served, _ = d.upstreamsOf(queueID{"encode", ""})()
 	is.Equal(len(served), 2)
 }
+
+// TestQueueWithoutUpstreamsLooksShort guards against jobs that go to the queue of a zone of which all upstreams leave or are
+// paused, because nothing waits there.
+func TestQueueWithoutUpstreamsLooksShort(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQueue(spec, "a", "a")
+	is.Equal(q.WaitTimes(now).OnTime, time.Duration(0))
+	list := upstreams("a", "a")
+	list[0].Leaving = true
+	q.SetUpstreams(list)
+	is.Equal(q.WaitTimes(now).OnTime, time.Duration(0)) // the other one serves
+	q.upstreams[list[1].ID].recordFailure(now, false)
+	is.Equal(q.WaitTimes(now).OnTime, unservedWait)
+	is.Equal(q.WaitTimes(now).All, unservedWait)
+	is.Equal(q.WaitTimes(now.Add(maxPause)).OnTime, time.Duration(0))
+}
--- a/plantainlane/batch/rate.go
+++ b/plantainlane/batch/rate.go
@@ -69,8 +69,24 @@
 	All time.Duration
 }
 
+// unservedWait is the wait time of a queue whose upstreams all leave, have ended or are paused.
+const unservedWait = 2 * time.Second
+
+// isUnserved reports whether no upstream takes calls or works.
+func (q *Queue) isUnserved(now time.Time) bool {
+	for _, u := range q.upstreams {
+		if u.calls > 0 || accepts(now, u) {
+			return false
+		}
+	}
+	return true
+}
+
 // WaitTimes returns the current wait times of the queue.
 func (q *Queue) WaitTimes(now time.Time) WaitTimes {
+	if q.isUnserved(now) {
+		return WaitTimes{OnTime: unservedWait, All: max(unservedWait, q.timeFor(q.waiting))}
+	}
 	onTime, completion := 0, now.Add(q.typicalCallTime())
 	for _, j := range q.jobs {
 		if !j.isLate(completion) {
--- a/plantainlane/peer/conn.go
+++ b/plantainlane/peer/conn.go
@@ -83,9 +83,6 @@
 		c.net.clock.Observe(f.Time)
 		switch {
 		case f.Heartbeat != nil:
-			if !f.Heartbeat.Answer {
-				c.enqueue(wire.Frame{Heartbeat: &wire.Heartbeat{Sequence: f.Heartbeat.Sequence, Answer: true}})
-			}
 		case f.Refusal != nil:
 			klog.InfoS("peer refused a frame", "peer", c.info.ID, "reason", f.Refusal.Reason)
 		case f.From != c.info.ID:
--- a/wire/types.go
+++ b/wire/types.go
@@ -974,12 +974,8 @@
 	WallMs int `json:"wallMs" cbor:"wallMs"`
 }
 
-// Heartbeat checks that the connection is alive. The receiver answers with the
-// same sequence.
+// Heartbeat shows that the connection is alive. Both ends send them.
 type Heartbeat struct {
-	// Whether this frame answers a heartbeat.
-	Answer bool `json:"answer" cbor:"answer"`
-
 	// Number of the heartbeat.
 	Sequence int `json:"sequence" cbor:"sequence"`
 }
