batch: the owner of a zone's queue is on a machine with a quarter of a core

Cause: on a fifth of a core 1 ms of an owner's work takes 5 ms, and that is added to each call: upstreams idle meanwhile.

--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -42,7 +42,7 @@
 	memberCheckPeriod = 150 * time.Millisecond
 	// waitTimesValid is how long published wait times remain valid.
 	waitTimesValid = time.Second
-	// minOwnerCores is the number of processor cores that the owner of a queue of several zones should have at least.
+	// minOwnerCores is the number of processor cores that the owner of a queue should have at least.
 	minOwnerCores = 0.25
 	// maxSubmissions is the maximum number of times that a job is submitted, each time to the owner at that time.
 	maxSubmissions = 4
