quarantine, forward: the line on an ended upstream names the request as a whole

The hypotheses differ in what the requests under which upstreams end have in common; the lines named the shared parts of prompts only, and these requests have none. "content" is the same for requests with the same method, host, path, query, workspace, prompt and body. The wire has a trial's query and answer, not used yet.

--- a/plantainlane/forward/call.go
+++ b/plantainlane/forward/call.go
@@ -38,8 +38,13 @@
 
 // sharedParts returns the IDs of the first parts of the prompt that the quarantine considers, without its last part.
 func (c *Call) sharedParts() []string {
+	return c.partIDs(min(len(c.Parts)-1, quarantine.MaxParts))
+}
+
+// partIDs returns the IDs of the first count parts of the prompt.
+func (c *Call) partIDs(count int) []string {
 	var ids []string
-	for i := 0; i < len(c.Parts)-1 && i < quarantine.MaxParts; i++ {
+	for i := range max(count, 0) {
 		ids = append(ids, c.Parts[i].ID)
 	}
 	return ids
--- a/plantainlane/forward/quarantine.go
+++ b/plantainlane/forward/quarantine.go
@@ -11,6 +11,17 @@
 	"plantainlane/plantainlane/route"
 )
 
+// contentOf returns what the quarantine knows the request by: the parts of its prompt that others may share, and what only its
+// own repeats have in common with it.
+func (q *request) contentOf() quarantine.Request {
+	return quarantine.Request{
+		ID: q.call.ID, Service: q.service, Workspace: q.workspace, Parts: quarantine.Parts(q.call.sharedParts()),
+		Exact: &quarantine.Exact{
+			Head: []string{q.method, q.host, q.target, q.workspace}, Content: q.call.partIDs(len(q.call.Parts)), Body: q.body,
+		},
+	}
+}
+
 // refuseQuarantined returns the refusal of a request whose content is in quarantine; nil if it isn't.
 func (q *request) refuseQuarantined() *Refusal {
 	now := time.Now()
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -184,7 +184,7 @@
 	}
 	q.lastEvent = q.call.ResumeAfter
 	q.service = q.route.Service(rand.Float64())
-	q.content = quarantine.Request{ID: q.call.ID, Service: q.service, Workspace: q.workspace, Parts: quarantine.Parts(q.call.sharedParts())}
+	q.content = q.contentOf()
 	if refusal := q.refuseQuarantined(); refusal != nil {
 		return refusal
 	}
--- a/plantainlane/quarantine/entry.go
+++ b/plantainlane/quarantine/entry.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -24,15 +23,15 @@
 	idBytes = 6
 )
 
-// Parts returns the parts of a request's content as they are compared and reported: at most MaxParts, long ones hashed, empty
-// ones left out.
+// Parts returns the parts of a request's content as they are compared and reported: at most MaxParts, long ones and those that
+// look like the ID of an Exact hashed, empty ones left out.
 func Parts(content []string) []string {
 	parts := make([]string, 0, min(len(content), MaxParts))
 	for _, p := range content[:min(len(content), MaxParts)] {
 		if p == "" {
 			continue
 		}
-		if len(p) > maxPartBytes {
+		if len(p) > maxPartBytes || isExact(p) {
 			sum := sha256.Sum256([]byte(p))
 			p = "sha256:" + hex.EncodeToString(sum[:])[:maxPartBytes-len("sha256:")]
 		}
@@ -45,9 +44,7 @@
 func NewEntry(now time.Time, service, workspace string, parts []string, period time.Duration) wire.QuarantineEntry {
 	parts = slices.Compact(slices.Sorted(slices.Values(parts)))
 	hash := sha256.New()
-	for _, text := range append([]string{service, workspace}, parts...) {
-		hash.Write([]byte(strconv.Quote(text)))
-	}
+	writeTexts(hash, append([]string{service, workspace}, parts...))
 	return wire.QuarantineEntry{
 		ID: "q-" + hex.EncodeToString(hash.Sum(nil)[:idBytes]), Service: service, Workspace: workspace, Parts: parts, Upstreams: []string{},
 		SinceMs: int(now.UnixMilli()), UntilMs: int(now.Add(period).UnixMilli()),
--- a/plantainlane/quarantine/guard.go
+++ b/plantainlane/quarantine/guard.go
@@ -30,6 +30,16 @@
 	Workspace string
 	// Parts are those of its content that other requests may share, as returned by the function Parts.
 	Parts []string
+	// Exact tells it from all but its own repeats; nil if nothing does.
+	Exact *Exact
+}
+
+// exactID returns the ID of the request as a whole; empty if there is none.
+func (r *Request) exactID() string {
+	if r.Exact == nil {
+		return ""
+	}
+	return r.Exact.ID()
 }
 
 // Checker tells whether the process of an upstream has ended. It is safe for concurrent use.
@@ -145,6 +155,7 @@
 		return
 	}
 	at := time.Now()
+	r.exactID() // while the request's goroutine may use the body
 	go func() {
 		if g.hasEnded(p) {
 			g.Ended(at, p, r, send, begun)
@@ -155,7 +166,7 @@
 // Ended records that a process ended at a time and a send broke with it, see Broke.
 func (g *Guard) Ended(at time.Time, p Process, r Request, send string, begun bool) {
 	klog.InfoS("upstream ended under a request", "upstream", p.Upstream, "service", r.Service, "request", r.ID,
-		"workspace", r.Workspace, "parts", r.Parts, "begun", begun)
+		"workspace", r.Workspace, "parts", r.Parts, "content", r.exactID(), "begun", begun)
 	g.Broken.Add(1)
 	g.addBroken(&brokenSend{at: at, BrokenSend: wire.BrokenSend{
 		Upstream: p.Upstream, Incarnation: p.Incarnation, Service: r.Service, Send: send, Workspace: r.Workspace,
--- a/wire/types.go
+++ b/wire/types.go
@@ -86,6 +86,9 @@
 	// Service of the upstream.
 	Service string `json:"service" cbor:"service"`
 
+	// Number of the trial that the send was; 0 if it was none.
+	Trial int `json:"trial" cbor:"trial"`
+
 	// ID of the upstream.
 	Upstream string `json:"upstream" cbor:"upstream"`
 
@@ -856,6 +859,12 @@
 	// Query for events of the time line.
 	TimelineQuery *TimelineQuery `json:"timelineQuery,omitempty,omitzero" cbor:"timelineQuery,omitempty"`
 
+	// Answer to a trial query.
+	TrialAnswer *TrialAnswer `json:"trialAnswer,omitempty,omitzero" cbor:"trialAnswer,omitempty"`
+
+	// Query for the trial of a suspect request, answered by the leader.
+	TrialQuery *TrialQuery `json:"trialQuery,omitempty,omitzero" cbor:"trialQuery,omitempty"`
+
 	// Changes of upstreams.
 	Upstreams *UpstreamDelta `json:"upstreams,omitempty,omitzero" cbor:"upstreams,omitempty"`
 }
@@ -1940,6 +1949,36 @@
 	Text string `json:"text" cbor:"text"`
 }
 
+// TrialAnswer answers a trial query.
+type TrialAnswer struct {
+	// Whether the request needs a trial. If not, it may be sent.
+	Suspect bool `json:"suspect" cbor:"suspect"`
+
+	// Number of the trial that the request may use for one send; 0 if it has none.
+	Trial int `json:"trial" cbor:"trial"`
+
+	// Time in milliseconds for which the trial can be used, counted from the time at
+	// which the query was sent; 0 unless there is one.
+	ValidMs int `json:"validMs" cbor:"validMs"`
+
+	// Time in milliseconds after which a suspect request without a trial may ask
+	// again; otherwise 0.
+	WaitMs int `json:"waitMs" cbor:"waitMs"`
+}
+
+// TrialQuery asks the leader whether a suspect request may be sent.
+type TrialQuery struct {
+	// ID of the request as a whole.
+	Part string `json:"part" cbor:"part"`
+
+	// Number of a trial that the sender didn't use. It returns the trial in place of
+	// asking for one; 0 to ask.
+	Returned int `json:"returned" cbor:"returned"`
+
+	// Service of the request.
+	Service string `json:"service" cbor:"service"`
+}
+
 // UpstreamDelta propagates changes of upstreams between instances.
 type UpstreamDelta struct {
 	// New or changed announcements.
