quarantine, control, forward: a request that has crashed upstreams is sent on trial only, and refused once proven

Cause: a request was known by the shared parts of its prompt alone. What it is as a whole (method, host, path, query, workspace, prompt, body) was booked nowhere, so that a request without a prompt was evidence against nothing, at any number of crashes.

Now: a request has a part of its own, an ID that only its repeats share. The body is hashed only if the method, path, query and caller are those of a suspect. From the second crash on, until it is answered, such a request is sent on trial only: one at a time for each service, by the leader's permission, which can be used once and ends after 2 s; others with that ID wait up to a second for its end, or are refused as not run with a time to come back. An answer clears it for all. It is put in quarantine after three crashes, two of them failed trials, if others were answered meanwhile and chance is unlikely at the rate at which others broke. Where nothing else is answered it isn't blamed: the pause between trials grows by eight, from half a second to an hour. An instance without a leader goes by its own evidence, with the same pauses.

--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -351,6 +351,8 @@
 		c.handleSiteQuery(origin{f.From, f.Call})
 	case f.PermitQuery != nil:
 		c.handlePermitQuery(origin{f.From, f.Call}, *f.PermitQuery)
+	case f.TrialQuery != nil:
+		c.handleTrialQuery(origin{f.From, f.Call}, *f.TrialQuery)
 	case f.StatusQuery != nil:
 		c.answerStatus(origin{f.From, f.Call})
 	default:
--- a/plantainlane/control/quarantine.go
+++ b/plantainlane/control/quarantine.go
@@ -17,6 +17,8 @@
 	reviewInterval = time.Second
 	// tellInterval is the least time after which all instances are told of other suspects.
 	tellInterval = 500 * time.Millisecond
+	// urgentTell is that time if other requests are to be sent as trials only.
+	urgentTell = 20 * time.Millisecond
 )
 
 // quarantining is the state with which an instance reports to the leader what its guard has recorded.
@@ -36,6 +38,8 @@
 	// toldVersion is the version of the entries that the instances were told. They are told of other suspects at nextTell.
 	toldVersion int
 	nextTell    time.Time
+	// trials is the number of the last trial.
+	trials int
 	// proposed holds when entries were proposed that aren't in the state yet, by ID.
 	proposed map[string]time.Time
 	// nextBlame is when the evidence is looked at next if there was a report, nextReview when it is in any case.
@@ -103,7 +107,7 @@
 func (c *Core) tellQuarantine() {
 	b := &c.leaderState.blaming
 	isChanged := b.toldVersion != c.state.QuarantineVersion
-	if !c.now.Before(b.nextTell) {
+	if !c.now.Before(b.nextTell) || !c.now.Before(b.nextTell.Add(urgentTell-tellInterval)) && b.detector.TakeTriedChanged() {
 		isChanged = c.listSuspects() || isChanged
 	}
 	if !isChanged {
@@ -173,6 +177,20 @@
 	}
 }
 
+// handleTrialQuery answers a query for the trial of a suspect request. Only a leader that a quorum confirmed within the last
+// QuorumFresh allows trials, since another instance may lead otherwise; others don't answer.
+func (c *Core) handleTrialQuery(to origin, q wire.TrialQuery) {
+	if c.leaderState == nil || !c.isConfirmed() {
+		return
+	}
+	b := &c.leaderState.blaming
+	a := b.detector.Trial(c.now, q, b.trials+1)
+	if a.Trial != 0 {
+		b.trials = a.Trial
+	}
+	c.send(to.instance, wire.Frame{Call: to.call, TrialAnswer: &a})
+}
+
 // recordQuarantine records an applied change of the quarantine.
 func (c *Core) recordQuarantine(change *wire.QuarantineChange) {
 	switch {
@@ -208,6 +226,6 @@
 func newBlaming(c *Core) blaming {
 	return blaming{
 		detector: quarantine.NewDetector(rosterUpstreams{c}), proposed: make(map[string]time.Time),
-		suspectsVersion: c.log.Leadership().Term << callBits,
+		suspectsVersion: c.log.Leadership().Term << callBits, trials: c.log.Leadership().Term << callBits,
 	}
 }
--- a/plantainlane/control/quarantine_test.go
+++ b/plantainlane/control/quarantine_test.go
@@ -52,8 +52,8 @@
 	s.ended++
 	p := quarantine.Process{Upstream: fmt.Sprint("u", s.ended), Incarnation: 1}
 	bad, other := s.request("first", part), s.request("first", "other")
-	s.guards[id].Ended(s.now, p, bad, bad.ID, false)
-	s.guards[id].Ended(s.now, p, other, other.ID, true)
+	s.guards[id].Ended(s.now, p, bad, quarantine.Send{ID: bad.ID})
+	s.guards[id].Ended(s.now, p, other, quarantine.Send{ID: other.ID, Begun: true})
 }
 
 // isRefused reports whether an instance refuses requests with a part, in every workspace.
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"plantainlane/plantainlane/exchange"
+	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/site"
@@ -68,12 +69,13 @@
 // again, and answers the caller. It returns true, without an answer to the caller, if the stages must be run again
 // because results are gone.
 func (q *request) sendUntilAnswered(ctx context.Context) (rerunStages bool) {
+	defer q.returnTrial()
 	last := sendOutcome{result: notRun, err: errors.New("no upstream")}
 	for q.sends < maxSends {
 		if ctx.Err() != nil || time.Until(q.deadline) < minTimeLeft {
 			break
 		}
-		if refusal := q.refuseQuarantined(); refusal != nil {
+		if refusal := q.obtainTrial(ctx); refusal != nil {
 			if q.hasNotRun() {
 				q.refuse(*refusal)
 				return false
@@ -93,6 +95,7 @@
 		last = q.send(ctx, target, permit)
 		switch last.result {
 		case delivered:
+			q.trial = quarantine.Trial{}
 			return false
 		case inputsGone:
 			return true
@@ -101,7 +104,7 @@
 		case mayHaveRun, failedAnswer:
 			q.runs++
 		}
-		if !q.mayRunAgain() {
+		if !q.mayRunAgain(last) {
 			break
 		}
 	}
@@ -132,9 +135,11 @@
 	}
 }
 
-// mayRunAgain reports whether the request may be sent again after a send that may have run.
-func (q *request) mayRunAgain() bool {
-	return q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
+// mayRunAgain reports whether the request may be sent again after its last send, which may have run. A trial allows one send only.
+func (q *request) mayRunAgain(last sendOutcome) bool {
+	hasFailedTrial := q.trial.Number != 0 && last.result == mayHaveRun
+	q.trial = quarantine.Trial{}
+	return !hasFailedTrial && q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
 }
 
 // hasNotRun reports whether no send ran and no event was forwarded.
@@ -149,7 +154,7 @@
 	out := q.connectAndSend(ctx, t, permit)
 	result := route.Failure
 	switch {
-	case errors.Is(out.err, quota.ErrNoPermit):
+	case errors.Is(out.err, quota.ErrNoPermit), errors.Is(out.err, errTrialOver):
 		// The upstream wasn't asked, so it may be chosen again.
 		result = route.Cancelled
 		q.tried = q.tried[:len(q.tried)-1]
@@ -216,7 +221,7 @@
 	})
 	sentAt := time.Now()
 	err := c.Write(&exchange.Request{
-		Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body, Check: permit.Check,
+		Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body, Check: q.checkSend(permit),
 	})
 	if err != nil {
 		if errors.Is(err, exchange.ErrNotSent) {
--- a/plantainlane/forward/quarantine_test.go
+++ b/plantainlane/forward/quarantine_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/site"
 	"plantainlane/wire"
@@ -109,3 +111,57 @@
 		is.Equal(g.Broken.Value(), c.broken)
 	}
 }
+
+// trialAsker answers queries for trials.
+type trialAsker struct {
+	mu       sync.Mutex
+	answer   wire.TrialAnswer
+	returned []int
+}
+
+func (a *trialAsker) AskTrial(_ context.Context, q wire.TrialQuery) (wire.TrialAnswer, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if q.Returned != 0 {
+		a.returned = append(a.returned, q.Returned)
+		return wire.TrialAnswer{}, true
+	}
+	return a.answer, true
+}
+
+// TestSuspectRequestRunsWithoutTrial guards against a request that has ended upstreams and runs, or whose stages run, though it
+// has no trial, and against a trial that isn't given back though it wasn't used.
+func TestSuspectRequestRunsWithoutTrial(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{MaxAttempts: 2, RetryMode: site.Idempotent, Stages: []site.Stage{{Service: "st"}}})
+	asker := &trialAsker{answer: wire.TrialAnswer{Suspect: true, WaitMs: 10}}
+	h.server.Guard = quarantine.NewGuard(t.Context(), endedChecker(true), func() {}).WithAsker(asker)
+	h.upstream("u", echo)
+	res, _, err := h.post("X-Pieces", "1")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	exact := quarantine.Exact{Head: []string{http.MethodPost, "a.example", "/x/y?z=%2F", "hostel"}, Body: []byte("body")}
+	h.server.Guard.Learn(time.Now(), wire.QuarantineUpdate{
+		Version: 1, Suspects: []wire.SuspectPart{{Service: "s", Part: exact.ID(), Crashes: 2}},
+	})
+	arrivals, jobs := h.totalArrivals(), len(h.dispatcher.jobs)
+	res, _, err = h.post("X-Pieces", "1")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable) // not run
+	is.True(res.Header.Get("Retry-After") != "")
+	is.Equal(h.totalArrivals(), arrivals)
+	is.Equal(len(h.dispatcher.jobs), jobs)
+	asker.answer = wire.TrialAnswer{Suspect: true, Trial: 3, ValidMs: 1000}
+	res, _, err = h.post("X-Pieces", "1")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(len(asker.returned), 0)
+	h.dispatcher.outcomes = []batch.Outcome{{Reason: batch.ReasonDeadline}}
+	_, _, err = h.post("X-Pieces", "1")
+	is.NoErr(err)
+	waitFor(t, func() bool {
+		asker.mu.Lock()
+		defer asker.mu.Unlock()
+		return len(asker.returned) == 1
+	})
+}
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -87,7 +87,9 @@
 	// service is the service that the request is sent to.
 	service string
 	// content is what the quarantine knows the request by.
-	content  quarantine.Request
+	content quarantine.Request
+	// trial allows the next send if the request may be sent only on trial.
+	trial    quarantine.Trial
 	received time.Time
 	// deadline is when the caller must have the answer, answerMargin before its timeout.
 	deadline time.Time
@@ -254,7 +256,13 @@
 		return
 	}
 	for restart := 0; ; restart++ {
+		// Stages are not run for a request that then isn't sent.
+		if refusal := q.obtainTrial(ctx); refusal != nil {
+			q.refuse(*refusal)
+			return
+		}
 		if err := q.runStages(ctx); err != nil {
+			q.returnTrial()
 			q.refuseWithoutStages(ctx, err)
 			return
 		}
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -134,7 +134,7 @@
 	x.gate = quota.NewGate(x)
 	x.guard = quarantine.NewGuard(ctx, &quarantine.Dialer{IsReplaced: x.isReplaced}, func() {
 		go x.loop.Deliver(ctx, control.QuarantineObserved{})
-	})
+	}).WithAsker(x)
 	x.metrics = metric.New()
 	x.net = peer.New(ctx, x.self, string(s.Credentials.Peer), peer.Timing{
 		Heartbeat:   time.Duration(s.Control.Heartbeat),
--- a/plantainlane/pipeline/quarantine.go
+++ b/plantainlane/pipeline/quarantine.go
@@ -51,6 +51,6 @@
 		x.Guard.Served(time.Now(), s.content)
 	case ctx.Err() == nil && !errors.Is(a.err, upstream.ErrNotRun) && exchange.IsBroken(a.err):
 		p := quarantine.Process{Upstream: a.target.ID, Incarnation: a.target.Incarnation, Address: a.target.Address}
-		x.Guard.Broke(p, s.content, a.call.Attempt, a.tokens > 0)
+		x.Guard.Broke(p, s.content, quarantine.Send{ID: a.call.Attempt, Begun: a.tokens > 0})
 	}
 }
--- a/plantainlane/quarantine/blame.go
+++ b/plantainlane/quarantine/blame.go
@@ -43,6 +43,7 @@
 // of an entry is no evidence against the entry's parts again.
 func (d *Detector) Blame(now time.Time, known []wire.QuarantineEntry) []wire.QuarantineEntry {
 	out := d.repeated(now, known)
+	out = append(out, d.provenByTrial(now, slices.Concat(known, out))...)
 	byService := make(map[string][]*crash)
 	for _, c := range d.crashes {
 		byService[c.service] = append(byService[c.service], c)
@@ -202,13 +203,15 @@
 }
 
 // suspectParts returns the parts under which a crash may have happened: those of suspect sends that no send has which had been
-// answered in part.
+// answered in part. Requests as a whole are left out: trials tell whether they are to blame.
 func (c *crash) suspectParts() map[string]bool {
 	out := make(map[string]bool)
 	suspects := c.suspects()
 	for _, s := range suspects {
 		for _, p := range s.parts {
-			out[p] = true
+			if !isExact(p) {
+				out[p] = true
+			}
 		}
 	}
 	if len(suspects) == len(c.sends) {
--- a/plantainlane/quarantine/detector.go
+++ b/plantainlane/quarantine/detector.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -45,6 +44,8 @@
 	workspace string
 	parts     []string
 	begun     bool
+	// trial is the number of the trial that it was; 0 if it was none.
+	trial int
 }
 
 // crash is the end of a process under the sends that broke with it.
@@ -82,7 +83,11 @@
 	answered map[string]answerCounts
 	// askedAt holds since when instances have been asked about parts of known crashes.
 	askedAt map[servicePart]time.Time
+	// trials holds the trials under way.
+	trials  []trial
 	changed bool
+	// triedChanged is set when instances should be told at once which requests are sent as trials only.
+	triedChanged bool
 }
 
 // NewDetector returns a Detector that knows no crashes.
@@ -105,6 +110,7 @@
 		} else if at.After(d.servedAt[key]) && d.isKnown(key) {
 			d.servedAt[key] = at
 			d.changed = true
+			d.triedChanged = d.triedChanged || isExact(key.part)
 		}
 	}
 }
@@ -152,11 +158,14 @@
 	if len(c.sends) >= maxSends || slices.ContainsFunc(c.sends, func(s send) bool { return s.id == b.Send }) {
 		return
 	}
-	c.sends = append(c.sends, send{id: b.Send, workspace: b.Workspace, parts: Parts(b.Parts), begun: b.Begun})
+	c.sends = append(c.sends, send{id: b.Send, workspace: b.Workspace, parts: reportedParts(b.Parts), begun: b.Begun, trial: b.Trial})
 	if at.Before(c.at) {
 		c.at = at
 	}
 	d.changed = true
+	if len(b.Parts) > 0 && isExact(b.Parts[0]) {
+		d.triedChanged = d.triedChanged || len(d.exactCrashes(servicePart{b.Service, b.Parts[0]})) >= trialCrashes
+	}
 }
 
 // crashOf returns the crash of a process. It adds one if none is known.
@@ -205,8 +214,15 @@
 	return changed
 }
 
+// TakeTriedChanged reports whether the requests that are sent as trials only may have changed since the last call.
+func (d *Detector) TakeTriedChanged() bool {
+	changed := d.triedChanged
+	d.triedChanged = false
+	return changed
+}
+
 // Suspects returns the parts that instances are to report if a request with one is answered whole, the most suspect first.
-// Each service with crashes is listed with anyPart.
+// Each service with crashes is listed with anyPart. Requests that are sent as trials only come first.
 func (d *Detector) Suspects(now time.Time) []wire.SuspectPart {
 	counts := make(map[servicePart]int)
 	for _, c := range d.crashes {
@@ -215,7 +231,7 @@
 		for _, s := range c.sends {
 			for _, p := range s.parts {
 				key := servicePart{c.service, p}
-				if !seen[p] && c.at.After(d.servedAt[key]) {
+				if !seen[p] && !isExact(p) && c.at.After(d.servedAt[key]) {
 					counts[key]++
 				}
 				seen[p] = true
@@ -226,10 +242,8 @@
 	for key, n := range counts {
 		suspects = append(suspects, wire.SuspectPart{Service: key.service, Part: key.part, Crashes: n})
 	}
-	slices.SortFunc(suspects, func(a, b wire.SuspectPart) int {
-		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part))
-	})
-	suspects = suspects[:min(len(suspects), maxSuspects)]
+	sortSuspects(suspects)
+	suspects = append(d.tried(), suspects[:min(len(suspects), maxSuspects)]...)
 	for _, s := range suspects {
 		if key := (servicePart{s.Service, s.Part}); d.askedAt[key].IsZero() {
 			d.askedAt[key] = now
--- a/plantainlane/quarantine/entry.go
+++ b/plantainlane/quarantine/entry.go
@@ -40,6 +40,15 @@
 	return parts
 }
 
+// reportedParts returns the parts that an instance reports of a request: at most one that stands for it as a whole, the first
+// one, and those of its prompt.
+func reportedParts(reported []string) []string {
+	if len(reported) > 0 && isExact(reported[0]) && len(reported[0]) <= maxPartBytes {
+		return append([]string{reported[0]}, Parts(reported[1:])...)
+	}
+	return Parts(reported)
+}
+
 // NewEntry returns an entry with its ID, which refuses requests from now on for a time.
 func NewEntry(now time.Time, service, workspace string, parts []string, period time.Duration) wire.QuarantineEntry {
 	parts = slices.Compact(slices.Sorted(slices.Values(parts)))
--- a/plantainlane/quarantine/guard.go
+++ b/plantainlane/quarantine/guard.go
@@ -48,6 +48,22 @@
 	HasEnded(ctx context.Context, p Process) bool
 }
 
+// Send is one send of a request.
+type Send struct {
+	// ID is unique among the sends to an upstream.
+	ID string
+	// Begun is set if the upstream had begun to answer.
+	Begun bool
+	// Trial is the number of the trial that it was; 0 if it was none.
+	Trial int
+}
+
+// Asker asks the leader for trials. It is safe for concurrent use.
+type Asker interface {
+	// AskTrial sends a query to the leader. It returns false if there is no answer before ctx ends. ctx must have a deadline.
+	AskTrial(ctx context.Context, q wire.TrialQuery) (wire.TrialAnswer, bool)
+}
+
 // Process is the process of an upstream to which a request was sent.
 type Process struct {
 	Upstream    string
@@ -62,6 +78,8 @@
 	// ctx ends the checks of processes.
 	ctx     context.Context
 	checker Checker
+	// asker may be nil; a request that needs a trial isn't sent then.
+	asker Asker
 	// checks shares one check of a process among the sends that broke with it.
 	checks singleflight.Group
 	// wake is called when there is something to report. It must not block.
@@ -78,7 +96,11 @@
 	watched map[servicePart]*watch
 	// answers counts the requests that each service has answered since that was last reported, or since it became suspect.
 	answers map[string]int
+	// alone holds the trials that this instance has allowed itself while no leader answered.
+	alone   map[servicePart]aloneTrials
 	changed bool
+	// unconfirmed is the number of broken sends that no leader has confirmed. It is read without mu.
+	unconfirmed atomic.Int64
 }
 
 // knowledge is an update of the leader, with indexes.
@@ -87,6 +109,10 @@
 	// byPart holds the entries by the first of their parts, suspects the number of crashes under each suspect part.
 	byPart   map[servicePart][]*wire.QuarantineEntry
 	suspects map[servicePart]int
+	// outlines are those of the requests that entries or suspects stand for as a whole.
+	outlines map[servicePart]bool
+	// replaced is closed when another update was learned.
+	replaced chan struct{}
 }
 
 // brokenSend is a send that broke, until it is no evidence any more.
@@ -107,28 +133,32 @@
 	// reported is the newest answer that was reported, by the lease request with the number sequence.
 	reported time.Time
 	sequence int
+	// turn holds a value while one request asks for a trial, so that one instance asks for one at a time.
+	turn chan struct{}
 }
 
 // NewGuard returns a Guard that knows no entries. It calls wake, on any goroutine, when there is something to report; wake
 // must not block. Its goroutines end with ctx.
 func NewGuard(ctx context.Context, c Checker, wake func()) *Guard {
 	g := &Guard{ctx: ctx, checker: c, wake: wake, watched: make(map[servicePart]*watch), answers: make(map[string]int)}
-	g.known.Store(&knowledge{})
+	g.alone = make(map[servicePart]aloneTrials)
+	g.known.Store(&knowledge{replaced: make(chan struct{})})
 	return g
 }
 
 // Refusal returns the entry that refuses a request; nil if there is none. It counts the request as refused if there is one.
 func (g *Guard) Refusal(now time.Time, r Request) *wire.QuarantineEntry {
-	if g == nil || len(r.Parts) == 0 {
+	if g == nil {
 		return nil
 	}
-	byPart := g.known.Load().byPart
-	if len(byPart) == 0 {
+	k := g.known.Load()
+	if len(k.byPart) == 0 {
 		return nil
 	}
-	for _, p := range r.Parts {
-		for _, e := range byPart[servicePart{r.Service, p}] {
-			if IsActive(e, now) && (e.Workspace == "" || e.Workspace == r.Workspace) && isSubset(e.Parts, r.Parts) {
+	parts := k.partsOf(&r)
+	for _, p := range parts {
+		for _, e := range k.byPart[servicePart{r.Service, p}] {
+			if IsActive(e, now) && (e.Workspace == "" || e.Workspace == r.Workspace) && isSubset(e.Parts, parts) {
 				g.Refused.Add(1)
 				return e
 			}
@@ -137,20 +167,36 @@
 	return nil
 }
 
+// partsOf returns the parts of a request, with the one that stands for it as a whole if a request with its outline is known.
+func (k *knowledge) partsOf(r *Request) []string {
+	if id := k.exactID(r); id != "" {
+		return append([]string{id}, r.Parts...)
+	}
+	return r.Parts
+}
+
+// exactID returns the ID of a request as a whole if a request with its outline is known; otherwise it is empty, and the
+// request's body isn't read.
+func (k *knowledge) exactID(r *Request) string {
+	if len(k.outlines) == 0 || r.Exact == nil || !k.outlines[servicePart{r.Service, r.Exact.outline()}] {
+		return ""
+	}
+	return r.Exact.ID()
+}
+
 // MayCrashAgain reports whether a request whose upstream has ended must not be sent to another one: several upstreams have
 // ended under one of its parts, and no request with it was answered since.
 func (g *Guard) MayCrashAgain(r Request) bool {
 	if g == nil {
 		return false
 	}
-	suspects := g.known.Load().suspects
-	return slices.ContainsFunc(r.Parts, func(p string) bool { return suspects[servicePart{r.Service, p}] >= resendCrashes })
+	k := g.known.Load()
+	return slices.ContainsFunc(k.partsOf(&r), func(p string) bool { return k.suspects[servicePart{r.Service, p}] >= resendCrashes })
 }
 
-// Broke records that the connection to a process broke before a request was answered whole. send identifies the send, begun
-// says whether the process had begun to answer. Broke returns at once; what it records counts only if the process turns out
-// to have ended.
-func (g *Guard) Broke(p Process, r Request, send string, begun bool) {
+// Broke records that the connection to a process broke before a request was answered whole. Broke returns at once; what it
+// records counts only if the process turns out to have ended.
+func (g *Guard) Broke(p Process, r Request, s Send) {
 	if g == nil {
 		return
 	}
@@ -158,19 +204,23 @@
 	r.exactID() // while the request's goroutine may use the body
 	go func() {
 		if g.hasEnded(p) {
-			g.Ended(at, p, r, send, begun)
+			g.Ended(at, p, r, s)
 		}
 	}()
 }
 
 // Ended records that a process ended at a time and a send broke with it, see Broke.
-func (g *Guard) Ended(at time.Time, p Process, r Request, send string, begun bool) {
+func (g *Guard) Ended(at time.Time, p Process, r Request, s Send) {
 	klog.InfoS("upstream ended under a request", "upstream", p.Upstream, "service", r.Service, "request", r.ID,
-		"workspace", r.Workspace, "parts", r.Parts, "content", r.exactID(), "begun", begun)
+		"workspace", r.Workspace, "parts", r.Parts, "content", r.exactID(), "begun", s.Begun, "trial", s.Trial)
 	g.Broken.Add(1)
+	parts := append([]string{}, r.Parts...)
+	if id := r.exactID(); id != "" {
+		parts = append([]string{id}, r.Parts...)
+	}
 	g.addBroken(&brokenSend{at: at, BrokenSend: wire.BrokenSend{
-		Upstream: p.Upstream, Incarnation: p.Incarnation, Service: r.Service, Send: send, Workspace: r.Workspace,
-		Parts: append([]string{}, r.Parts...), Begun: begun,
+		Upstream: p.Upstream, Incarnation: p.Incarnation, Service: r.Service, Send: s.ID, Workspace: r.Workspace,
+		Parts: parts, Begun: s.Begun, Trial: s.Trial,
 	}})
 }
 
@@ -186,6 +236,7 @@
 	g.mu.Lock()
 	g.broken = append(g.broken, b)
 	g.broken = g.broken[max(0, len(g.broken)-maxBroken):]
+	g.countUnconfirmed()
 	g.changed = true
 	g.mu.Unlock()
 	g.wake()
@@ -196,16 +247,28 @@
 	if g == nil {
 		return
 	}
+	g.recordServed(now, r.Service, g.servedParts(&r), true)
+}
+
+// servedParts returns the parts of a request that was answered: also the one that stands for it as a whole, if that is of interest
+// to the leader or, while no leader confirms, to this instance.
+func (g *Guard) servedParts(r *Request) []string {
+	if g.unconfirmed.Load() >= trialCrashes && g.isOwnSuspect(r) {
+		return append([]string{r.exactID()}, r.Parts...)
+	}
+	return g.known.Load().partsOf(r)
+}
+
+// recordServed records that a request with parts was answered, and counts it if that was a success.
+func (g *Guard) recordServed(now time.Time, service string, parts []string, isSuccess bool) {
 	g.mu.Lock()
 	wakes := false
-	g.answers[r.Service]++
-	g.served.put(servicePart{r.Service, anyPart}, now)
-	for _, p := range r.Parts {
-		key := servicePart{r.Service, p}
-		g.served.put(key, now)
-		if w := g.watched[key]; w != nil && w.reported.Before(w.since) {
-			g.changed, wakes = true, true
-		}
+	if isSuccess {
+		g.answers[service]++
+		wakes = g.putServed(servicePart{service, anyPart}, now)
+	}
+	for _, p := range parts {
+		wakes = g.putServed(servicePart{service, p}, now) || wakes
 	}
 	g.mu.Unlock()
 	if wakes {
@@ -213,27 +276,70 @@
 	}
 }
 
+// putServed records that a part was answered, under mu. It reports whether the leader is to be told at once.
+func (g *Guard) putServed(key servicePart, now time.Time) bool {
+	g.served.put(key, now)
+	w := g.watched[key]
+	if w == nil || !w.reported.Before(w.since) {
+		return false
+	}
+	g.changed = true
+	return true
+}
+
+// Survived records that an upstream has answered a request whole, though not with a success: the request doesn't crash it.
+func (g *Guard) Survived(now time.Time, r Request) {
+	if g == nil {
+		return
+	}
+	if parts := g.servedParts(&r); len(parts) > len(r.Parts) {
+		g.recordServed(now, r.Service, parts[:1], false)
+	}
+}
+
 // Learn replaces what is known by an update of the leader. An older version of the entries changes nothing.
 func (g *Guard) Learn(now time.Time, u wire.QuarantineUpdate) {
 	old := g.known.Load()
 	if u.Version < old.update.Version {
 		return
 	}
-	k := &knowledge{update: u, byPart: make(map[servicePart][]*wire.QuarantineEntry), suspects: make(map[servicePart]int)}
+	k := newKnowledge(u)
+	g.known.Store(k)
+	close(old.replaced)
+	if u.Version != old.update.Version {
+		klog.InfoS("quarantine in force", "version", u.Version, "entries", len(u.Entries))
+	}
+	g.watch(now, k.suspects)
+}
+
+// newKnowledge returns an update of the leader with its indexes.
+func newKnowledge(u wire.QuarantineUpdate) *knowledge {
+	k := &knowledge{
+		update: u, byPart: make(map[servicePart][]*wire.QuarantineEntry), suspects: make(map[servicePart]int),
+		outlines: make(map[servicePart]bool), replaced: make(chan struct{}),
+	}
 	for i := range u.Entries {
-		if e := &u.Entries[i]; len(e.Parts) > 0 {
+		e := &u.Entries[i]
+		for _, p := range e.Parts {
+			k.addOutline(e.Service, p)
+		}
+		if len(e.Parts) > 0 {
 			key := servicePart{e.Service, e.Parts[0]}
 			k.byPart[key] = append(k.byPart[key], e)
 		}
 	}
 	for _, s := range u.Suspects {
 		k.suspects[servicePart{s.Service, s.Part}] = s.Crashes
+		k.addOutline(s.Service, s.Part)
 	}
-	g.known.Store(k)
-	if u.Version != old.update.Version {
-		klog.InfoS("quarantine in force", "version", u.Version, "entries", len(u.Entries))
+	return k
+}
+
+// addOutline adds the outline of a part that stands for a request as a whole.
+func (k *knowledge) addOutline(service, part string) {
+	if isExact(part) {
+		k.outlines[servicePart{service, outlineOf(part)}] = true
 	}
-	g.watch(now, k.suspects)
 }
 
 // watch replaces the suspect parts whose answers are reported.
@@ -248,7 +354,7 @@
 	for key, crashes := range suspects {
 		w := g.watched[key]
 		if w == nil {
-			w = &watch{}
+			w = &watch{turn: make(chan struct{}, 1)}
 			g.watched[key] = w
 			if key.part == anyPart {
 				delete(g.answers, key.service)
--- a/plantainlane/quarantine/guard_test.go
+++ b/plantainlane/quarantine/guard_test.go
@@ -48,7 +48,7 @@
 	is.True(len(g.served.newer)+len(g.served.older) <= 2*maxServed)
 	for i := range 1000 {
 		r := Request{ID: fmt.Sprint("r", i), Service: "s", Parts: parts}
-		g.Ended(now, Process{Upstream: "u", Incarnation: 1}, r, r.ID, false)
+		g.Ended(now, Process{Upstream: "u", Incarnation: 1}, r, Send{ID: r.ID})
 	}
 	is.Equal(len(g.Report(now, 1).Broken), maxBroken)
 }
@@ -60,7 +60,7 @@
 	g := NewGuard(t.Context(), &endedProcesses{}, func() {})
 	now := time.Unix(1_000_000, 0)
 	r := Request{ID: "r", Service: "s", Parts: []string{"first", "p"}}
-	g.Ended(now, Process{Upstream: "u", Incarnation: 1}, r, "r.1", false)
+	g.Ended(now, Process{Upstream: "u", Incarnation: 1}, r, Send{ID: "r.1"})
 	is.True(g.TakeChanged())
 	is.Equal(len(g.Report(now, 1).Broken), 1)
 	is.Equal(len(g.Report(now, 2).Broken), 1) // the first report isn't confirmed
@@ -112,7 +112,7 @@
 	c := &heldChecker{held: held}
 	g := NewGuard(t.Context(), c, func() {})
 	for i := range 50 {
-		g.Broke(Process{Upstream: "u", Incarnation: 1, Address: "a"}, Request{ID: fmt.Sprint(i), Service: "s"}, fmt.Sprint(i), false)
+		g.Broke(Process{Upstream: "u", Incarnation: 1, Address: "a"}, Request{ID: fmt.Sprint(i), Service: "s"}, Send{ID: fmt.Sprint(i)})
 	}
 	time.Sleep(50 * time.Millisecond)
 	close(held)
--- a/plantainlane/quarantine/report.go
+++ b/plantainlane/quarantine/report.go
@@ -69,6 +69,7 @@
 	for _, b := range g.broken {
 		b.confirmed = b.confirmed || b.sequence != 0 && b.sequence <= sequence
 	}
+	g.countUnconfirmed()
 	for _, w := range g.watched {
 		if w.sequence <= sequence {
 			w.sequence = 0
@@ -76,6 +77,21 @@
 	}
 }
 
+// countUnconfirmed updates the number of broken sends that no leader has confirmed. Once there is none, the trials without a
+// leader are forgotten. It is called under mu.
+func (g *Guard) countUnconfirmed() {
+	n := 0
+	for _, b := range g.broken {
+		if !b.confirmed {
+			n++
+		}
+	}
+	g.unconfirmed.Store(int64(n))
+	if n == 0 {
+		clear(g.alone)
+	}
+}
+
 // Repeat makes the next lease request report everything again, since another leader has to be told.
 func (g *Guard) Repeat() {
 	if g == nil {
@@ -89,5 +105,6 @@
 	for _, w := range g.watched {
 		w.reported, w.sequence = time.Time{}, 0
 	}
+	g.countUnconfirmed()
 	g.changed = g.changed || len(g.broken) > 0
 }
