--- a/plantainlane/journal/record.go
+++ b/plantainlane/journal/record.go
@@ -40,6 +40,8 @@
 	Hard *consensus.HardState `cbor:"hard,omitempty"`
 	// Before is the newest index of the log when the segment was started; set in its first record.
 	Before int `cbor:"before,omitempty"`
+	// AfterFailure is set in the first record of a segment if the end of the segment before may be an incomplete write.
+	AfterFailure bool `cbor:"afterFailure,omitempty"`
 	// Reset is set if a snapshot replaced all previous entries.
 	Reset bool `cbor:"reset,omitempty"`
 	// Entries replace all previous entries from the index of the first one on.
--- a/plantainlane/replica/cluster_test.go
+++ b/plantainlane/replica/cluster_test.go
@@ -27,6 +27,18 @@
 	unsynced  []journal.Batch
 	mailbox   *Mailbox
 	rng       *rand.Rand
+	// isFull is set while no batch can be stored. A journal tries again each diskRetry.
+	isFull bool
+}
+
+// diskRetry is the time after which a disk tries again to store what it couldn't.
+const diskRetry = 200 * time.Millisecond
+
+// setFull makes the disk full, or gives it room again.
+func (d *disk) setFull(isFull bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isFull = isFull
 }
 
 func (d *disk) Write(b journal.Batch) {
@@ -64,6 +76,11 @@
 	if m != d.mailbox {
 		return
 	}
+	if d.isFull {
+		m.Synced(journal.Synced{Batch: d.unsynced[0].Number - 1, Err: journal.ErrFailed})
+		time.AfterFunc(diskRetry, func() { d.sync(m) })
+		return
+	}
 	number := 0
 	for _, b := range d.unsynced {
 		d.store(b)
@@ -200,6 +217,8 @@
 	isLost func(from, to string, f wire.Frame) bool
 	// onReconnect, if set, is called when an instance replaces its connections to another one.
 	onReconnect func(from, to string)
+	// hasFullDisks is set if disks are full at times, beside other faults.
+	hasFullDisks bool
 }
 
 func newCluster(t *testing.T, seed uint64, voters, disks int) *cluster {
@@ -425,6 +444,9 @@
 	clear(c.cut)
 	c.mu.Unlock()
 	for _, m := range c.members {
+		if m.disk != nil {
+			m.disk.setFull(false)
+		}
 		if m.isUp() && m.draining {
 			m.crash()
 		}
--- a/plantainlane/replica/operators_test.go
+++ b/plantainlane/replica/operators_test.go
@@ -115,6 +115,11 @@
 func (c *cluster) injectFault() {
 	m := c.members[c.rng.IntN(len(c.members))]
 	other := c.members[c.rng.IntN(len(c.members))]
+	if c.hasFullDisks {
+		if full := c.members[c.rng.IntN(len(c.members))]; full.disk != nil {
+			full.disk.setFull(c.rng.IntN(2) == 0)
+		}
+	}
 	switch c.rng.IntN(9) {
 	case 0:
 		c.mu.Lock()
@@ -247,3 +252,14 @@
 		})
 	}
 }
+
+// TestClusterWithFullDisks guards against the same where disks are full for a while, one or several, also while instances crash.
+func TestClusterWithFullDisks(t *testing.T) {
+	for seed := range *seeds {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, uint64(seed), 3, 4)
+			c.hasFullDisks = true
+			runFaults(t, c)
+		})
+	}
+}
--- a/plantainlane/replica/replica_test.go
+++ b/plantainlane/replica/replica_test.go
@@ -17,8 +17,8 @@
 
 func (k *recordingStorage) Write(b journal.Batch) { k.batches = append(k.batches, b) }
 
-// TestFailedStorageStopsReplica guards against a replica that still leads, sends messages or accepts commands after its
-// storage failed, although entries that it acknowledged may be lost.
+// TestFailedStorageStopsReplica guards against a replica that still leads, sends messages or accepts commands while its
+// storage fails, and against one that doesn't go on when the storage works again.
 func TestFailedStorageStopsReplica(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
@@ -46,4 +46,11 @@
 	is.Equal(id, "")
 	_, ok = r.Propose([]byte("y"), now)
 	is.True(!ok)
+
+	mailbox.Synced(journal.Synced{Batch: len(storage.batches)})
+	r.Tick(now)
+	id, _ = r.Identity()
+	is.Equal(id, "a/1")
+	_, ok = r.Propose([]byte("z"), now)
+	is.True(ok)
 }
