--- a/plantainlane/replica/full_disk_test.go
+++ b/plantainlane/replica/full_disk_test.go
@@ -32,12 +32,11 @@
 					m = c.leader()
 				}
 				m.disk.setFull(true)
-				began, base := time.Now(), m.running.Load().Publisher.View().Config.Revision
-				accepted := false
+				began, accepted := time.Now(), false
 				for !accepted && time.Since(began) < acceptedWithin {
 					c.run(100 * time.Millisecond)
 					if l := c.leader(); l != nil {
-						base = l.running.Load().Publisher.View().Config.Revision
+						base := l.running.Load().Publisher.View().Config.Revision
 						out := l.submitChange(change(fmt.Sprintf("full-%d-%d", i, time.Since(began).Milliseconds()), base), time.Second)
 						accepted = out != nil && out.Revision > 0
 					}
