pipeline: a stage that has crashed upstreams is attempted on trial only

Now the same trials as for opaque requests, without retry and hedge; an unused one is given back. TestSuspectStageRunsWithoutTrial (new with it).

--- a/plantainlane/pipeline/quarantine_test.go
+++ b/plantainlane/pipeline/quarantine_test.go
@@ -36,7 +36,7 @@
 			return upstream.Answer{}, errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "read answer"), upstream.ErrTruncated)
 		}
 		req := newRequest(lookup, "", time.Second)
-		content := (&execution{Request: req}).contentOf("s", req.Input)
+		content := (&execution{Request: req}).contentOf(&wire.Stage{Name: "lookup", Service: "s"}, req.Input)
 		_, err := inst.Run(t.Context(), req)
 		is.True(errors.Is(err, ErrUpstream))
 		is.Equal(runs, 2) // unknown input is tried again
@@ -60,3 +60,60 @@
 		is.Equal(runs, 3)
 	})
 }
+
+// trialAsker answers queries for trials.
+type trialAsker struct {
+	answer   wire.TrialAnswer
+	returned int
+}
+
+func (a *trialAsker) AskTrial(_ context.Context, q wire.TrialQuery) (wire.TrialAnswer, bool) {
+	if q.Returned != 0 {
+		a.returned++
+		return wire.TrialAnswer{}, true
+	}
+	return a.answer, true
+}
+
+// TestSuspectStageRunsWithoutTrial guards against a stage that has ended upstreams and runs though it has no trial, or that runs more
+// than once with one, and against a trial that isn't given back though the stage didn't run.
+func TestSuspectStageRunsWithoutTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster()
+		inst := cl.newInstance(t, "a", 5, hedgePolicy)
+		asker := &trialAsker{answer: wire.TrialAnswer{Suspect: true, WaitMs: 10}}
+		g := quarantine.NewGuard(t.Context(), allEnded{}, func() {}).WithAsker(asker)
+		inst.Guard = g
+		runs := 0
+		failure := errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "read answer"), upstream.ErrTruncated)
+		cl.respond = func(_ context.Context, _ upstream.Call, run func()) (upstream.Answer, error) {
+			run()
+			runs++
+			return upstream.Answer{}, failure
+		}
+		req := newRequest(lookup, "", time.Second)
+		x := &execution{Request: req}
+		content := x.contentOf(&req.Pipeline.Stages[0], req.Input)
+		g.Learn(time.Now(), wire.QuarantineUpdate{
+			Version: 1, Suspects: []wire.SuspectPart{{Service: req.Pipeline.Stages[0].Service, Part: content.Exact.ID(), Crashes: 2}},
+		})
+		_, err := inst.Run(t.Context(), req)
+		var f *Failure
+		is.True(errors.As(err, &f))
+		is.Equal(f.Reason, ErrQuarantined)
+		is.Equal(f.Execution, NotRun)
+		is.True(f.RetryAfter > 0)
+		is.Equal(runs, 0)
+
+		asker.answer = wire.TrialAnswer{Suspect: true, Trial: 5, ValidMs: 1000}
+		_, err = inst.Run(t.Context(), newRequest(lookup, "", time.Second))
+		is.True(errors.Is(err, ErrUpstream))
+		is.Equal(runs, 1)
+		failure = errors.Mark(errors.New("refused"), upstream.ErrNotRun)
+		_, err = inst.Run(t.Context(), newRequest(lookup, "", time.Second))
+		is.True(err != nil)
+		synctest.Wait()
+		is.True(asker.returned > 0)
+	})
+}
--- a/plantainlane/pipeline/stage.go
+++ b/plantainlane/pipeline/stage.go
@@ -30,6 +30,8 @@
 	// body is the input of the stage, content what the quarantine knows it by.
 	body    json.RawMessage
 	content quarantine.Request
+	// trial allows the next attempt if the stage may be attempted only on trial.
+	trial quarantine.Trial
 	// cost is the entry of the stage in the costs of the execution.
 	cost     *wire.StageCost
 	deadline time.Time
@@ -67,15 +69,20 @@
 	}
 	defer s.release(time.Now())
 	s.service.RecordAttempt()
+	if err := x.obtainTrial(ctx, s); err != nil {
+		return nil, err
+	}
 	for {
 		if ctx.Err() != nil {
+			x.endTrial(s, upstream.ErrNotRun)
 			return nil, context.Cause(ctx)
 		}
 		out, err := x.attemptWithHedge(ctx, s)
+		hasFailedTrial := x.endTrial(s, err) && !isAnswer(err)
 		if err == nil {
 			return out, nil
 		}
-		if !x.waitToRetry(ctx, s, err) || x.checkQuarantine(s) != nil {
+		if hasFailedTrial || !x.waitToRetry(ctx, s, err) || x.obtainTrial(ctx, s) != nil {
 			return nil, err
 		}
 		x.record("retry", "", "", s.stage.Name)
@@ -95,7 +102,7 @@
 	x.costs = append(x.costs, wire.StageCost{Stage: stage.Name})
 	later := stages[i+1:]
 	return &stageRun{
-		stage: stage, service: x.Services.Get(stage.Service), body: body, content: x.contentOf(stage.Service, body), cost: &x.costs[len(x.costs)-1],
+		stage: stage, service: x.Services.Get(stage.Service), body: body, content: x.contentOf(stage, body), cost: &x.costs[len(x.costs)-1],
 		deadline: retry.StageDeadline(x.Deadline, x.Deadline.Sub(x.Started), later, x.estimates(later)),
 	}
 }
@@ -129,7 +136,7 @@
 		return nil, err
 	}
 	delay, hedge := s.service.HedgeDelay()
-	if !hedge || !s.stage.Idempotent || x.OnToken != nil && s.stage.Streams {
+	if !hedge || s.trial.Number != 0 || !s.stage.Idempotent || x.OnToken != nil && s.stage.Streams {
 		x.makeCall(ctx, s, first)
 		return x.finalize(s, first)
 	}
