--- a/plantainlane/forward/quarantine.go
+++ b/plantainlane/forward/quarantine.go
@@ -49,6 +49,9 @@
 	case out.result == mayHaveRun && ctx.Err() == nil && exchange.IsBroken(out.err):
 		p := quarantine.Process{Upstream: t.ID, Incarnation: t.Incarnation, Address: t.Address}
 		q.server.Guard.Broke(p, q.content, quarantine.Send{ID: q.call.ID + "." + strconv.Itoa(q.sends), Begun: begun, Trial: q.trial.Number})
+	case out.result == mayHaveRun:
+		// It says nothing about the request, and another one may be tried.
+		q.returnTrial()
 	}
 }
 
