--- a/plantainlane/forward/cut_head_test.go
+++ b/plantainlane/forward/cut_head_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,21 +52,23 @@
 				t.Run(fmt.Sprint(framing, "-", r.RetryMode, "-kept-", isKept), func(t *testing.T) {
 					t.Parallel()
 					is := is.New(t)
-					h := newHarness(t, &r)
-					cut := 0
+					own := r // the harness changes it
+					h := newHarness(t, &own)
+					var cut atomic.Int64
 					h.upstream("u", func(w http.ResponseWriter, req *http.Request) {
 						if isKept && req.Header.Get("X-First") != "" {
 							sign(w, req)
 							_, _ = w.Write([]byte("id: 1\ndata: 1\n\n"))
 							return
 						}
-						cutAnswer(w, req, answer, cut)
+						cutAnswer(w, req, answer, int(cut.Load()))
 					})
 					length := min(headLength(answer), len(answer))
 					if end := strings.Index(answer, "\r\n\r\n"); framing == "chunks" {
 						length = end + len("id1") - len("ID") + 3
 					}
-					for cut = range length + 1 {
+					for n := range length + 1 {
+						cut.Store(int64(n))
 						if isKept {
 							_, _, err := h.post("X-First", "yes")
 							is.NoErr(err)
@@ -73,7 +76,7 @@
 						before := h.totalArrivals()
 						res, body, err := h.post()
 						if err == nil && res.StatusCode < http.StatusBadRequest {
-							t.Fatalf("cut after %d bytes: status %d, body %q", cut, res.StatusCode, body)
+							t.Fatalf("cut after %d bytes: status %d, body %q", n, res.StatusCode, body)
 						}
 						is.Equal(h.totalArrivals()-before, 1)
 						h.balancer.Review(time.Now().Add(time.Minute)) // the upstream isn't left out for its failures
