batch: pieces with a key that end their upstreams are tried more and more rarely

The same cause in the queues of pieces: what a call did to its upstream was booked on the job, and forgotten with it.

Now a queue remembers the contents, key and stage, under which calls broke, until a piece of them is completed: a job with one goes alone from its start; once one broke without pieces of others, one job at a time is tried, in one call, 0.5 s after the first, then 4 s, 32 s, up to an hour, and others end as failed with the time to come back. TestPieceThatEndsUpstreamsComesAgain fails without it. 64 contents at most; a new owner begins anew.

--- a/plantainlane/batch/broken_test.go
+++ b/plantainlane/batch/broken_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,45 @@
 	breakCalls(q, now.Add(time.Second), nil)
 	is.Equal(len(out.Handles), spec.MaxPieces)
 }
+
+// TestPieceThatEndsUpstreamsComesAgain guards against pieces with a key that end each upstream that runs them, and do so anew for each
+// request that comes with them, and against a sound key that is refused after it shared their calls, or for good after an outage.
+func TestPieceThatEndsUpstreamsComesAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQueue(spec, "z", "z", "z", "z")
+	add := func(key string) (*Job, *Outcome) {
+		j, out := newJob(now, 1, 20*time.Second, time.Minute)
+		j.Key = key
+		q.Add(now, j)
+		return j, out
+	}
+	broken, served, asked := 0, 0, 0
+	for range 600 { // each 100 ms for a minute
+		bad, badOutcome := add("bad")
+		_, out := add("sound")
+		broken += breakCalls(q, now, bad)
+		is.Equal(badOutcome.Reason, ReasonFailed)
+		asked++
+		if out.Reason == "" {
+			served++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.True(broken <= maxBreaks+1+3) // tried again after 0.5, 4 and 32 s
+	is.Equal(served, asked)
+	// The upstreams are mended.
+	now = now.Add(time.Hour)
+	_, out := add("bad")
+	breakCalls(q, now, nil)
+	is.Equal(out.Reason, Reason(""))
+	_, out = add("bad")
+	breakCalls(q, now, nil)
+	is.Equal(out.Reason, Reason(""))
+	is.Equal(len(q.broken), 0)
+	for i := range 1000 {
+		j, _ := add(fmt.Sprint("key-", i))
+		q.recordBreak(now, j, true)
+		is.True(len(q.broken) <= maxContents)
+	}
+}
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -132,6 +132,8 @@
 	held      heldResults
 	// unsteadyAt is when an upstream was last slow or failing; initially the time of the first check.
 	unsteadyAt time.Time
+	// broken holds the contents under which calls broke, the oldest first.
+	broken []*breaks
 	// fastByZone counts the fast upstreams of each zone, as of the last SetUpstreams.
 	fastByZone map[string]int
 	// waiting is the number of pieces that wait to be sent.
@@ -211,6 +213,9 @@
 func (q *Queue) Add(now time.Time, j *Job) {
 	clear(q.laterWaits)
 	q.updateDue(j)
+	if !q.tries(now, j) {
+		return
+	}
 	if estimate := q.estimate(now, j); now.Add(estimate).After(j.completeBy(now)) {
 		q.reject(now, j, estimate)
 		return
@@ -419,7 +424,7 @@
 	}
 	u.recordMemory(now, c, results, q.spec.MemoryBytes, u.used+u.reserved)
 	if results == nil && isMeasured && !busy {
-		q.countFailedCall(c)
+		q.countFailedCall(now, c)
 	}
 	for i, item := range c.Items {
 		r := Result{Reason: ReasonFailed}
@@ -442,23 +447,6 @@
 	return unused
 }
 
-// countFailedCall counts a failed call once for each job with pieces in it.
-func (q *Queue) countFailedCall(c *Call) {
-	var last *Job
-	for _, item := range c.Items {
-		q.counts.Failed++
-		if item.Job == last {
-			continue
-		}
-		last = item.Job
-		if c.Broken {
-			last.breaks++
-		} else {
-			last.failures++
-		}
-	}
-}
-
 // handleResult handles the result of one piece. A piece that was not completed is sent again, unless the upstream lacks
 // an input, reports ReasonDeadline, or too many pieces of the job have failed. A failure counts only if countsFailure is
 // set.
@@ -466,6 +454,7 @@
 	j := item.Job
 	switch {
 	case r.Handle != "":
+		q.forgetBreaks(j)
 		j.handles[item.Piece] = r.Handle
 		j.completed++
 		j.zones[zone]++
--- a/plantainlane/quarantine/trial.go
+++ b/plantainlane/quarantine/trial.go
@@ -81,7 +81,7 @@
 		failed := failedTrials(crashes, key.part)
 		next := crashes[len(crashes)-1].at
 		if len(failed) > 0 {
-			next = failed[len(failed)-1].at.Add(pauseAfter(len(failed)))
+			next = failed[len(failed)-1].at.Add(PauseAfter(len(failed)))
 		}
 		if wait = next.Sub(now); wait <= 0 {
 			d.trials = append(d.trials, trial{servicePart: key, number: number, granted: now})
@@ -91,8 +91,8 @@
 	return wire.TrialAnswer{Suspect: true, WaitMs: int(wait/time.Millisecond) + 1}
 }
 
-// pauseAfter returns the time from the last one of a number of failed trials until the next one.
-func pauseAfter(failed int) time.Duration {
+// PauseAfter returns the time from the last one of a number of failed trials until the next one.
+func PauseAfter(failed int) time.Duration {
 	pause := firstTrialPause
 	for range failed - 1 {
 		pause = min(pause*trialPauseFactor, maxTrialPause)
--- a/plantainlane/quarantine/try.go
+++ b/plantainlane/quarantine/try.go
@@ -110,7 +110,7 @@
 	}
 	t := g.alone[key]
 	if t.count > 0 {
-		if wait := pauseAfter(t.count) - now.Sub(t.last); wait > 0 {
+		if wait := PauseAfter(t.count) - now.Sub(t.last); wait > 0 {
 			return Trial{}, wait
 		}
 	}
