quarantine, forward: an outage under many different requests costs the leader one walk; a trial ends with its send

Found when reading the change: the leader counted the crashes of each request by a walk over all sends of all crashes, each 0.5 s and 20 ms after a change. After an outage under thousands of different requests that is a square. Now it counts all in one walk, and goes over the crashes only of the few requests with two. BenchmarkOutage (128 crashes, 64 different requests each) is new.

mayRunAgain changed the request that it asks about; the trial is over where the send's end is reported.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"plantainlane/plantainlane/exchange"
-	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/site"
@@ -95,7 +94,6 @@
 		last = q.send(ctx, target, permit)
 		switch last.result {
 		case delivered:
-			q.trial = quarantine.Trial{}
 			return false
 		case inputsGone:
 			return true
@@ -104,7 +102,7 @@
 		case mayHaveRun, failedAnswer:
 			q.runs++
 		}
-		if !q.mayRunAgain(last) {
+		if !q.mayRunAgain() {
 			break
 		}
 	}
@@ -135,11 +133,9 @@
 	}
 }
 
-// mayRunAgain reports whether the request may be sent again after its last send, which may have run. A trial allows one send only.
-func (q *request) mayRunAgain(last sendOutcome) bool {
-	hasFailedTrial := q.trial.Number != 0 && last.result == mayHaveRun
-	q.trial = quarantine.Trial{}
-	return !hasFailedTrial && q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
+// mayRunAgain reports whether the request may be sent again after a send that may have run. A trial allows one send only.
+func (q *request) mayRunAgain() bool {
+	return !q.trialFailed && q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
 }
 
 // hasNotRun reports whether no send ran and no event was forwarded.
--- a/plantainlane/forward/quarantine.go
+++ b/plantainlane/forward/quarantine.go
@@ -39,20 +39,24 @@
 }
 
 // reportToGuard reports to the guard that the request was answered whole, or that the connection of a send broke. begun says
-// whether the send was answered in part.
+// whether the send was answered in part. A trial is over with its send, unless that did not run.
 func (q *request) reportToGuard(ctx context.Context, t route.Target, out sendOutcome, begun bool) {
 	switch {
+	case out.result == notRun || out.result == inputsGone:
+		return
 	case out.result == delivered:
 		q.server.Guard.Served(time.Now(), q.content)
 	case out.result == failedAnswer:
 		q.server.Guard.Survived(time.Now(), q.content)
-	case out.result == mayHaveRun && ctx.Err() == nil && exchange.IsBroken(out.err):
+	case ctx.Err() == nil && exchange.IsBroken(out.err):
 		p := quarantine.Process{Upstream: t.ID, Incarnation: t.Incarnation, Address: t.Address}
 		q.server.Guard.Broke(p, q.content, quarantine.Send{ID: q.call.ID + "." + strconv.Itoa(q.sends), Begun: begun, Trial: q.trial.Number})
-	case out.result == mayHaveRun:
+		q.trialFailed = q.trial.Number != 0
+	default:
 		// It says nothing about the request, and another one may be tried.
 		q.returnTrial()
 	}
+	q.trial = quarantine.Trial{}
 }
 
 // obtainTrial waits until the request may be sent, and sets its trial if it needs one. It returns a refusal if the request may not be
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -88,9 +88,10 @@
 	service string
 	// content is what the quarantine knows the request by.
 	content quarantine.Request
-	// trial allows the next send if the request may be sent only on trial.
-	trial    quarantine.Trial
-	received time.Time
+	// trial allows the next send if the request may be sent only on trial. trialFailed is set once a send on trial broke.
+	trial       quarantine.Trial
+	trialFailed bool
+	received    time.Time
 	// deadline is when the caller must have the answer, answerMargin before its timeout.
 	deadline time.Time
 	priority int
--- a/plantainlane/quarantine/detector.go
+++ b/plantainlane/quarantine/detector.go
@@ -48,6 +48,14 @@
 	trial int
 }
 
+// exact returns the part that stands for the request as a whole; empty if there is none. It is the first one.
+func (s *send) exact() string {
+	if len(s.parts) > 0 && isExact(s.parts[0]) {
+		return s.parts[0]
+	}
+	return ""
+}
+
 // crash is the end of a process under the sends that broke with it.
 type crash struct {
 	process
--- a/plantainlane/quarantine/guard.go
+++ b/plantainlane/quarantine/guard.go
@@ -78,7 +78,7 @@
 	// ctx ends the checks of processes.
 	ctx     context.Context
 	checker Checker
-	// asker may be nil; a request that needs a trial isn't sent then.
+	// asker may be nil; the guard then goes by its own evidence, see tryAlone.
 	asker Asker
 	// checks shares one check of a process among the sends that broke with it.
 	checks singleflight.Group
--- a/plantainlane/quarantine/trial.go
+++ b/plantainlane/quarantine/trial.go
@@ -48,7 +48,8 @@
 func (d *Detector) exactCrashes(key servicePart) []*crash {
 	var out []*crash
 	for _, c := range d.crashes {
-		if c.service == key.service && c.at.After(d.servedAt[key]) && c.has(key.part) {
+		isUnder := c.service == key.service && c.at.After(d.servedAt[key])
+		if isUnder && slices.ContainsFunc(c.sends, func(s send) bool { return s.exact() == key.part }) {
 			out = append(out, c)
 		}
 	}
@@ -59,7 +60,7 @@
 // failedTrials returns those of the crashes under a request that were under a trial of it.
 func failedTrials(crashes []*crash, part string) []*crash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool {
-		return !slices.ContainsFunc(c.sends, func(s send) bool { return s.trial != 0 && slices.Contains(s.parts, part) })
+		return !slices.ContainsFunc(c.sends, func(s send) bool { return s.trial != 0 && s.exact() == part })
 	})
 }
 
@@ -114,10 +115,8 @@
 // tried returns the requests that are sent as trials only, with the number of crashes, those with most first.
 func (d *Detector) tried() []wire.SuspectPart {
 	var out []wire.SuspectPart
-	for key := range d.exactParts() {
-		if n := len(d.exactCrashes(key)); n >= trialCrashes {
-			out = append(out, wire.SuspectPart{Service: key.service, Part: key.part, Crashes: n})
-		}
+	for key, n := range d.suspectRequests() {
+		out = append(out, wire.SuspectPart{Service: key.service, Part: key.part, Crashes: n})
 	}
 	sortSuspects(out)
 	return out[:min(len(out), maxTried)]
@@ -130,19 +129,22 @@
 	})
 }
 
-// exactParts returns the requests under which upstreams have crashed, as a set.
-func (d *Detector) exactParts() map[servicePart]bool {
-	out := make(map[servicePart]bool)
+// suspectRequests returns the requests that are sent as trials only, with the number of crashes since each was last answered. It goes
+// once over all sends, since an outage leaves thousands, most of different requests.
+func (d *Detector) suspectRequests() map[servicePart]int {
+	counts := make(map[servicePart]int)
 	for _, c := range d.crashes {
-		for _, s := range c.sends {
-			for _, p := range s.parts {
-				if isExact(p) {
-					out[servicePart{c.service, p}] = true
-				}
+		seen := make(map[string]bool)
+		for i := range c.sends {
+			id := c.sends[i].exact()
+			if key := (servicePart{c.service, id}); id != "" && !seen[id] && c.at.After(d.servedAt[key]) {
+				counts[key]++
 			}
+			seen[id] = true
 		}
 	}
-	return out
+	maps.DeleteFunc(counts, func(_ servicePart, n int) bool { return n < trialCrashes })
+	return counts
 }
 
 // provenByTrial returns entries for the requests that are to blame by themselves: they have crashed enough upstreams, enough of
@@ -151,15 +153,14 @@
 // and then can end one under a trial: each time that it did so under none of these requests asks for one more.
 func (d *Detector) provenByTrial(now time.Time, known []wire.QuarantineEntry) []wire.QuarantineEntry {
 	var out []wire.QuarantineEntry
-	parts := d.exactParts()
-	maps.DeleteFunc(parts, func(key servicePart, _ bool) bool { return len(d.exactCrashes(key)) < trialCrashes })
-	for key := range parts {
+	suspects := d.suspectRequests()
+	for key := range suspects {
 		crashes := slices.DeleteFunc(d.exactCrashes(key), func(c *crash) bool { return isExplainedBy(c, key, known) })
 		failed := failedTrials(crashes, key.part)
 		if len(crashes) < minCrashes || len(failed) < minFailed {
 			continue
 		}
-		others := d.crashesOfOthers(key.service, crashes[0].at, parts, known)
+		others := d.crashesOfOthers(key.service, crashes[0].at, suspects, known)
 		if len(failed) < minFailed+rounds(others) || d.answersBetween(key.service, failed[0].at, now) == 0 {
 			continue
 		}
@@ -185,14 +186,12 @@
 	})
 }
 
-// crashesOfOthers returns the crashes of a service from a time on, by time, that were under none of some requests, and not under the
-// content of a known entry.
-func (d *Detector) crashesOfOthers(service string, from time.Time, parts map[servicePart]bool, known []wire.QuarantineEntry) []*crash {
+// crashesOfOthers returns the crashes of a service from a time on, by time, that were under none of the suspect requests, and not
+// under the content of a known entry.
+func (d *Detector) crashesOfOthers(service string, from time.Time, suspects map[servicePart]int, known []wire.QuarantineEntry) []*crash {
 	var out []*crash
 	for _, c := range d.crashes {
-		isListed := slices.ContainsFunc(c.sends, func(s send) bool {
-			return slices.ContainsFunc(s.parts, func(p string) bool { return parts[servicePart{service, p}] })
-		})
+		isListed := slices.ContainsFunc(c.sends, func(s send) bool { return suspects[servicePart{service, s.exact()}] > 0 })
 		if c.service == service && !c.at.Before(from) && !isListed && !isExplained(c, known) {
 			out = append(out, c)
 		}
--- a/plantainlane/quarantine/trial_test.go
+++ b/plantainlane/quarantine/trial_test.go
@@ -317,3 +317,21 @@
 	g.Confirm(1)
 	is.True(!g.NeedsTrial(r)) // the leader has the evidence now, and says what is suspect
 }
+
+// BenchmarkOutage measures a look of the leader at its evidence after an outage: as many crashes as it keeps, each under as many
+// different requests as it keeps.
+func BenchmarkOutage(b *testing.B) {
+	s := newTrials()
+	for i := range maxCrashes {
+		requests := make([]string, maxSends)
+		for j := range requests {
+			requests[j] = fmt.Sprint(i, "-", j)
+		}
+		s.end(0, requests...)
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		s.Suspects(s.now)
+		s.Blame(s.now, nil)
+	}
+}
