forward, quarantine: late requests of a drain need a margin; a trial that broke without an end is given back

The longest request of late says what a later one may take, but for a margin: with the bound itself, a request that takes some ms longer is cut. It must fit one and a quarter times.

A trial whose connection broke though its upstream goes on barred others of its service until it lapsed, 5 s; it is given back once that is known, within a second. TestTrialThatBrokeBarsOthers fails without.

--- a/plantainlane/forward/drain.go
+++ b/plantainlane/forward/drain.go
@@ -13,6 +13,9 @@
 	durationFallWeight = 0.03
 )
 
+// lateMargin is how many times the longest duration must fit in what is left of a drain: a later request may take longer still.
+const lateMargin = 1.25
+
 // longestPeriod is the time after which the longest duration of a route is forgotten, at the latest after twice that.
 const longestPeriod = time.Minute
 
@@ -94,7 +97,7 @@
 	case q.received.Before(drain.CallersGone):
 		ends = ends.Add(expected)
 	case longest > 0:
-		ends = ends.Add(longest)
+		ends = ends.Add(time.Duration(lateMargin * float64(longest)))
 	default:
 		ends = q.deadline
 	}
--- a/plantainlane/forward/quarantine_test.go
+++ b/plantainlane/forward/quarantine_test.go
@@ -165,3 +165,25 @@
 		return len(asker.returned) == 1
 	})
 }
+
+// TestTrialThatBrokeBarsOthers guards against a trial that bars others until it lapses though its upstream goes on.
+func TestTrialThatBrokeBarsOthers(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{MaxAttempts: 2, RetryMode: site.Idempotent})
+	asker := &trialAsker{answer: wire.TrialAnswer{Suspect: true, Trial: 3, ValidMs: 1000}}
+	h.server.Guard = quarantine.NewGuard(t.Context(), endedChecker(false), func() {}).WithAsker(asker)
+	h.upstream("u", func(w http.ResponseWriter, _ *http.Request) { resetConnection(w) })
+	exact := quarantine.Exact{Head: []string{http.MethodPost, "a.example", "/x/y?z=%2F", "hostel"}, Body: []byte("body")}
+	h.server.Guard.Learn(time.Now(), wire.QuarantineUpdate{
+		Version: 1, Suspects: []wire.SuspectPart{{Service: "s", Part: exact.ID(), Crashes: 2}},
+	})
+	res, _, err := h.post()
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	is.Equal(h.totalArrivals(), 1) // a trial is one send
+	waitFor(t, func() bool {
+		asker.mu.Lock()
+		defer asker.mu.Unlock()
+		return len(asker.returned) == 1
+	})
+}
--- a/plantainlane/quarantine/guard.go
+++ b/plantainlane/quarantine/guard.go
@@ -195,7 +195,7 @@
 }
 
 // Broke records that the connection to a process broke before a request was answered whole. Broke returns at once; what it
-// records counts only if the process turns out to have ended.
+// records counts only if the process turns out to have ended. Otherwise a trial is given back: it has told nothing.
 func (g *Guard) Broke(p Process, r Request, s Send) {
 	if g == nil {
 		return
@@ -205,6 +205,8 @@
 	go func() {
 		if g.hasEnded(p) {
 			g.Ended(at, p, r, s)
+		} else {
+			g.Return(r, Trial{Number: s.Trial})
 		}
 	}()
 }
