quarantine, plantainctl: a crash under the content of an entry isn't evidence for another one

The scenario of an input that ends upstreams failed beside load in a run of make test on: it lifts the entry of the input's hash by its ID, and the entry was that of the stage's request as a whole. Either verdict can come first.

--- a/plantainctl/scenario/main_test.go
+++ b/plantainctl/scenario/main_test.go
@@ -67,6 +67,7 @@
 			"busiest":    word(busiest),
 			"charged":    word(charged),
 			"race":       word(race),
+			"lift":       word(lift),
 			"doubled":    word(doubled),
 			"http":       word(rawHTTP),
 		},
--- a/plantainctl/scenario/operator_test.go
+++ b/plantainctl/scenario/operator_test.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +56,38 @@
 	return err
 }
 
+// lift SERVICE
+//
+// It lifts the active entries of the quarantine for a service. There must be one, and no more.
+func lift(cl *cluster, ts *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errArguments
+	}
+	run := func(args ...string) (string, error) {
+		args = append([]string{"-i", cl.addresses(operatorPort)[0], "--credential-file", filepath.Join(cl.folder, "operator.key")}, args...)
+		out, err := exec.Command(filepath.Join(programs, "plantainctl"), args...).CombinedOutput()
+		return string(out), errors.Wrap(err, string(out))
+	}
+	list, err := run("quarantine")
+	if err != nil {
+		return err
+	}
+	var ids []string
+	for line := range strings.Lines(list) {
+		if fields := strings.Fields(line); len(fields) > 2 && fields[1] == "active" && fields[2] == args[0] {
+			ids = append(ids, fields[0])
+		}
+	}
+	if len(ids) != 1 {
+		return errors.Newf("expected one active entry of %s, found %v", args[0], ids)
+	}
+	out, err := run("quarantine", "lift", ids[0])
+	if err == nil {
+		_, err = fmt.Fprint(ts.Stdout(), out)
+	}
+	return err
+}
+
 // resolveName returns the name of the process that name stands for: the current leader for "leader", the last killed
 // process for "crashed", the last frozen process for "frozen", or else name itself.
 func (cl *cluster) resolveName(name string) (string, error) {
--- a/plantainlane/quarantine/trial.go
+++ b/plantainlane/quarantine/trial.go
@@ -155,7 +155,7 @@
 	var out []wire.QuarantineEntry
 	suspects := d.suspectRequests()
 	for key := range suspects {
-		crashes := slices.DeleteFunc(d.exactCrashes(key), func(c *crash) bool { return isExplainedBy(c, key, known) })
+		crashes := slices.DeleteFunc(d.exactCrashes(key), func(c *crash) bool { return isExplained(c, known) })
 		failed := failedTrials(crashes, key.part)
 		if len(crashes) < minCrashes || len(failed) < minFailed {
 			continue
@@ -179,13 +179,6 @@
 	return out
 }
 
-// isExplainedBy reports whether an entry for just this request counts a crash already.
-func isExplainedBy(c *crash, key servicePart, known []wire.QuarantineEntry) bool {
-	return slices.ContainsFunc(known, func(e wire.QuarantineEntry) bool {
-		return e.Service == key.service && slices.Equal(e.Parts, []string{key.part}) && c.at.UnixMilli() <= int64(e.UntilMs)
-	})
-}
-
 // crashesOfOthers returns the crashes of a service from a time on, by time, that were under none of the suspect requests, and not
 // under the content of a known entry.
 func (d *Detector) crashesOfOthers(service string, from time.Time, suspects map[servicePart]int, known []wire.QuarantineEntry) []*crash {
