forward: an event before foreign bytes isn't known to be whole

Cause: any empty line ended the event before it, also the one with which foreign bytes begin. The foreign bytes were recognized as the next event, but nothing was concluded from them for the event before.

Fix: an event that looks as if other bytes had ended it, or behind which such bytes are buffered, is kept until the next one vouches for it, and asked for once more at another upstream if none does. If it is out already, the answer is broken off. IDs of streams that are resumed by them must increase.

TestErrorHeadIsInStreamOfOneUpstream: the first event before an error head is no longer forwarded, so that the caller gets a 502 instead of a truncated 200. The check now asks for no success and none of the foreign bytes, which is as strict.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -135,7 +135,7 @@
 
 // mayRunAgain reports whether the request may be sent again after a send that may have run. A trial allows one send only.
 func (q *request) mayRunAgain() bool {
-	return !q.trialFailed && q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
+	return !q.trialFailed && !q.isInDoubt && q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
 }
 
 // hasNotRun reports whether no send ran and no event was forwarded.
--- a/plantainlane/forward/foreign_test.go
+++ b/plantainlane/forward/foreign_test.go
@@ -98,9 +98,10 @@
 			is := is.New(t)
 			h := newHarness(t, &site.Route{Stream: true, RetryMode: site.AtMostOnce, MaxAttempts: 1})
 			h.upstream("u", answerWith(http.StatusOK, eventStream, begun+c.rest))
-			_, body, err := h.post()
-			is.Equal(err == nil, c.isSound)
+			res, body, err := h.post()
+			is.Equal(err == nil && res.StatusCode == http.StatusOK, c.isSound) // an error of the instance is no stream either
 			is.Equal(body == begun+c.rest, c.isSound)
+			is.True(c.isSound || !strings.Contains(body, c.rest))
 		})
 	}
 }
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,9 +14,29 @@
 	"plantainlane/plantainlane/site"
 )
 
-// errForeignBytes reports bytes in a stream that are none of its events, such as an error of the upstream. They are not
-// forwarded. The rest of a resumed stream has IDs, since it was asked for by one.
-var errForeignBytes = errors.New("bytes in the stream that are no event of it")
+var (
+	// errForeignBytes reports bytes in a stream that are none of its events, such as an error of the upstream. They are not
+	// forwarded. The rest of a resumed stream has IDs, since it was asked for by one.
+	errForeignBytes = errors.New("bytes in the stream that are no event of it")
+	// errEventInDoubt reports such bytes behind an event that was forwarded already: they may have begun with its end, so that the
+	// caller may have a part of an event. No other upstream can go on after it.
+	errEventInDoubt = errors.New("the last event that was forwarded may be a part of one: the bytes behind it are no event")
+)
+
+// forwarding is the forwarding of the events of one answer.
+type forwarding struct {
+	*request
+	res    *http.Response
+	reader *eventReader
+	// resumes is set if the head of an earlier answer was sent, so that the events are the rest of its stream.
+	resumes bool
+	// held is an event in doubt, kept until the next one shows that it is whole; nil if there is none.
+	held *event
+	// isLastOpen is set if the last event was forwarded and nothing has shown that it is whole.
+	isLastOpen bool
+	// lastID is the ID of the last event, held or forwarded.
+	lastID string
+}
 
 // forwardStream forwards the events of a stream as they arrive. If the stream is interrupted, the caller's answer stays
 // open after the last forwarded event, so that another upstream can resume the stream. The result complete is true if
@@ -24,16 +45,10 @@
 	defer res.Body.Close()
 	memory := q.server.Client.Pool.Memory.Reserve()
 	defer memory.Release()
-	reader := newEventReader(res.Body, memory)
-	first, resumes := true, q.headSent
+	f := &forwarding{request: q, res: res, reader: newEventReader(res.Body, memory), resumes: q.headSent, lastID: q.lastEvent}
+	first := true
 	for {
-		e, err := reader.next()
-		if errors.Is(err, io.EOF) && first && !exchange.HasEnd(res) {
-			err = io.ErrUnexpectedEOF
-		}
-		if err == nil && (e.isForeign || resumes && e.id == "" && !e.isComment) {
-			err = errForeignBytes
-		}
+		e, err := f.next(first)
 		if errors.Is(err, io.EOF) {
 			return q.endStream(res), true
 		}
@@ -45,7 +60,7 @@
 			first = false
 			q.releaseStages()
 		}
-		if err := q.forwardEvent(res, e, !reader.hasBuffered()); err != nil {
+		if err := f.forward(e); err != nil {
 			return sendOutcome{result: mayHaveRun, err: err}, false
 		}
 		now := time.Now()
@@ -54,6 +69,73 @@
 	}
 }
 
+// next reads the next event. It forwards the event that is held at the end of a stream, and returns io.EOF then.
+func (f *forwarding) next(first bool) (event, error) {
+	e, err := f.reader.next()
+	if errors.Is(err, io.EOF) && !exchange.HasEnd(f.res) && (first || f.held != nil) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil && (e.isForeign || !f.isNext(e)) {
+		err = errForeignBytes
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		if flushErr := f.forwardHeld(); flushErr != nil {
+			return event{}, flushErr
+		}
+		return event{}, err
+	case err != nil && e.beginsForeign && f.isLastOpen:
+		f.isInDoubt = true
+		return event{}, errors.CombineErrors(errEventInDoubt, err)
+	}
+	return e, err
+}
+
+// isNext reports whether an event can be the one after the last of the stream: it has an ID if others have brought the stream up
+// to here, and IDs that are numbers increase where streams are resumed by them.
+func (f *forwarding) isNext(e event) bool {
+	if e.id == "" {
+		return !f.resumes || e.isComment
+	}
+	if f.route.RetryMode != site.Resumable {
+		return true
+	}
+	id, err := strconv.ParseUint(e.id, 10, 64)
+	last, lastErr := strconv.ParseUint(f.lastID, 10, 64)
+	return err != nil || lastErr != nil || id > last
+}
+
+// forward forwards an event, behind the one that is held. An event in doubt is held instead.
+func (f *forwarding) forward(e event) error {
+	if e.isEmpty && f.held != nil {
+		f.held.bytes = append(f.held.bytes, e.bytes...)
+		f.reader.held = len(f.held.bytes)
+		return nil
+	}
+	if err := f.forwardHeld(); err != nil {
+		return err
+	}
+	if e.id != "" {
+		f.lastID = e.id
+	}
+	if e.isDoubtful || !e.isComment && f.reader.isForeignAhead() {
+		f.held, f.reader.held, f.isLastOpen = &e, len(e.bytes), false
+		return nil
+	}
+	f.isLastOpen = !e.isComment || e.isEmpty && f.isLastOpen
+	return f.forwardEvent(f.res, e, !f.reader.hasBuffered())
+}
+
+// forwardHeld forwards the event that is held, if any.
+func (f *forwarding) forwardHeld() error {
+	if f.held == nil {
+		return nil
+	}
+	e := *f.held
+	f.held, f.reader.held = nil, 0
+	return f.forwardEvent(f.res, e, true)
+}
+
 // nextEventDeadline returns the time until which the upstream must have sent the next event. It is earlier than the
 // request's deadline while the stream could still be resumed at another upstream.
 func (q *request) nextEventDeadline(now time.Time) time.Time {
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -126,6 +126,8 @@
 	events int
 	// lastEvent is the ID of the last event that the caller has, either forwarded or stated in the call.
 	lastEvent string
+	// isInDoubt is set if the last event may be a part of one, so that nothing may follow it.
+	isInDoubt bool
 	// lastEventAt is when the last event was forwarded.
 	lastEventAt time.Time
 	// firstEventAfter is the time from the receipt of the request until its first event was forwarded, and longestGap
