forward, caller: only its own deadline says that a late request ends within a drain

Cause: late in a drain a request was taken if 1.25 times the longest request of its route that was answered lately still fitted. Requests that are longer than those before aren't foretold by them.

Fix: once callers have others to ask, a request is taken only if its deadline is before the end of the drain; the rest is refused at once, as not run. The same is asked again once the body was read, and before the first send by the usual time of sends. Pipelines ask the same.

--- a/plantainlane/caller/admit.go
+++ b/plantainlane/caller/admit.go
@@ -22,6 +22,9 @@
 // idempotencyKeyHeader is the header of the idempotency key.
 const idempotencyKeyHeader = "Idempotency-Key"
 
+// drainingRetryAfter is the time after which the caller of a draining instance may retry, at another one.
+const drainingRetryAfter = 150 * time.Millisecond
+
 // maxKeyBytes is the maximum length of an idempotency key.
 const maxKeyBytes = 128
 
@@ -83,6 +86,10 @@
 	if refusal != nil {
 		return nil, false, refusal
 	}
+	if s.MayTake != nil && !s.MayTake(req.Deadline) {
+		return nil, false, refuse(http.StatusServiceUnavailable, "draining", "instance is draining; send the request to another instance",
+			problem.WithRetryAfter(drainingRetryAfter))
+	}
 	if refusal := fillKey(req, r.Header.Get(idempotencyKeyHeader), body); refusal != nil {
 		return nil, false, refusal
 	}
--- a/plantainlane/caller/server.go
+++ b/plantainlane/caller/server.go
@@ -50,6 +50,9 @@
 	KeepFor time.Duration
 	// MaxBodyBytes is the maximum size of a body, even if the contract allows more.
 	MaxBodyBytes int
+	// MayTake reports whether the instance may take a request now that must end by a deadline: a draining instance may not
+	// take all. It may be nil.
+	MayTake func(deadline time.Time) bool
 }
 
 // Register adds the routes of the API.
--- a/plantainlane/caller/server_test.go
+++ b/plantainlane/caller/server_test.go
@@ -55,7 +55,7 @@
 
 // newServer returns a server that holds its lease for the given time from now, and the runner that records its
 // requests. The pipeline buy is not idempotent. The pipeline other is in no contract.
-func newServer(lease time.Duration) (*echo.Echo, *recordingRunner) {
+func newServer(lease time.Duration, opts ...func(*Server)) (*echo.Echo, *recordingRunner) {
 	set := wire.Declarations{
 		Contracts: []wire.Contract{contract("hostel", "key-1"), contract("school", "key-2")},
 		Pipelines: []wire.Pipeline{
@@ -70,6 +70,9 @@
 		Runner: runner, Finder: noFinder{}, Answers: NewAnswers(), Metrics: metric.New(),
 		IDs: NewIDs("a-1", 7), KeepFor: time.Second, MaxBodyBytes: 1000,
 	}
+	for _, o := range opts {
+		o(s)
+	}
 	e := echo.New()
 	s.Register(e)
 	return e, runner
@@ -173,6 +176,19 @@
 	is.Equal(len(runner.got), 0)
 }
 
+// TestDrainTakesWhatItCannotEnd guards against a request that a draining instance takes though it may outlast the drain.
+func TestDrainTakesWhatItCannotEnd(t *testing.T) {
+	is := is.New(t)
+	ends := time.Now().Add(2 * time.Second)
+	e, runner := newServer(time.Minute, func(s *Server) {
+		s.MayTake = func(deadline time.Time) bool { return !deadline.After(ends) }
+	})
+	send := func(body string) int { return requestSpec{"hostel", "guide", "key-1", "", body}.send(e).Code }
+	is.Equal(send(`{"input":1,"deadlineMs":4000}`), http.StatusServiceUnavailable)
+	is.Equal(len(runner.got), 0)
+	is.Equal(send(`{"input":1,"deadlineMs":1000}`), http.StatusOK)
+}
+
 // TestStreamHasAnEnd guards against a stream whose caller can't tell a complete answer from a truncated one: the end
 // event must follow the tokens.
 func TestStreamHasAnEnd(t *testing.T) {
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -74,6 +74,10 @@
 		if ctx.Err() != nil || time.Until(q.deadline) < minTimeLeft {
 			break
 		}
+		if refusal := q.refuseBeforeSend(time.Now()); refusal != nil {
+			q.refuse(*refusal)
+			return false
+		}
 		if refusal := q.obtainTrial(ctx); refusal != nil {
 			if q.hasNotRun() {
 				q.refuse(*refusal)
@@ -147,6 +151,9 @@
 	q.upstream = t.ID
 	q.tried = append(q.tried, t.ID)
 	start, events := time.Now(), q.events
+	if q.sends == 1 {
+		q.firstSentAt = start
+	}
 	out := q.connectAndSend(ctx, t, permit)
 	result := route.Failure
 	switch {
--- a/plantainlane/forward/drain.go
+++ b/plantainlane/forward/drain.go
@@ -13,97 +13,99 @@
 	durationFallWeight = 0.03
 )
 
-// lateMargin is how many times the longest duration must fit in what is left of a drain: a later request may take longer still.
-const lateMargin = 1.25
-
-// longestPeriod is the time after which the longest duration of a route is forgotten, at the latest after twice that.
-const longestPeriod = time.Minute
-
-// Drain is what requests need to know of an instance's drain.
+// Drain is what requests need to know of an instance's drain. The zero value stands for none.
 type Drain struct {
-	// CallersGone is when callers have been told to use other instances. What still comes then is accepted only if it certainly
-	// ends in time.
+	// CallersGone is when callers have been told to use other instances. What still comes then is taken only if it must end in time.
 	CallersGone time.Time
 	// Ends is when the requests in flight are ended.
 	Ends time.Time
 }
 
-// durations holds how long the requests of each route take. The zero value is empty. It is safe for concurrent use.
-type durations struct {
-	mu     sync.Mutex
-	routes map[string]*duration
+// MayTake reports whether the instance may take a request that came at a time. The request is expected to end at expected and must
+// end by deadline. No duration of other requests says how long this one takes: once callers have others to ask, only its
+// deadline counts.
+func (d Drain) MayTake(came, expected, deadline time.Time) bool {
+	switch {
+	case d.Ends.IsZero():
+		return true
+	case came.Before(d.CallersGone):
+		return !expected.After(d.Ends)
+	}
+	return !deadline.After(d.Ends)
 }
 
-// duration is how long the requests of a route take.
-type duration struct {
-	// average is a moving average.
-	average time.Duration
-	// longest is the longest duration since began, and before the one in the longestPeriod before.
-	longest, before time.Duration
-	began           time.Time
+// durations holds how long the requests of each route take. The zero value is empty. It is safe for concurrent use.
+type durations struct {
+	mu       sync.Mutex
+	averages map[string]time.Duration
 }
 
 // observe adds the duration of a request that was answered.
-func (d *durations) observe(now time.Time, route string, took time.Duration) {
+func (d *durations) observe(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.routes == nil {
-		d.routes = make(map[string]*duration)
+	if d.averages == nil {
+		d.averages = make(map[string]time.Duration)
 	}
-	r, ok := d.routes[route]
+	average, ok := d.averages[route]
 	if !ok {
-		r = &duration{average: took, began: now}
-		d.routes[route] = r
+		average = took
 	}
 	weight := durationFallWeight
-	if took > r.average {
+	if took > average {
 		weight = durationRiseWeight
 	}
-	r.average += time.Duration(weight * float64(took-r.average))
-	if now.Sub(r.began) > longestPeriod {
-		r.before, r.longest, r.began = r.longest, 0, now
-	}
-	r.longest = max(r.longest, took)
+	d.averages[route] = average + time.Duration(weight*float64(took-average))
 }
 
-// of returns the expected duration of a request of a route, and the longest one of late; 0 if none is known.
-func (d *durations) of(route string) (expected, longest time.Duration) {
+// after returns when a request of a route is expected to end that begins at start; deadline if no request of the route was answered.
+func (d *durations) after(start time.Time, route string, deadline time.Time) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r, ok := d.routes[route]
+	average, ok := d.averages[route]
 	if !ok {
-		return 0, 0
+		return deadline
 	}
-	return r.average, max(r.longest, r.before)
+	return earlier(start.Add(average), deadline)
 }
 
-// admitDraining refuses a request that is expected to take longer than the instance drains, and once callers have been told to use
-// other instances one that may take longer. The deadline of others is at most the end of the drain.
+// drain returns the instance's drain, if any.
+func (s *Server) drain() Drain {
+	if s.Drain == nil {
+		return Drain{}
+	}
+	return s.Drain()
+}
+
+// refuseDraining refuses a request that the draining instance can't be expected to complete. Other instances can.
+func refuseDraining() *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "instance is draining", RetryAfter: shortRetryAfter}
+}
+
+// admitDraining refuses a request that the draining instance may not take at a time, see Drain.MayTake.
 //
 // A draining instance is still sent requests by callers that hold its address. What is accepted too late would be broken
 // off at the end of the drain, though other instances could serve it.
-func (q *request) admitDraining() *Refusal {
-	s := q.server
-	if s.Drain == nil {
-		return nil
+func (q *request) admitDraining(now time.Time) *Refusal {
+	if !q.server.drain().MayTake(now, q.server.durations.after(now, q.route.Name, q.deadline), q.deadline) {
+		return refuseDraining()
 	}
-	drain := s.Drain()
-	if drain.Ends.IsZero() {
-		return nil
-	}
-	ends := q.received
-	expected, longest := s.durations.of(q.route.Name)
-	switch {
-	case q.received.Before(drain.CallersGone):
-		ends = ends.Add(expected)
-	case longest > 0:
-		ends = ends.Add(time.Duration(lateMargin * float64(longest)))
-	default:
-		ends = q.deadline
+	return nil
+}
+
+// endWithDrain lets the deadline of a request be at most the end of the drain, if there is one.
+func (q *request) endWithDrain() {
+	if ends := q.server.drain().Ends; !ends.IsZero() {
+		q.deadline = earlier(q.deadline, ends)
 	}
-	if ends.After(drain.Ends) {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "instance is draining", RetryAfter: shortRetryAfter}
+}
+
+// refuseBeforeSend refuses a request that has waited, before or in the drain, until it can no longer be expected to end in time once it
+// is sent.
+func (q *request) refuseBeforeSend(now time.Time) *Refusal {
+	drain := q.server.drain()
+	if drain.Ends.IsZero() || !q.hasNotRun() || !q.server.sendDurations.after(now, q.route.Name, q.deadline).After(drain.Ends) {
+		return nil
 	}
-	q.deadline = earlier(q.deadline, drain.Ends)
-	return nil
+	return refuseDraining()
 }
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -50,9 +50,10 @@
 	// Zone is the availability zone of the instance.
 	Zone string
 	// Drain returns the zero value unless the instance drains. It may be nil.
-	Drain     func() Drain
-	durations durations
-	backlogs  backlogs
+	Drain func() Drain
+	// durations are the times of requests from their receipt on, sendDurations those from their first send on.
+	durations, sendDurations durations
+	backlogs                 backlogs
 	// OnTimeLines samples the log lines on requests that were answered on time by their first send; nil logs all.
 	OnTimeLines *logs.Sampler
 }
@@ -117,6 +118,8 @@
 	tried []string
 	// sends is the number of sends, runs the number of sends that ran or may have run.
 	sends, runs int
+	// firstSentAt is when the first send began.
+	firstSentAt time.Time
 	// connected is set once the request had a connection to an upstream. Further sends then count as retries.
 	connected bool
 	// headSent is set once the head of an answer was sent to the caller, with the status statusSent.
@@ -176,12 +179,17 @@
 		timeout = min(timeout, q.call.Timeout)
 	}
 	q.deadline = q.received.Add(timeout - answerMargin)
-	if refusal := q.admitDraining(); refusal != nil {
+	if refusal := q.admitDraining(q.received); refusal != nil {
 		return refusal
 	}
 	if refusal := q.readBody(r.Body); refusal != nil {
 		return refusal
 	}
+	// The body may have taken until late in a drain, or a drain may have begun.
+	if refusal := q.admitDraining(time.Now()); refusal != nil {
+		return refusal
+	}
+	q.endWithDrain()
 	q.method, q.target, q.host, q.header = r.Method, r.URL.RequestURI(), r.Host, r.Header
 	// A path is forwarded as it was received, without encoding it again.
 	if r.RequestURI != "" && r.RequestURI[0] == '/' {
@@ -358,7 +366,8 @@
 		name = q.route.Name
 	}
 	if outcome == "answered" {
-		q.server.durations.observe(time.Now(), name, took)
+		q.server.durations.observe(name, took)
+		q.server.sendDurations.observe(name, time.Since(q.firstSentAt))
 	}
 	if q.server.Observer != nil {
 		q.server.Observer.Forwarded(name, outcome, took)
--- a/plantainlane/instance/drain.go
+++ b/plantainlane/instance/drain.go
@@ -18,6 +18,8 @@
 	// propagationDelay is how long after the start of a drain other instances may still list the draining instance in
 	// their entry answers.
 	propagationDelay = 3 * time.Second
+	// noticeDelay is how long the process may take to notice that it is to drain. Callers count from the signal.
+	noticeDelay = 500 * time.Millisecond
 	// leadershipTransferTime is how long a draining instance without callers waits for another instance to become
 	// leader.
 	leadershipTransferTime = time.Second
@@ -57,7 +59,7 @@
 	if asked := x.drainAsked.Load(); asked != nil {
 		now = *asked
 	}
-	drain := forward.Drain{CallersGone: now.Add(propagationDelay), Ends: now.Add(x.drainDelay() + limit - finalAnswerTime)}
+	drain := forward.Drain{CallersGone: now.Add(propagationDelay - noticeDelay), Ends: now.Add(x.drainDelay() + limit - finalAnswerTime)}
 	x.drain.Store(&drain)
 	klog.InfoS("draining", "keepFor", x.settings.Entry.KeepFor, "callersGone", drain.CallersGone, "ends", drain.Ends)
 	select {
@@ -86,6 +88,12 @@
 	return forward.Drain{}
 }
 
+// mayTake reports whether the instance may take a pipeline's request now that must end by a deadline.
+func (x *Instance) mayTake(deadline time.Time) bool {
+	now := time.Now()
+	return x.drainOfRequests().MayTake(now, now, deadline)
+}
+
 // drainDelay returns how long a draining instance keeps accepting requests: until no caller can hold a cached entry
 // answer that lists the instance. An instance without callers only waits for the transfer of its leadership.
 func (x *Instance) drainDelay() time.Duration {
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -274,6 +274,7 @@
 		IDs:          caller.NewIDs(x.self.ID, x.self.Incarnation),
 		KeepFor:      time.Duration(entry.KeepFor),
 		MaxBodyBytes: entry.MaxBodyBytes,
+		MayTake:      x.mayTake,
 	}
 	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
 	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Quarantine: x.guard, Credentials: x.settings.Credentials.Operators}
