roster, control: a departure that is acknowledged is recorded, whatever is known of the upstream

Cause: a departure was a property of the upstream's row. Without a row (unknown upstream) it was dropped; expired rows are left out of digests, so instances that start later never learn of it; when all processes start again, none is left.

Fix: departures are kept apart from rows, by upstream and incarnation, for ten minutes from their own time; deltas and digests carry them, and an instance answers a late announcement with the departure. They are in the control log before they are acknowledged.

--- a/plantainlane/announce/server.go
+++ b/plantainlane/announce/server.go
@@ -195,6 +195,8 @@
 		return problem.Write(c, problem.New(http.StatusConflict, "implausible", err.Error()))
 	case errors.Is(err, roster.ErrForeign):
 		return problem.Write(c, problem.New(http.StatusForbidden, "foreign-upstream", err.Error()))
+	case errors.Is(err, control.ErrNotRecorded):
+		return problem.Write(c, problem.New(http.StatusServiceUnavailable, "not-recorded", err.Error(), problem.WithRetryAfter(time.Second)))
 	}
 	return problem.Write(c, problem.New(http.StatusServiceUnavailable, "busy", "the control goroutine did not answer in time",
 		problem.WithRetryAfter(time.Second)))
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -150,6 +150,7 @@
 	for _, o := range opts {
 		o(c)
 	}
+	c.restoreDepartures()
 	return c
 }
 
@@ -284,12 +285,11 @@
 		c.record(wire.Event{Kind: "peerLost", Detail: &in.ID})
 		c.forgetPush(in.ID)
 	case Proposed:
-		c.propose(in)
+		c.propose(in.Command, in.Until, func(a wire.ProposeAnswer) { in.Reply <- a })
 	case UpstreamAnnounced:
-		in.Reply <- c.announce(in)
+		c.announce(in)
 	case UpstreamLeft:
-		in.Reply <- c.roster.Leave(in.ID, in.Credential, in.Incarnation, in.Sequence, c.now)
-		c.dirty = true
+		c.leave(in)
 	case DrainRequested:
 		c.requestDrain(in)
 	case StatusRequested:
--- a/plantainlane/control/orders.go
+++ b/plantainlane/control/orders.go
@@ -118,10 +118,8 @@
 func (c *Core) requestFencing() {
 	reply := make(chan wire.ProposeAnswer, 1)
 	c.orders.fencingReply = reply
-	c.propose(Proposed{
-		Command: wire.Command{Fencing: &wire.FencingAdvance{Holder: c.self.ID, Term: c.leaderState.term}},
-		Until:   c.now.Add(fencingWait), Reply: reply,
-	})
+	command := wire.Command{Fencing: &wire.FencingAdvance{Holder: c.self.ID, Term: c.leaderState.term}}
+	c.propose(command, c.now.Add(fencingWait), func(a wire.ProposeAnswer) { reply <- a })
 }
 
 // receiveFencing sets the fencing number if the answer to the request for a number has arrived and holds one.
--- a/plantainlane/control/proposal.go
+++ b/plantainlane/control/proposal.go
@@ -29,8 +29,9 @@
 	// retryAt is when the command is sent to the leader again.
 	retryAt time.Time
 	// sent is set once the command was sent to a leader. From then on the command may be committed.
-	sent  bool
-	reply chan<- wire.ProposeAnswer
+	sent bool
+	// done receives the outcome.
+	done func(wire.ProposeAnswer)
 }
 
 // proposals holds the waiting proposals of this instance by call ID, and the newest call ID.
@@ -51,10 +52,10 @@
 }
 
 // propose adds a command from this instance's own traffic or operators to the waiting proposals. Every command can
-// safely be sent more than once: changes, claims and resolutions of claims carry IDs, and cost totals carry sequences.
-func (c *Core) propose(in Proposed) {
+// safely be sent more than once: changes, claims and resolutions of claims carry IDs, cost totals and departures carry sequences.
+func (c *Core) propose(command wire.Command, until time.Time, done func(wire.ProposeAnswer)) {
 	c.proposals.call++
-	c.proposals.rows[c.proposals.call] = &proposal{command: in.Command, until: in.Until, reply: in.Reply}
+	c.proposals.rows[c.proposals.call] = &proposal{command: command, until: until, done: done}
 }
 
 // runProposals sends waiting proposals to the leader, retries unanswered ones every ProposalRetry, and finishes those
@@ -89,7 +90,7 @@
 		return
 	}
 	delete(c.proposals.rows, call)
-	p.reply <- a
+	p.done(a)
 }
 
 // appendProposal appends a command to the log on the leader. Any other instance refuses the command.
@@ -101,6 +102,10 @@
 	if cmd.Change != nil && c.prepareChange(from, &cmd) {
 		return
 	}
+	if cmd.Depart != nil && c.state.HasDeparted(*cmd.Depart) {
+		c.answerProposal(from, wire.ProposeAnswer{Committed: true})
+		return
+	}
 	data, err := wire.Encode(cmd)
 	if err != nil {
 		c.answerProposal(from, wire.ProposeAnswer{Refusal: err.Error()})
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -66,6 +66,7 @@
 	}
 	c.state, c.appliedIndex, c.snapshotIndex = restored, s.Index, s.Index
 	c.applyConfig(restored.Config)
+	c.restoreDepartures()
 	detail := membershipText(s.Replicas)
 	c.record(wire.Event{Kind: "snapshotRestored", Revision: &restored.Config.Revision, Detail: &detail})
 }
@@ -99,6 +100,9 @@
 	if cmd.Quarantine != nil {
 		c.recordQuarantine(cmd.Quarantine)
 	}
+	if cmd.Depart != nil && c.roster.Depart(*cmd.Depart, c.now) {
+		c.dirty = true
+	}
 	c.answerApplied(e.Index, out)
 }
 
--- a/plantainlane/control/upstreams.go
+++ b/plantainlane/control/upstreams.go
@@ -21,29 +21,34 @@
 	expireInterval = 500 * time.Millisecond
 )
 
-// announce adds an announcement that an upstream sent to this instance. If the announcement is refused, the error says
-// why.
-func (c *Core) announce(in UpstreamAnnounced) error {
+// announce adds an announcement that an upstream sent to this instance and answers it. If the announcement is refused, the error
+// says why. That an upstream is leaving is answered once it is recorded.
+func (c *Core) announce(in UpstreamAnnounced) {
 	a := in.Announcement
 	old, known := c.roster.View().Rows.Get(a.ID)
 	if err := c.roster.Announce(a, in.Credential, c.now); err != nil {
-		return err
+		in.Reply <- err
+		return
 	}
 	c.dirty = true
+	if a.Leaving {
+		c.commitDeparture(a.ID, in.Reply)
+	} else {
+		in.Reply <- nil
+	}
 	if !known || old.Expired || old.Announcement.Incarnation != a.Incarnation {
 		c.record(wire.Event{Kind: "upstreamAnnounced", Upstream: &a.ID})
 	}
 	if a.Leaving {
 		c.record(wire.Event{Kind: "upstreamLeaving", Upstream: &a.ID})
 	}
-	return nil
 }
 
 // runRoster propagates the announcements that this instance received from upstreams, marks upstreams as expired, and
 // sends the digest of the roster to a random peer for comparison every DigestInterval.
 func (c *Core) runRoster() {
 	changed, renewed := c.roster.TakeChanged()
-	c.propagateChanges(wire.UpstreamDelta{Announcements: changed}, "")
+	c.propagateChanges(wire.UpstreamDelta{Announcements: changed, Departures: c.roster.TakeDepartures()}, "")
 	c.propagateRenewals(renewed, "")
 	if !c.now.Before(c.nextExpiry) {
 		c.nextExpiry = c.now.Add(expireInterval)
@@ -62,7 +67,7 @@
 // all peers. In a large region it sends them to changeFanout random peers, which forward the changes that are new to
 // them.
 func (c *Core) propagateChanges(d wire.UpstreamDelta, except string) {
-	if len(d.Announcements) == 0 && len(d.Lapsed) == 0 {
+	if len(d.Announcements)+len(d.Lapsed)+len(d.Departures) == 0 {
 		return
 	}
 	peers := c.peersIn("")
@@ -106,9 +111,11 @@
 }
 
 // handleUpstreamDelta merges upstream updates from another instance into the roster, requests the announcements that
-// are missing here, and sends those that the other instance requests. In a large region it forwards new updates.
+// are missing here, and sends those that the other instance requests. In a large region it forwards new updates. To announcements
+// of upstreams that have left since, it answers with the departures.
 func (c *Core) handleUpstreamDelta(from string, d wire.UpstreamDelta) {
-	changed, renewed := c.roster.Merge(d.Announcements, c.now)
+	departed := c.mergeDepartures(d.Departures)
+	changed, renewed, late := c.roster.Merge(d.Announcements, c.now)
 	expired := c.roster.ExpireReported(d.Lapsed)
 	for _, l := range expired {
 		c.expiredUpstreams = append(c.expiredUpstreams, l.ID)
@@ -116,12 +123,16 @@
 	var unknown []string
 	if d.Renewals != nil {
 		var updated []wire.Announcement
-		updated, unknown = c.roster.Renew(*d.Renewals, c.now)
-		renewed = append(renewed, updated...)
+		var lateRenewals []wire.Departure
+		updated, unknown, lateRenewals = c.roster.Renew(*d.Renewals, c.now)
+		renewed, late = append(renewed, updated...), append(late, lateRenewals...)
 	}
-	if len(changed)+len(renewed)+len(expired) > 0 {
+	if len(changed)+len(renewed)+len(expired)+len(departed) > 0 {
 		c.dirty = true
 	}
+	if len(late) > 0 {
+		c.send(from, wire.Frame{Upstreams: &wire.UpstreamDelta{Departures: late}})
+	}
 	if len(unknown) > 0 {
 		c.send(from, wire.Frame{Upstreams: &wire.UpstreamDelta{Wanted: unknown}})
 	}
@@ -131,7 +142,7 @@
 	if !c.isLarge() {
 		return
 	}
-	c.propagateChanges(wire.UpstreamDelta{Announcements: changed, Lapsed: expired}, from)
+	c.propagateChanges(wire.UpstreamDelta{Announcements: changed, Lapsed: expired, Departures: departed}, from)
 	c.propagateRenewals(renewed, from)
 }
 
@@ -189,12 +200,13 @@
 	return zones
 }
 
-// handleDigest sends the announcements in which this instance differs from the digest of another instance. A digest
+// handleDigest sends the announcements and departures in which this instance differs from the digest of another instance. A digest
 // that isn't an answer to a digest is answered with the digest of this instance, so that both instances receive what
 // they lack.
 func (c *Core) handleDigest(from string, d wire.UpstreamDigest) {
-	if differing := c.roster.Differing(d.Buckets); len(differing) > 0 {
-		c.send(from, wire.Frame{Upstreams: &wire.UpstreamDelta{Announcements: differing}})
+	differing, departures := c.roster.Differing(d.Buckets), c.roster.DifferingDepartures(d.Buckets)
+	if len(differing)+len(departures) > 0 {
+		c.send(from, wire.Frame{Upstreams: &wire.UpstreamDelta{Announcements: differing, Departures: departures}})
 	}
 	if !d.Answer {
 		c.send(from, wire.Frame{Digest: &wire.UpstreamDigest{Buckets: c.roster.Digest(), Answer: true}})
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -295,7 +295,19 @@
 // result before ctx ends.
 func (x *Instance) Announce(ctx context.Context, a wire.Announcement) error {
 	reply := make(chan error, 1)
-	if !x.loop.Deliver(ctx, control.UpstreamAnnounced{Announcement: a, Reply: reply}) {
+	return x.deliver(ctx, control.UpstreamAnnounced{Announcement: a, Reply: reply}, reply)
+}
+
+// Leave passes the departure of an upstream, known or not, to the control goroutine, and waits until it is recorded, as Announce does.
+// It returns control.ErrNotRecorded if that takes too long.
+func (x *Instance) Leave(ctx context.Context, id string, incarnation, sequence int) error {
+	reply := make(chan error, 1)
+	return x.deliver(ctx, control.UpstreamLeft{ID: id, Incarnation: incarnation, Sequence: sequence, Reply: reply}, reply)
+}
+
+// deliver passes an input to the control goroutine and waits for its reply.
+func (x *Instance) deliver(ctx context.Context, in control.Input, reply <-chan error) error {
+	if !x.loop.Deliver(ctx, in) {
 		return ctx.Err()
 	}
 	select {
--- a/plantainlane/roster/digest.go
+++ b/plantainlane/roster/digest.go
@@ -11,7 +11,8 @@
 const digestBuckets = 64
 
 // Digest returns the hash of each bucket. It covers the announcements of the upstreams that are not expired, without
-// sequence, cache sequence and load, so that instances that differ only in renewals send nothing to each other.
+// sequence, cache sequence and load, so that instances that differ only in renewals send nothing to each other. It covers the
+// departures without their time.
 func (r *Roster) Digest() []int {
 	out := make([]int, digestBuckets)
 	for i, h := range r.hashes {
@@ -37,6 +38,24 @@
 	return out
 }
 
+// DifferingDepartures returns the departures in the buckets whose hash differs from another instance's digest.
+func (r *Roster) DifferingDepartures(digest []int) []wire.Departure {
+	own := r.Digest()
+	var out []wire.Departure
+	for id, d := range r.departed.rows.All() {
+		if b := bucketOf(id); len(digest) != digestBuckets || digest[b] != own[b] {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// toggleDeparture adds a departure to its bucket's hash, or removes one that was added before.
+func (r *Roster) toggleDeparture(d wire.Departure) {
+	d.AtMs = 0
+	r.hashes[bucketOf(d.ID)] ^= hashOf(d)
+}
+
 // toggleHash adds an announcement to its bucket's hash, or removes one that was added before.
 func (r *Roster) toggleHash(a wire.Announcement) {
 	r.hashes[bucketOf(a.ID)] ^= stableHash(a)
@@ -45,7 +64,12 @@
 // stableHash returns a hash of the fields of an announcement that a renewal doesn't change; 0 if they can't be encoded.
 func stableHash(a wire.Announcement) uint64 {
 	a.Sequence, a.CacheSequence, a.Load = 0, 0, wire.UpstreamLoad{}
-	b, err := wire.Encode(a)
+	return hashOf(a)
+}
+
+// hashOf returns the hash of an encoded value; 0 if it can't be encoded.
+func hashOf(v any) uint64 {
+	b, err := wire.Encode(v)
 	if err != nil {
 		return 0
 	}
--- a/plantainlane/roster/renewal.go
+++ b/plantainlane/roster/renewal.go
@@ -34,16 +34,21 @@
 
 // Renew applies renewals from another instance. It returns the announcements that it renewed, and the IDs of upstreams
 // that are unknown here, expired, or known only in an earlier incarnation. Renewals that aren't newer than the known
-// announcement, and those of leaving upstreams, are ignored. If the lists in n have different lengths, Renew applies
-// nothing.
-func (r *Roster) Renew(n wire.UpstreamRenewals, now time.Time) (renewed []wire.Announcement, unknown []string) {
+// announcement, and those of leaving upstreams, are ignored; late lists the departures that the sender doesn't know. If the lists
+// in n have different lengths, Renew applies nothing.
+func (r *Roster) Renew(n wire.UpstreamRenewals, now time.Time) (renewed []wire.Announcement, unknown []string, late []wire.Departure) {
 	size := len(n.Ids)
 	for _, l := range [][]int{n.Incarnations, n.Sequences, n.InFlight, n.Queued, n.FreeBlocks, n.CacheSequences} {
 		if len(l) != size {
-			return nil, nil
+			return nil, nil, nil
 		}
 	}
 	for i, id := range n.Ids {
+		if r.isLate(wire.Announcement{ID: id, Incarnation: n.Incarnations[i], Sequence: n.Sequences[i]}) {
+			d, _ := r.Departure(id)
+			late = append(late, d)
+			continue
+		}
 		old, ok := r.view.Rows.Get(id)
 		if !ok || old.Announcement.Incarnation < n.Incarnations[i] || old.Expired {
 			unknown = append(unknown, id)
@@ -58,7 +63,7 @@
 		r.put(&Row{Announcement: a, Until: now.Add(ttl(a)), Credential: old.Credential})
 		renewed = append(renewed, a)
 	}
-	return renewed, unknown
+	return renewed, unknown, late
 }
 
 // Overdue returns the IDs of upstreams whose renewal is overdue: they are not expired, but have less than the given
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -25,7 +25,7 @@
 var ErrForeign = errors.New("roster: upstream belongs to another credential")
 
 // expiredRetention is how long a row is kept after its time to live has passed.
-const expiredRetention = 10 * time.Minute
+const expiredRetention = DepartureRetention
 
 // MaxTTL is the longest time to live of an announcement.
 const MaxTTL = 5 * time.Minute
@@ -57,11 +57,12 @@
 // Roster holds the upstreams that one instance knows. It must be used by one goroutine only. Its Views may be shared.
 type Roster struct {
 	view View
-	// hashes holds for each bucket the XOR of the stable hashes of its announcements that are not expired.
+	// hashes holds for each bucket the XOR of the stable hashes of its announcements that are not expired, and of its departures.
 	hashes [digestBuckets]uint64
 	// announced holds the IDs of the upstreams announced at this instance since the last TakeChanged. The value is true
 	// if all announcements of the upstream since then were renewals.
 	announced map[string]bool
+	departed  departures
 	// newAnnouncements lists the announcements put into the roster since the last TakeNew.
 	newAnnouncements []wire.Announcement
 }
@@ -77,8 +78,8 @@
 }
 
 // Announce applies an announcement that an upstream sent to this instance. It returns ErrForeign if another credential
-// announced the upstream, ErrStale if the announcement is not newer than the known one, and ErrImplausible if it contradicts
-// it. Then nothing changes.
+// announced the upstream, ErrStale if the announcement is not newer than the known one or than the upstream's departure, and
+// ErrImplausible if it contradicts the known one. Then nothing changes.
 func (r *Roster) Announce(a wire.Announcement, credential string, now time.Time) error {
 	old, ok := r.view.Rows.Get(a.ID)
 	if ok && old.Credential != "" && old.Credential != credential {
@@ -88,6 +89,9 @@
 		return errors.Wrapf(ErrStale, "upstream %s is known with incarnation %d, sequence %d",
 			a.ID, old.Announcement.Incarnation, old.Announcement.Sequence)
 	}
+	if r.isLate(a) {
+		return errors.Wrapf(ErrStale, "upstream %s has left", a.ID)
+	}
 	if ok && contradicts(a, old.Announcement) {
 		return errors.Wrapf(ErrImplausible, "upstream %s", a.ID)
 	}
@@ -95,31 +99,26 @@
 	if pendingOnlyRenewed, pending := r.announced[a.ID]; pending {
 		onlyRenewed = onlyRenewed && pendingOnlyRenewed
 	}
+	r.noteLeaving(a, old, now)
 	r.put(&Row{Announcement: a, Until: now.Add(ttl(a)), Credential: credential})
 	r.announced[a.ID] = onlyRenewed
 	return nil
 }
 
-// Leave marks an upstream as leaving. It returns ErrStale if the upstream is unknown or its known announcement is not
-// older, and ErrForeign if another credential announced the upstream.
-func (r *Roster) Leave(id, credential string, incarnation, sequence int, now time.Time) error {
-	old, ok := r.view.Rows.Get(id)
-	if !ok {
-		return errors.Wrapf(ErrStale, "upstream %s is not known", id)
-	}
-	a := old.Announcement
-	a.Incarnation, a.Sequence, a.Leaving = incarnation, sequence, true
-	return r.Announce(a, credential, now)
-}
-
 // Merge applies announcements from another instance. It returns those that were newer than the known ones: renewals in
-// renewed, all others in changed.
-func (r *Roster) Merge(list []wire.Announcement, now time.Time) (changed, renewed []wire.Announcement) {
+// renewed, all others in changed. late lists the departures of upstreams whose announcements were made before.
+func (r *Roster) Merge(list []wire.Announcement, now time.Time) (changed, renewed []wire.Announcement, late []wire.Departure) {
 	for _, a := range list {
+		if r.isLate(a) {
+			d, _ := r.Departure(a.ID)
+			late = append(late, d)
+			continue
+		}
 		old, ok := r.view.Rows.Get(a.ID)
 		if ok && !newer(a, old.Announcement) {
 			continue
 		}
+		r.noteLeaving(a, old, now)
 		row := &Row{Announcement: a, Until: now.Add(ttl(a))}
 		if ok {
 			row.Credential = old.Credential
@@ -131,12 +130,12 @@
 			changed = append(changed, a)
 		}
 	}
-	return changed, renewed
+	return changed, renewed, late
 }
 
 // Expire marks the rows as expired whose time to live has passed, except those for which keep returns true. It removes
-// expired rows expiredRetention after the end of their time to live. It returns the announcements of the upstreams that
-// it marked.
+// expired rows expiredRetention after the end of their time to live, and departures after their retention. It returns the
+// announcements of the upstreams that it marked.
 func (r *Roster) Expire(now time.Time, keep func(wire.Announcement) bool) []wire.Announcement {
 	var expired []wire.Announcement
 	var outdated []string
@@ -153,6 +152,7 @@
 		row, _ := r.view.Rows.Get(a.ID)
 		r.markExpired(a.ID, row)
 	}
+	r.forgetDepartures(now)
 	for _, id := range outdated {
 		r.view.Rows = r.view.Rows.Without(id)
 	}
--- a/plantainlane/roster/roster_test.go
+++ b/plantainlane/roster/roster_test.go
@@ -70,7 +70,7 @@
 	is.NoErr(r.Leave("u", "c", 2, 6, start))
 	is.True(errors.Is(r.Announce(announcement(2, 5, false), "c", start), ErrStale))
 	merge := func(now time.Time, list ...wire.Announcement) int {
-		changed, renewed := r.Merge(list, now)
+		changed, renewed, _ := r.Merge(list, now)
 		return len(changed) + len(renewed)
 	}
 	is.Equal(merge(start, announcement(2, 5, false)), 0)
@@ -135,20 +135,20 @@
 	is.Equal(len(renewed), 1)
 	is.Equal(a.Digest(), b.Digest()) // a renewal doesn't change the digest
 
-	applied, unknown := b.Renew(*Renewals(renewed), later)
+	applied, unknown, _ := b.Renew(*Renewals(renewed), later)
 	is.Equal(len(applied), 1)
 	is.Equal(len(unknown), 0)
 	row, _ := b.View().Rows.Get("u")
 	is.Equal(row.Announcement.Load.InFlight, 5)
 	is.Equal(row.Until, later.Add(3*time.Second))
 
-	applied, _ = b.Renew(*Renewals(renewed), later.Add(time.Second)) // repeated
+	applied, _, _ = b.Renew(*Renewals(renewed), later.Add(time.Second)) // repeated
 	is.Equal(len(applied), 0)
-	_, unknown = New().Renew(*Renewals(renewed), later)
+	_, unknown, _ = New().Renew(*Renewals(renewed), later)
 	is.Equal(unknown, []string{"u"})
 	malformed := Renewals(renewed)
 	malformed.Sequences = nil
-	applied, unknown = b.Renew(*malformed, later)
+	applied, unknown, _ = b.Renew(*malformed, later)
 	is.Equal(len(applied)+len(unknown), 0)
 }
 
--- a/plantainlane/state/snapshot.go
+++ b/plantainlane/state/snapshot.go
@@ -21,6 +21,7 @@
 
 	Quarantine        []wire.QuarantineEntry `cbor:"quarantine"`
 	QuarantineVersion int                    `cbor:"quarantineVersion"`
+	Departures        []wire.Departure       `cbor:"departures"`
 }
 
 // timedKey is a row of State.Expired (a key hash and when its claim ended) or of State.Released (an attempt and when it
@@ -47,6 +48,7 @@
 func (s *State) Freeze() *State {
 	out := *s
 	out.changeIDs = s.changeIDs[:len(s.changeIDs):len(s.changeIDs)]
+	out.departed = nil // isn't encoded
 	return &out
 }
 
@@ -59,6 +61,7 @@
 		ForgottenMs:  s.ForgottenMs,
 
 		QuarantineVersion: s.QuarantineVersion,
+		Departures:        s.departuresInOrder(),
 	}
 	for _, id := range s.changeIDs {
 		c, _ := s.Changes.Get(id)
@@ -118,6 +121,9 @@
 	for _, e := range encoded.Quarantine {
 		s.Quarantine = s.Quarantine.With(e.ID, e)
 	}
+	for _, d := range encoded.Departures {
+		s.depart(d)
+	}
 	return s, nil
 }
 
--- a/plantainlane/state/state.go
+++ b/plantainlane/state/state.go
@@ -57,7 +57,11 @@
 	Quarantine table.Table[wire.QuarantineEntry]
 	// QuarantineVersion counts the changes of Quarantine. It never decreases.
 	QuarantineVersion int
+	// Departures holds the departures of upstreams, by the upstream's ID.
+	Departures table.Table[wire.Departure]
 
+	// departed holds the departures in the order in which they were stored, also those that a later one replaced.
+	departed []wire.Departure
 	// changeIDs holds the keys of Changes in the order in which they were applied.
 	changeIDs []string
 	// requests holds the claim key of each claim by its request ID.
@@ -101,6 +105,8 @@
 		s.addCostTotals(*c.Cost)
 	case c.Quarantine != nil:
 		s.changeQuarantine(*c.Quarantine)
+	case c.Depart != nil:
+		s.depart(*c.Depart)
 	default:
 		return Outcome{}, ErrEmptyCommand
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -256,6 +256,9 @@
 	// Cost totals of an instance.
 	Cost *CostTotals `json:"cost,omitempty,omitzero" cbor:"cost,omitempty"`
 
+	// Departure of an upstream.
+	Depart *Departure `json:"depart,omitempty,omitzero" cbor:"depart,omitempty"`
+
 	// Time before which ended claims are deleted.
 	Expire *ExpireClaims `json:"expire,omitempty,omitzero" cbor:"expire,omitempty"`
 
@@ -539,6 +542,22 @@
 	Workspaces []string `json:"workspaces" cbor:"workspaces"`
 }
 
+// Departure is the departure of an upstream: its announcements up to this one are
+// late ones.
+type Departure struct {
+	// Time of the departure, in milliseconds since 1970.
+	AtMs int `json:"atMs" cbor:"atMs"`
+
+	// Upstream ID.
+	ID string `json:"id" cbor:"id"`
+
+	// Incarnation of the upstream that left.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Sequence of the announcement with which it left.
+	Sequence int `json:"sequence" cbor:"sequence"`
+}
+
 // DrainOrder commands an instance to drain and to stop.
 type DrainOrder struct {
 	// Instance ID.
@@ -1984,6 +2003,9 @@
 	// New or changed announcements.
 	Announcements []Announcement `json:"announcements" cbor:"announcements"`
 
+	// Departures that the receiver may not know.
+	Departures []Departure `json:"departures,omitempty,omitzero" cbor:"departures,omitempty"`
+
 	// Upstreams of the sender's availability zone whose announcements have expired.
 	Lapsed []UpstreamLapse `json:"lapsed,omitempty,omitzero" cbor:"lapsed,omitempty"`
 
