forward: a stream of empty lines isn't alive; test of endless answers on real processes

Callers saw: a stream of nothing but empty lines was forwarded until its deadline, though another upstream could have answered it.

Evidence: TestEndlessAnswerHoldsRequest/empty_lines failed before the change (unexpected EOF).

--- a/plantainlane/forward/broken_event_test.go
+++ b/plantainlane/forward/broken_event_test.go
@@ -90,6 +90,8 @@
 		"break within an ID":                    {[]string{numberedEvents(1, 2) + "id: \n\n" + textHead}, false, true},
 		"break within an ID, later":             {[]string{numberedEvents(1, 2), "id: 1\n\n", textHead}, false, true},
 		"break after an ID":                     {[]string{numberedEvents(1, 2), "id: 3\n\n", textHead}, false, true},
+		"empty lines behind an ID":              {[]string{numberedEvents(1, 2) + "id: 3\n\n", strings.Repeat("\n", 100)}, true, true},
+		"empty lines before any event":          {[]string{strings.Repeat("\n", 100)}, true, true},
 		"events once more":                      {[]string{numberedEvents(1, 2), numberedEvents(1, 2)}, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/plantainlane/forward/endless_test.go
+++ b/plantainlane/forward/endless_test.go
@@ -49,6 +49,8 @@
 		"refusal":                {false, "HTTP/1.1 503 Busy\r\nX-Id: ID\r\nX-Not-Run: yes\r\n\r\n", "x"},
 		"event line":             {true, signed + "\r\n", "x"},
 		"event lines":            {true, signed + "\r\n", "data: x\n"},
+		"empty lines":            {true, signed + "\r\n", "\n"},
+		"lines behind an ID":     {true, signed + "\r\nid: 1\n\n", "\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -23,6 +23,10 @@
 	errEventInDoubt = errors.New("the last event that was forwarded may be a part of one: the bytes behind it are no event")
 )
 
+// maxEmptyLines is the number of empty lines in a row that a stream may have beside the one that ends an event. No writer of events
+// needs more than a few.
+const maxEmptyLines = 16
+
 // forwarding is the forwarding of the events of one answer.
 type forwarding struct {
 	*request
@@ -34,6 +38,10 @@
 	held *event
 	// isLastOpen is set if the last event was forwarded and nothing has shown that it is whole.
 	isLastOpen bool
+	// hasEvent is set once there was an event that isn't only an empty line. What comes before it waits for it.
+	hasEvent bool
+	// emptyLines is the number of empty lines since the last event.
+	emptyLines int
 	// lastID is the ID of the last event, held or forwarded.
 	lastID string
 }
@@ -75,7 +83,11 @@
 	if errors.Is(err, io.EOF) && !exchange.HasEnd(f.res) && (first || f.held != nil) {
 		err = io.ErrUnexpectedEOF
 	}
-	if err == nil && (e.isForeign || !f.isNext(e)) {
+	f.emptyLines++
+	if !e.isEmpty {
+		f.emptyLines = 0
+	}
+	if err == nil && (e.isForeign || !f.isNext(e) || f.emptyLines > maxEmptyLines) {
 		err = errForeignBytes
 	}
 	switch {
@@ -118,7 +130,8 @@
 	if e.id != "" {
 		f.lastID = e.id
 	}
-	if e.isDoubtful || !e.isComment && f.reader.isForeignAhead() {
+	f.hasEvent = f.hasEvent || !e.isEmpty
+	if e.isDoubtful || !f.hasEvent || !e.isComment && f.reader.isForeignAhead() {
 		f.held, f.reader.held, f.isLastOpen = &e, len(e.bytes), false
 		return nil
 	}
