forward: an upstream's failure isn't given as a refusal

Callers saw: on the users' machines, requests that had been refused with a promise had run (one on each of two sites; no logs).

Cause: callers take these statuses for a promise, whoever wrote them; upstreams mean it only where they say so themselves. An upstream's failure was given on as it came.

Evidence: TestUpstreamsFailureIsGivenAsRefusal failed before the change (503 instead of 502) and passes now. That the users' cases are these is suspected, not shown; the table of all answers in docs/incidents/issue-51-refused.md found no other way.

Fix: where a request must not run twice, such an answer becomes a 502 without the signature, unless the upstream says that it hasn't run the request.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -54,8 +54,10 @@
 	result sendResult
 	// err is why nothing was delivered; nil for delivered sends.
 	err error
-	// answer is the upstream's whole answer, set for failedAnswer only.
-	answer *exchange.Reply
+	// answer is the upstream's whole answer, set for failedAnswer only. claimsNotRun is set if its status says that the request did not
+	// run, though it may have.
+	answer       *exchange.Reply
+	claimsNotRun bool
 }
 
 var (
@@ -121,6 +123,9 @@
 		reason = last.err.Error()
 	}
 	switch {
+	case last.claimsNotRun && q.route.RetryMode == site.AtMostOnce:
+		// The caller would send it again.
+		q.refuse(Refusal{Status: http.StatusBadGateway, Reason: reason + " after the request may have run"})
 	case last.result == failedAnswer && !q.headSent:
 		q.deliver(last.answer)
 	// The caller may retry if its deadline leaves the time.
@@ -332,7 +337,8 @@
 	}
 	answer := &exchange.Reply{Status: res.StatusCode, Header: res.Header, Body: body}
 	if !isSuccess {
-		return sendOutcome{result: failedAnswer, answer: answer, err: errors.Newf("upstream answered with status %d", res.StatusCode)}, true
+		err := errors.Newf("upstream answered with status %d", res.StatusCode)
+		return sendOutcome{result: failedAnswer, answer: answer, claimsNotRun: a.ClaimsNotRun, err: err}, true
 	}
 	q.deliver(answer)
 	return sendOutcome{result: delivered}, true
--- a/plantainlane/forward/call.go
+++ b/plantainlane/forward/call.go
@@ -76,6 +76,9 @@
 	ID string
 	// NotRun is set if the request did not run and never will.
 	NotRun bool
+	// ClaimsNotRun is set if the status alone tells callers that the request did not run. Unless NotRun is set as well, the upstream
+	// didn't mean that.
+	ClaimsNotRun bool
 	// Misdirected is set if the address belongs to another upstream now.
 	Misdirected bool
 	// InputsGone is set if stage results that the request needs no longer exist.
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -58,8 +58,9 @@
 func (plainCodec) ReadAnswer(res *http.Response) Answer {
 	return Answer{
 		ID: res.Header.Get("X-Id"), NotRun: res.Header.Get("X-Not-Run") != "",
-		InputsGone: res.Header.Get("X-Not-Run") != "" && res.StatusCode == http.StatusConflict,
-		Genuine:    res.Header.Get("X-Signed") != "", Misdirected: res.StatusCode == http.StatusMisdirectedRequest,
+		InputsGone:   res.Header.Get("X-Not-Run") != "" && res.StatusCode == http.StatusConflict,
+		ClaimsNotRun: res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests,
+		Genuine:      res.Header.Get("X-Signed") != "", Misdirected: res.StatusCode == http.StatusMisdirectedRequest,
 	}
 }
 
