control: a repeated message that an upstream is leaving is acknowledged only once it is recorded

Found by reading: a heartbeat that says "draining" and comes again unchanged, after the first one was answered 503 for want of a quorum, counted as stale and was acknowledged, though nothing was in the control log. TestDepartureIsAcknowledgedUnrecorded covers it now.

--- a/plantainlane/control/departure.go
+++ b/plantainlane/control/departure.go
@@ -19,9 +19,7 @@
 // leave records that an upstream leaves, and answers once that can't be forgotten.
 func (c *Core) leave(in UpstreamLeft) {
 	err := c.roster.Leave(in.ID, in.Credential, in.Incarnation, in.Sequence, c.now)
-	d, ok := c.roster.Departure(in.ID)
-	isRepeated := errors.Is(err, roster.ErrStale) && ok && d.Incarnation == in.Incarnation
-	if err != nil && !isRepeated {
+	if err != nil && !c.repeatsDeparture(err, in.ID, in.Incarnation) {
 		in.Reply <- err
 		return
 	}
@@ -32,6 +30,13 @@
 	c.commitDeparture(in.ID, in.Reply)
 }
 
+// repeatsDeparture reports whether an upstream's message was refused only because its process is known to have departed. That may not
+// be recorded yet.
+func (c *Core) repeatsDeparture(err error, id string, incarnation int) bool {
+	d, ok := c.roster.Departure(id)
+	return errors.Is(err, roster.ErrStale) && ok && d.Incarnation == incarnation
+}
+
 // commitDeparture puts the known departure of an upstream into the control log, from which instances that start again learn of it. It
 // replies ErrNotRecorded if that takes too long.
 func (c *Core) commitDeparture(id string, reply chan<- error) {
--- a/plantainlane/control/departure_test.go
+++ b/plantainlane/control/departure_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"plantainlane/plantainlane/state"
@@ -153,6 +154,17 @@
 	d.isLost = nil
 	is.True(d.leave("b", 2)) // sent again
 	is.True(d.leave("c", 1)) // of the same process, later than the first
+
+	d = newDepartures(t)
+	last := d.announcement(2)
+	last.Leaving = true
+	d.isLost = func(_ string, o Outbound) bool { return o.To == "a" }
+	for range 2 { // sent again unchanged
+		reply := make(chan error, 1)
+		d.step("b", UpstreamAnnounced{Announcement: last, Reply: reply})
+		d.run(time.Second)
+		is.True(errors.Is(<-reply, ErrNotRecorded))
+	}
 }
 
 // usable reports whether an instance uses the upstream.
--- a/plantainlane/control/upstreams.go
+++ b/plantainlane/control/upstreams.go
@@ -26,16 +26,16 @@
 func (c *Core) announce(in UpstreamAnnounced) {
 	a := in.Announcement
 	old, known := c.roster.View().Rows.Get(a.ID)
-	if err := c.roster.Announce(a, in.Credential, c.now); err != nil {
+	err := c.roster.Announce(a, in.Credential, c.now)
+	if a.Leaving && (err == nil || c.repeatsDeparture(err, a.ID, a.Incarnation)) {
+		c.commitDeparture(a.ID, in.Reply)
+	} else {
 		in.Reply <- err
+	}
+	if err != nil {
 		return
 	}
 	c.dirty = true
-	if a.Leaving {
-		c.commitDeparture(a.ID, in.Reply)
-	} else {
-		in.Reply <- nil
-	}
 	if !known || old.Expired || old.Announcement.Incarnation != a.Incarnation {
 		c.record(wire.Event{Kind: "upstreamAnnounced", Upstream: &a.ID})
 	}
