forward: lines on failed sends and skipped answers name the connection

Whether a request was refused on a connection that had carried it before couldn't be told from the logs, nor that an answer to another request was skipped. "send failed" has port and reused, "answer to another request skipped" is new.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -76,6 +76,14 @@
 	tokens []string
 }
 
+// LocalPort returns the local port, which identifies the connection among those to one upstream in logs.
+func (c *Conn) LocalPort() int {
+	if local, ok := c.raw.LocalAddr().(*net.TCPAddr); ok {
+		return local.Port
+	}
+	return 0
+}
+
 // dial opens a connection. All its errors are marked with ErrNotSent.
 func dial(ctx context.Context, address string) (*Conn, error) {
 	d := net.Dialer{
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/quota"
@@ -61,6 +62,8 @@
 	// run, though it may have.
 	answer       *exchange.Reply
 	claimsNotRun bool
+	// conn is the connection that was used; nil if there was none.
+	conn *exchange.Conn
 }
 
 var (
@@ -229,6 +232,7 @@
 	if !stop() {
 		keepFor = 0
 	}
+	out.conn = c
 	pool.Put(c, keepFor)
 	return out
 }
@@ -324,6 +328,8 @@
 		if answer.ID == "" || answer.ID == q.call.ID {
 			return res, answer, nil
 		}
+		klog.InfoS("answer to another request skipped", "request", q.call.ID, "answered", answer.ID, "status", res.StatusCode,
+			"upstream", q.upstream, "port", c.LocalPort(), "reused", c.Reused)
 		if _, err := q.server.Client.Pool.Memory.ReadBody(res, maxSkippedBytes); err != nil {
 			return nil, Answer{}, err
 		}
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -202,9 +202,13 @@
 	return sendOutcome{result: delivered}
 }
 
-// logFailedSend logs a send that was not delivered, with the parts of the prompt that other requests may share.
+// logFailedSend logs a send that was not delivered, with its connection and the parts of the prompt that other requests may share.
 func (q *request) logFailedSend(t route.Target, out sendOutcome, took time.Duration) {
+	port, reused := 0, false
+	if out.conn != nil {
+		port, reused = out.conn.LocalPort(), out.conn.Reused
+	}
 	klog.InfoS("send failed", "request", q.call.ID, "upstream", t.ID, "zone", t.Zone, "send", q.sends,
 		"notRun", out.result == notRun || out.result == inputsGone, "events", q.events, "parts", q.call.sharedParts(),
-		"ms", took.Milliseconds(), "err", out.err.Error())
+		"port", port, "reused", reused, "ms", took.Milliseconds(), "err", out.err.Error())
 }
