forward, exchange: a request isn't sent again on a connection that has carried it

What callers saw: requests that must run once were refused with 503 and ran, or ran twice. Cause: a refusal's connection went back to the pool of its address, and the next send of the same request could take it: upstreams are told apart by ID, connections by address, and a process that starts again at its address has two rows for a while. The late copy of the refusal has the ID of the request, so it was believed as the answer to the second send. Evidence: in 19 of 19 such requests the last refusal came on a connection that had carried the request before. Why this works: a connection remembers the requests that were answered on it without being served, and isn't given these again, so an answer with the request's ID is that to its only send on the connection, whichever upstreams are chosen, and also if a caller's library sends the same request again. After 16 such requests a connection isn't kept, so the memory is bounded.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -35,8 +35,12 @@
 	return isEnd && !errors.Is(err, ErrNotSent)
 }
 
-// maxTokens is the number of answers of a connection whose second copies are recognized.
-const maxTokens = 8
+const (
+	// maxTokens is the number of answers of a connection whose second copies are recognized.
+	maxTokens = 8
+	// maxUnserved is the number of unserved requests after which a connection isn't kept.
+	maxUnserved = 16
+)
 
 const (
 	// readBufferBytes is the size of a connection's buffer for answers.
@@ -74,8 +78,14 @@
 	Reused bool
 	// tokens holds the tokens of the last answers, see Request.Accept.
 	tokens []string
+	// unserved holds the IDs of the requests that the connection has carried and that were answered, but not served. They may be
+	// sent again, but not on this connection: a late copy of the answer couldn't be told from that to the second send.
+	unserved []string
 }
 
+// MarkUnserved records that the request with an ID was answered on the connection, but not served.
+func (c *Conn) MarkUnserved(request string) { c.unserved = append(c.unserved, strings.Clone(request)) }
+
 // LocalPort returns the local port, which identifies the connection among those to one upstream in logs.
 func (c *Conn) LocalPort() int {
 	if local, ok := c.raw.LocalAddr().(*net.TCPAddr); ok {
--- a/plantainlane/exchange/exchange_test.go
+++ b/plantainlane/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -160,7 +161,7 @@
 	})
 	_, err := get(p, address)
 	is.NoErr(err)
-	c := p.pop(address)
+	c := p.pop(address, "")
 	is.True(c.isReusable())
 	is.NoErr(c.raw.CloseRead()) // as if the upstream had closed
 	is.True(!c.isReusable())
@@ -174,7 +175,7 @@
 	address := startUpstream(t, func(int) string { return completeAnswer })
 	_, err := get(p, address)
 	is.NoErr(err)
-	c, err := p.Get(context.Background(), address, time.Nanosecond)
+	c, err := p.Get(context.Background(), address, "", time.Nanosecond)
 	is.NoErr(err)
 	is.True(!c.Reused)
 	c.Close()
@@ -218,3 +219,28 @@
 		a.Close()
 	})
 }
+
+// TestConnectionCarriesRequestTwice guards against a request that is sent again on the connection on which it was refused: a late
+// copy of the refusal couldn't be told from the answer. Others may use the connection, until it has carried too many.
+func TestConnectionCarriesRequestTwice(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(time.Minute)
+	address := startUpstream(t, func(int) string { return completeAnswer })
+	_, err := get(p, address)
+	is.NoErr(err)
+	refused := p.pop(address, "r0")
+	refused.MarkUnserved("r0")
+	p.Put(refused, time.Minute)
+	other, err := p.Get(context.Background(), address, "r0", time.Minute)
+	is.NoErr(err)
+	is.True(other != refused)
+	other.Close()
+	for n := 1; n < maxUnserved; n++ {
+		c, err := p.Get(context.Background(), address, strconv.Itoa(n), time.Minute)
+		is.NoErr(err)
+		is.Equal(c, refused)
+		c.MarkUnserved(strconv.Itoa(n))
+		p.Put(c, time.Minute)
+	}
+	is.Equal(countIdle(p, address), 0)
+}
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -35,14 +36,14 @@
 	return &Pool{IdleLimit: idleLimit, idle: make(map[string][]*Conn), Memory: NewMemory()}
 }
 
-// Get returns a connection to an address: the most recently used idle connection that is still open and has been idle
-// for no longer than maxAge, or a new connection if there is none. Get closes the idle connections that it finds
-// unsuitable. All its errors are marked with ErrNotSent.
-func (p *Pool) Get(ctx context.Context, address string, maxAge time.Duration) (*Conn, error) {
+// Get returns a connection to an address for the request with an ID: the most recently used idle connection that is still
+// open, has been idle for no longer than maxAge and hasn't carried the request before, or a new connection if there is none.
+// Get closes the idle connections that it finds closed or idle for longer. All its errors are marked with ErrNotSent.
+func (p *Pool) Get(ctx context.Context, address, request string, maxAge time.Duration) (*Conn, error) {
 	now := time.Now()
 	p.closeExpired(now)
 	for {
-		c := p.pop(address)
+		c := p.pop(address, request)
 		if c == nil {
 			break
 		}
@@ -57,25 +58,29 @@
 	return dial(ctx, address)
 }
 
-// pop removes the most recently used idle connection to an address and returns it; nil if there is none.
-func (p *Pool) pop(address string) *Conn {
+// pop removes the most recently used idle connection to an address that hasn't carried a request and returns it; nil if there
+// is none.
+func (p *Pool) pop(address, request string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if slices.Contains(c.unserved, request) {
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Put returns a connection to the pool after the whole body of its answer was read. The connection can be reused for
 // keepFor, or for IdleLimit if that is shorter. Put closes the connection if keepFor is 0, if its buffer holds data
-// after the answer, or if the pool already has maxIdlePerAddress connections to the address.
+// after the answer, if it has carried maxUnserved requests that weren't served, or if the pool already has maxIdlePerAddress
+// connections to the address.
 func (p *Pool) Put(c *Conn, keepFor time.Duration) {
 	keepFor = min(keepFor, p.IdleLimit)
-	if keepFor <= 0 || c.reader.Buffered() > 0 {
+	if keepFor <= 0 || c.reader.Buffered() > 0 || len(c.unserved) >= maxUnserved {
 		c.Close()
 		return
 	}
@@ -146,7 +151,7 @@
 // the error if r.Accept returns one or the answer is a repeated one. If ctx ends, RoundTrip closes the connection, so that
 // the request fails.
 func (p *Pool) RoundTrip(ctx context.Context, address string, r *Request, maxBody int64) (*Reply, error) {
-	c, err := p.Get(ctx, address, p.IdleLimit)
+	c, err := p.Get(ctx, address, "", p.IdleLimit)
 	if err != nil {
 		return nil, err
 	}
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -221,7 +221,7 @@
 	if q.route.RetryMode != site.Idempotent {
 		maxIdle = maxIdleNonIdempotent
 	}
-	c, err := pool.Get(ctx, t.Address, maxIdle)
+	c, err := pool.Get(ctx, t.Address, q.call.ID, maxIdle)
 	if err != nil {
 		return sendOutcome{result: notRun, err: err}
 	}
@@ -233,6 +233,9 @@
 		keepFor = 0
 	}
 	out.conn = c
+	if out.result != delivered {
+		c.MarkUnserved(q.call.ID)
+	}
 	pool.Put(c, keepFor)
 	return out
 }
--- /dev/null
+++ b/plantainlane/forward/copy_test.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/site"
+)
+
+// copyingUpstream is one process that several rows lead to. It refuses the requests that refuses says, and runs the others. Before it
+// answers a request that it runs, it sends copies of its refusals on that connection once more, copies times each.
+type copyingUpstream struct {
+	refuses func(r *http.Request) bool
+	copies  int
+
+	mu sync.Mutex
+	// runs is the number of runs by the ID of the request, reused those of requests that came on a connection of an earlier one.
+	runs   map[string]int
+	reused int
+}
+
+// serveCopies starts the upstream, and adds rows with the given IDs that lead to it.
+func (h *harness) serveCopies(u *copyingUpstream, ids ...string) {
+	u.runs = make(map[string]int)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	for _, id := range ids {
+		h.row(id, l.Addr().String())
+	}
+}
+
+// serve serves one connection.
+func (u *copyingUpstream) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	var refusals []string
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("X-Id")
+		if u.refuses(r) {
+			refusal := fmt.Sprintf("HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: yes\r\nContent-Length: 0\r\n\r\n", id)
+			refusals = append(refusals, refusal)
+			_, _ = io.WriteString(c, refusal)
+			continue
+		}
+		u.mu.Lock()
+		u.runs[id]++
+		if n > 0 {
+			u.reused++
+		}
+		u.mu.Unlock()
+		for _, refusal := range refusals {
+			for range u.copies {
+				_, _ = io.WriteString(c, refusal)
+			}
+		}
+		refusals = nil
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: yes\r\nContent-Length: 2\r\n\r\nok", id)
+	}
+}
+
+// TestCopyOfRefusalAnswersSecondSend guards against the late copy of a refusal that is taken for the answer to the second send of the
+// same request, to another row with the same address: it would run a second time, or be refused though it runs.
+func TestCopyOfRefusalAnswersSecondSend(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 2})
+	u := &copyingUpstream{copies: 1, refuses: func(r *http.Request) bool { return r.Header.Get("X-Upstream") == "old" }}
+	h.serveCopies(u, "old", "new")
+	for i := range 20 {
+		id := strconv.Itoa(i)
+		res, _, err := h.post("X-Id", id)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(u.runs[id], 1)
+	}
+}
+
+// TestCopyOfRefusalAnswersRepeatedRequest guards against the late copy of a refusal that is taken for the answer to the same request when
+// its caller sends it again.
+func TestCopyOfRefusalAnswersRepeatedRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	refused := false
+	u := &copyingUpstream{copies: 1, refuses: func(*http.Request) bool {
+		defer func() { refused = true }()
+		return !refused
+	}}
+	h.serveCopies(u, "u")
+	res, _, err := h.post()
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	res, _, err = h.post()
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(u.runs["id1"], 1)
+}
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -183,9 +183,13 @@
 		handler(rw, r)
 	}))
 	h.t.Cleanup(s.Close)
+	h.row(id, s.Listener.Addr().String())
+}
+
+// row adds a row of an upstream of the service at an address.
+func (h *harness) row(id, address string) {
 	a := wire.Announcement{
-		ID: id, Service: "s", Address: s.Listener.Addr().String(), Zone: "zone", Region: "region", Capacity: 8,
-		Incarnation: 1, Sequence: 1, TTLMs: 60_000,
+		ID: id, Service: "s", Address: address, Zone: "zone", Region: "region", Capacity: 8, Incarnation: 1, Sequence: 1, TTLMs: 60_000,
 	}
 	_ = h.roster.Announce(a, "", time.Now())
 	h.balancer.Apply(time.Now(), a)
