forward: several copies of earlier answers don't end a request

What callers saw: 502 for a request that must run once, though its upstream was about to answer it. Cause: a connection was given up at the second answer to another request. An upstream that has refused several requests on a connection and sends a copy of each, or two of one, sends more before the answer. Evidence and result: TestSecondCopyEndsNextRequest failed before (502 for 200, two refusals with two copies each).

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -19,7 +19,7 @@
 	// maxSends bounds the sends of one request, including those that did not run.
 	maxSends = 4
 	// maxMismatchedAnswers is the number of answers to other requests after which a connection is abandoned.
-	maxMismatchedAnswers = 2
+	maxMismatchedAnswers = 8
 	// maxIdleNonIdempotent is the idle time up to which a connection is reused for a request that is not idempotent.
 	maxIdleNonIdempotent = 2 * time.Second
 	// minTimeLeft is the time until the deadline below which a request is not sent.
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -118,3 +118,20 @@
 	is.Equal(res.StatusCode, http.StatusOK)
 	is.Equal(u.runs["id1"], 1)
 }
+
+// TestSecondCopyEndsNextRequest guards against a request that ends without its answer because an upstream sends more than one copy of the
+// refusals of earlier requests before it.
+func TestSecondCopyEndsNextRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	u := &copyingUpstream{copies: 2, refuses: func(r *http.Request) bool { return r.Header.Get("X-Id") != "last" }}
+	h.serveCopies(u, "u")
+	for _, id := range []string{"first", "second"} {
+		_, _, err := h.post("X-Id", id)
+		is.NoErr(err)
+	}
+	res, _, err := h.post("X-Id", "last")
+	is.NoErr(err)
+	is.Equal(u.reused, 1)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
