forward: the bodies of all requests together are bounded

Cause: each body was bounded, all together weren't, and each was copied once more while it was sent. Why this works: a request reserves the memory for its body from 64 MiB for the instance, as answers do, until it ends; one for which there is none is refused at once with 503, before any upstream is asked. A body is written from where it lies (writev). Bodies up to 64 KiB don't count.

--- a/plantainlane/exchange/body.go
+++ b/plantainlane/exchange/body.go
@@ -9,28 +9,28 @@
 )
 
 var (
-	// ErrTooLarge reports an answer whose body is longer than allowed.
+	// ErrTooLarge reports a body that is longer than allowed.
 	ErrTooLarge = errors.New("exchange: body too large")
-	// ErrNoMemory reports an answer for which no memory is left beside the answers that are being collected.
-	ErrNoMemory = errors.New("exchange: too many large answers at the same time")
+	// ErrNoMemory reports a body for which no memory is left beside the others.
+	ErrNoMemory = errors.New("exchange: too many large bodies at the same time")
 )
 
 const (
-	// maxCollectedBytes bounds the bytes of all answers that are collected in one Memory at the same time.
-	maxCollectedBytes = 32 << 20
-	// freeBytes is the size up to which an answer doesn't count towards maxCollectedBytes.
+	// AnswerBytes bounds the bytes of all answers that are collected at the same time.
+	AnswerBytes = 32 << 20
+	// freeBytes is the size up to which a body doesn't count towards a Memory.
 	freeBytes = 64 << 10
 )
 
-// Memory bounds the memory for answers that are being collected. It is safe for concurrent use.
+// Memory bounds the memory for bodies that are held at the same time. It is safe for concurrent use.
 type Memory struct {
 	left *semaphore.Weighted
 }
 
-// NewMemory returns a Memory for maxCollectedBytes.
-func NewMemory() *Memory { return &Memory{left: semaphore.NewWeighted(maxCollectedBytes)} }
+// NewMemory returns a Memory for a number of bytes.
+func NewMemory(bytes int64) *Memory { return &Memory{left: semaphore.NewWeighted(bytes)} }
 
-// Reservation is the memory that one answer uses while it is collected. It must not be used concurrently.
+// Reservation is the memory that one body uses. It must not be used concurrently.
 type Reservation struct {
 	memory *Memory
 	// bytes is the reserved size.
@@ -40,14 +40,14 @@
 // Reserve returns a Reservation of nothing. The caller must release it.
 func (m *Memory) Reserve() *Reservation { return &Reservation{memory: m} }
 
-// Grow raises the reservation for an answer of size bytes. It returns ErrNoMemory if there is no memory left.
+// Grow raises the reservation for a body of size bytes. It returns ErrNoMemory if there is no memory left.
 func (r *Reservation) Grow(size int) error {
 	more := int64(size) - freeBytes - r.bytes
 	if more <= 0 {
 		return nil
 	}
 	if !r.memory.left.TryAcquire(more) {
-		return errors.Wrapf(ErrNoMemory, "answer of %d bytes", size)
+		return errors.Wrapf(ErrNoMemory, "body of %d bytes", size)
 	}
 	r.bytes += more
 	return nil
@@ -59,14 +59,20 @@
 	r.bytes = 0
 }
 
-// ReadAll reads to the end of body. It returns no part of the body besides an error: ErrTooLarge if there are more than
-// maxBytes, ErrNoMemory if too many large answers are read at the same time.
+// shrink lowers the reservation to that for a body of size bytes.
+func (r *Reservation) shrink(size int) {
+	if unneeded := r.bytes - max(int64(size)-freeBytes, 0); unneeded > 0 {
+		r.memory.left.Release(unneeded)
+		r.bytes -= unneeded
+	}
+}
+
+// ReadAll reads to the end of body, and keeps the reservation for it until Release. It returns no part of the body besides an
+// error: ErrTooLarge if there are more than maxBytes, ErrNoMemory if too many large bodies are held at the same time.
 //
 // The parts are kept until the end, since a buffer that grows leaves copies of itself, which together are larger than
 // what was reserved for them.
-func (m *Memory) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
-	reserved := m.Reserve()
-	defer reserved.Release()
+func (r *Reservation) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
 	var read parts
 	for {
 		err := read.fill(body)
@@ -74,16 +80,23 @@
 		case int64(read.size) > maxBytes:
 			return nil, errors.Wrapf(ErrTooLarge, "maximum %d bytes", maxBytes)
 		case errors.Is(err, io.EOF):
-			return read.join(reserved)
+			return read.join(r)
 		case err != nil:
 			return nil, err
 		}
-		if err := read.extend(reserved); err != nil {
+		if err := read.extend(r); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// ReadAll reads to the end of an answer's body, as Reservation.ReadAll does. The body doesn't count any more when it is read.
+func (m *Memory) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
+	reserved := m.Reserve()
+	defer reserved.Release()
+	return reserved.ReadAll(body, maxBytes)
+}
+
 // ReadBody reads the whole body of an answer and closes it. It returns an error if the body is truncated, and the errors
 // of ReadAll. After an error the connection must be closed.
 func (m *Memory) ReadBody(res *http.Response, maxBytes int64) ([]byte, error) {
--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -195,13 +195,16 @@
 
 // Write sends a request. An error is marked with ErrNotSent if no byte was written.
 func (c *Conn) Write(r *Request) error {
-	encoded := r.encode()
+	buffers := net.Buffers{r.encodeHead()}
+	if len(r.Body) > 0 {
+		buffers = append(buffers, r.Body)
+	}
 	if r.Check != nil {
 		if err := r.Check(); err != nil {
 			return errors.Mark(err, ErrNotSent)
 		}
 	}
-	n, err := c.raw.Write(encoded)
+	n, err := buffers.WriteTo(c.raw)
 	if err != nil {
 		err = errors.Wrap(err, "write")
 		if n == 0 {
@@ -211,9 +214,9 @@
 	return err
 }
 
-// encode returns the request in the form in which it is sent. Content-Length is added if there is a body or the method
-// is not GET, HEAD or DELETE.
-func (r *Request) encode() []byte {
+// encodeHead returns what is sent before the body. Content-Length is added if there is a body or the method is not GET,
+// HEAD or DELETE.
+func (r *Request) encodeHead() []byte {
 	var b []byte
 	b = append(b, r.Method...)
 	b = append(b, ' ')
@@ -234,8 +237,7 @@
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 		b = append(b, "\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 // unreadBody is a body whose Close leaves the rest unread, which may have no end.
--- a/plantainlane/exchange/endless_test.go
+++ b/plantainlane/exchange/endless_test.go
@@ -104,5 +104,5 @@
 		is.True(<-done != nil)
 	}
 	runtime.ReadMemStats(&after)
-	is.True(int64(after.HeapSys)-int64(before.HeapSys) < 4*maxCollectedBytes)
+	is.True(int64(after.HeapSys)-int64(before.HeapSys) < 4*AnswerBytes)
 }
--- a/plantainlane/exchange/exchange_test.go
+++ b/plantainlane/exchange/exchange_test.go
@@ -212,7 +212,7 @@
 		head := &headLimiter{source: a}
 		c := &Conn{head: head, reader: bufio.NewReader(head)}
 		if res, err := c.Read(http.MethodPost); err == nil {
-			_, _ = NewMemory().ReadBody(res, 1<<16)
+			_, _ = NewMemory(AnswerBytes).ReadBody(res, 1<<16)
 			KeepFor(res)
 			_ = res.Body.Close()
 		}
--- a/plantainlane/exchange/parts.go
+++ b/plantainlane/exchange/parts.go
@@ -46,11 +46,12 @@
 	return nil
 }
 
-// join returns the whole body. Several parts are copied, which takes their size once more.
+// join returns the whole body. Several parts are copied, which takes their size once more until then.
 func (p *parts) join(reserved *Reservation) ([]byte, error) {
 	if len(p.list) == 1 {
 		return p.list[0], nil
 	}
+	defer func() { reserved.shrink(p.size) }()
 	if err := reserved.Grow(p.allocated + p.size); err != nil {
 		return nil, err
 	}
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -33,7 +33,7 @@
 
 // NewPool returns an empty pool that keeps idle connections for up to idleLimit.
 func NewPool(idleLimit time.Duration) *Pool {
-	return &Pool{IdleLimit: idleLimit, idle: make(map[string][]*Conn), Memory: NewMemory()}
+	return &Pool{IdleLimit: idleLimit, idle: make(map[string][]*Conn), Memory: NewMemory(AnswerBytes)}
 }
 
 // Get returns a connection to an address for the request with an ID: the most recently used idle connection that is still
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -141,6 +141,7 @@
 	h.balancer = route.New(now, "region", "zone")
 	h.server = &Server{
 		Codec: plainCodec{}, Views: h, Picker: h.balancer, Client: newClient(), Dispatcher: h.dispatcher, Zone: "zone",
+		Bodies: exchange.NewMemory(RequestBytes),
 		Budget: &Budget{Ratio: 1, Allowance: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
 	}
 	h.listener = httptest.NewServer(h.server)
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"plantainlane/plantainlane/batch"
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/logs"
 	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
@@ -42,7 +43,9 @@
 	Picker     Picker
 	Client     *quota.Client
 	Dispatcher Dispatcher
-	Budget     *Budget
+	// Bodies bounds the memory for the bodies of all requests.
+	Bodies *exchange.Memory
+	Budget *Budget
 	// Guard refuses requests whose content ends upstreams; nil refuses none.
 	Guard *quarantine.Guard
 	// Observer may be nil.
@@ -65,6 +68,10 @@
 	firstEventMargin = 200 * time.Millisecond
 	// maxBodyBytes bounds the body of an answer that is read whole before it is forwarded.
 	maxBodyBytes = 16 << 20
+	// RequestBytes bounds the bodies of all requests that an instance holds at the same time.
+	RequestBytes = 64 << 20
+	// discardTime is how long the rest of a body is read of a request that is refused because of it.
+	discardTime = time.Second
 	// maxSkippedBytes bounds the body of an answer that is read only to use the connection again.
 	maxSkippedBytes = 64 << 10
 	// shortRetryAfter is the least time after which callers of a busy service may retry.
@@ -100,12 +107,14 @@
 	workspace string
 	method    string
 	// target is the request target of the request line: path and query.
-	target  string
-	host    string
-	header  http.Header
-	body    []byte
-	writer  http.ResponseWriter
-	control *http.ResponseController
+	target string
+	host   string
+	header http.Header
+	body   []byte
+	// bodyMemory is for the body.
+	bodyMemory *exchange.Reservation
+	writer     http.ResponseWriter
+	control    *http.ResponseController
 	// stages holds the results of the stages until they are released; nil otherwise.
 	stages *stageRun
 	// inputs are the handles of the stage results that the request needs.
@@ -147,7 +156,8 @@
 
 // ServeHTTP forwards one request of a caller and answers it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{server: s, received: time.Now(), writer: w, control: http.NewResponseController(w)}
+	q := &request{server: s, received: time.Now(), writer: w, control: http.NewResponseController(w), bodyMemory: s.Bodies.Reserve()}
+	defer q.bodyMemory.Release()
 	if refusal := q.admit(r); refusal != nil {
 		q.refuse(*refusal)
 		return
@@ -222,17 +232,22 @@
 }
 
 // readBody reads the body, which the caller must have sent by the deadline. It returns a refusal if the body is too
-// large or can't be read.
+// large, can't be read, or if there is no memory for it beside those of other requests.
 func (q *request) readBody(body io.ReadCloser) *Refusal {
 	if err := q.control.SetReadDeadline(q.deadline); err != nil {
 		klog.V(1).InfoS("no deadline for the body", "request", q.call.ID, "err", err)
 	}
 	var err error
-	q.body, err = io.ReadAll(http.MaxBytesReader(q.writer, body, int64(q.site.Limits.BodyBytes)))
+	limit := int64(q.site.Limits.BodyBytes)
+	body = http.MaxBytesReader(q.writer, body, limit)
+	q.body, err = q.bodyMemory.ReadAll(body, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: fmt.Sprintf("body larger than %d bytes", tooLarge.Limit)}
+	case errors.Is(err, exchange.ErrNoMemory):
+		q.discard(body)
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: longRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &Refusal{Status: http.StatusRequestTimeout, Reason: "request body not received before the deadline"}
 	case err != nil:
@@ -244,6 +259,17 @@
 	return nil
 }
 
+// discard reads the rest of a body, so that a caller that is still sending it receives the answer. What comes after discardTime is left.
+func (q *request) discard(body io.Reader) {
+	err := q.control.SetReadDeadline(time.Now().Add(discardTime))
+	if err == nil {
+		_, err = io.Copy(io.Discard, body)
+	}
+	if err != nil {
+		klog.V(1).InfoS("rest of a body not read", "request", q.call.ID, "err", err)
+	}
+}
+
 // admitKey checks the caller's key, and sets the workspace and its priority. It returns a refusal for an unknown key.
 func (q *request) admitKey() *Refusal {
 	if q.route.Public || !q.site.HasWorkspaces {
--- a/plantainlane/forward/server_test.go
+++ b/plantainlane/forward/server_test.go
@@ -355,7 +355,7 @@
 	f.Add("\n\n\n")
 	f.Add("id:")
 	f.Fuzz(func(t *testing.T, text string) {
-		r := newEventReader(strings.NewReader(text), exchange.NewMemory().Reserve())
+		r := newEventReader(strings.NewReader(text), exchange.NewMemory(exchange.AnswerBytes).Reserve())
 		returned := ""
 		for {
 			e, err := r.next()
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -225,6 +225,7 @@
 	handler := &forward.Server{
 		Codec: x.proxy.Codec, Views: x.sites, Picker: x.services, Client: client, Dispatcher: x.dispatcher,
 		Budget: x.proxy.Retries, Observer: x.metrics, Zone: x.self.Zone, Drain: x.drainOfRequests, Guard: x.guard,
+		Bodies:      exchange.NewMemory(forward.RequestBytes),
 		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
 	}
 	s, err := listenHTTP(x.proxy.Address, handler, x.settings.Entry.MaxHeaderBytes)
--- a/plantainlane/upstream/client.go
+++ b/plantainlane/upstream/client.go
@@ -51,7 +51,7 @@
 		pooled:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
 		unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
 		limits:   &quota.Client{Gate: g, Read: noticeOf},
-		memory:   exchange.NewMemory(),
+		memory:   exchange.NewMemory(exchange.AnswerBytes),
 	}
 }
 
