--- a/plantainlane/consensus/config.go
+++ b/plantainlane/consensus/config.go
@@ -17,6 +17,7 @@
 	DefaultMaxEntryBytes     = 8 << 20
 	DefaultMaxUncommitted    = 8192
 	DefaultKeepEntries       = 1024
+	DefaultKeepBytes         = 8 << 20
 )
 
 var (
@@ -76,6 +77,8 @@
 	// KeepEntries is the number of entries covered by a snapshot that stay in memory, so that lagging
 	// replicas can get them without a snapshot.
 	KeepEntries int
+	// KeepBytes bounds these entries by their encoded size.
+	KeepBytes int
 }
 
 func (c *Config) setDefaults() {
@@ -87,6 +90,7 @@
 	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
 	setDefault(&c.MaxUncommitted, DefaultMaxUncommitted)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
 }
 
 func setDefault[T ~int | ~int64](v *T, d T) {
--- a/plantainlane/consensus/log.go
+++ b/plantainlane/consensus/log.go
@@ -85,6 +85,19 @@
 	return l.slice(after, to)
 }
 
+// beforeNewest returns the index before the newest entries up to index that are at most count and have at most maxBytes encoded.
+func (l *entryLog) beforeNewest(index, count, maxBytes int) int {
+	first := max(index-count, l.base)
+	size := 0
+	for before := index; before > first; before-- {
+		size += entryOverhead + len(l.entries[before-l.base-1].Data)
+		if size > maxBytes {
+			return before
+		}
+	}
+	return first
+}
+
 func (l *entryLog) append(es ...wire.LogEntry) { l.entries = append(l.entries, es...) }
 
 // truncate drops the entries after index. Later appends don't overwrite the dropped entries, since slices
--- a/plantainlane/consensus/snapshot.go
+++ b/plantainlane/consensus/snapshot.go
@@ -15,7 +15,7 @@
 }
 
 // Compact makes data, the encoded state after the entry at index was applied, the newest snapshot. It drops the
-// entries up to index from memory, except for the newest Config.KeepEntries. The next Ready contains the snapshot
+// entries up to index from memory, except for the newest within Config.KeepEntries and KeepBytes. The next Ready contains the snapshot
 // to store. Errors are ErrCompacted and ErrNotApplied.
 func (n *Node) Compact(index int, data []byte) error {
 	if index <= n.snapshot.Index {
@@ -27,7 +27,7 @@
 	}
 	n.snapshot = wire.Snapshot{Index: index, Term: term, Replicas: cloneSet(n.membershipAt(index)), Data: data}
 	n.ready.snapshot = &n.snapshot
-	n.compactLog(index - n.cfg.KeepEntries)
+	n.compactLog(n.log.beforeNewest(index, n.cfg.KeepEntries, n.cfg.KeepBytes))
 	return nil
 }
 
--- a/plantainlane/control/config.go
+++ b/plantainlane/control/config.go
@@ -44,27 +44,14 @@
 // otherwise the whole configuration.
 func (c *Core) updateSince(revision int) wire.ConfigUpdate {
 	newest := c.state.Config.Revision
-	if revision == 0 || !c.hasChangeSets(revision, newest) {
+	sets, isKept := c.changes.between(revision, newest)
+	if revision == 0 || !isKept {
 		return wire.ConfigUpdate{Revision: newest, Set: c.state.Config.Declarations()}
 	}
-	sets := make([]*wire.ChangeSet, 0, newest-revision)
-	for r := revision + 1; r <= newest; r++ {
-		sets = append(sets, c.changeSets[r])
-	}
 	set, remove := state.MergeChanges(sets)
 	return wire.ConfigUpdate{FromRevision: revision, Revision: newest, Set: set, Remove: remove}
 }
 
-// hasChangeSets reports whether the change sets of all revisions after from, up to and including to, are kept.
-func (c *Core) hasChangeSets(from, to int) bool {
-	for r := from + 1; r <= to; r++ {
-		if c.changeSets[r] == nil {
-			return false
-		}
-	}
-	return true
-}
-
 // handleConfigUpdate applies an update, or a whole configuration if FromRevision is 0. An update also applies to a
 // revision between its two, since it has the final value of each declaration that changed. An update from a later
 // revision than the applied one shows that a push was lost.
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -49,8 +49,7 @@
 	bytesSinceSnapshot int
 	// voterCount is how many replicas vote once enough instances have a data folder.
 	voterCount int
-	// changeSets holds recent change sets by the revision that each created.
-	changeSets map[int]*wire.ChangeSet
+	changes    recentChanges
 
 	// config is the configuration applied on this instance.
 	config    state.Config
@@ -138,7 +137,6 @@
 		voterCount:  DefaultVoters,
 		self:        self,
 		random:      rand.New(rand.NewPCG(uint64(self.Incarnation), 0)),
-		changeSets:  make(map[int]*wire.ChangeSet),
 		drainOrders: make(map[string]drainOrder),
 		peers:       make(map[string]wire.InstanceInfo),
 		roster:      roster.New(),
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -8,10 +8,6 @@
 	"plantainlane/wire"
 )
 
-// keptChangeSets is the number of recent change sets that are kept, so that instances can be updated without sending
-// the whole configuration.
-const keptChangeSets = 256
-
 // runReplication advances the log to the current time, sends the log's messages to the other replicas, and applies the
 // committed entries to the state. It ends the leadership that the log has lost, and updates the known leader.
 func (c *Core) runReplication() {
@@ -92,8 +88,7 @@
 		panic(errors.Wrapf(err, "apply log entry %d", e.Index))
 	}
 	if revision := c.state.Config.Revision; revision != oldRevision {
-		c.changeSets[revision] = cmd.Change
-		delete(c.changeSets, revision-keptChangeSets)
+		c.changes.add(revision, cmd.Change, len(e.Data))
 		c.applyConfig(c.state.Config)
 		c.record(wire.Event{Kind: "changeCommitted", Revision: &revision, Detail: &cmd.Change.ChangeID})
 	}
