timeline: an event owns what its fields point to

Cause, the second part: an event's detail pointed to the ID in its change set, so that each event in the ring kept a whole configuration. Evidence: with the log bounded the cores still grew by about 0.3 MB a change. Why this works: the ring copies what an event points to, whoever records it.

--- a/plantainlane/timeline/ring.go
+++ b/plantainlane/timeline/ring.go
@@ -38,12 +38,31 @@
 	return &Ring{clock: clock, instance: instance, incarnation: incarnation, size: size}
 }
 
-// Record stamps an event and adds it to the ring. A full ring drops its oldest event.
+// ownPointers replaces the pointers of an event by pointers to copies. The event would keep what they point into, such as a
+// whole change set, as long as it is in the ring.
+func ownPointers(e *wire.Event) {
+	for _, text := range []**string{&e.Attempt, &e.Detail, &e.Request, &e.Upstream, &e.Workspace} {
+		*text = copyOf(*text)
+	}
+	e.Revision = copyOf(e.Revision)
+}
+
+// copyOf returns a pointer to a copy of a value; nil for nil.
+func copyOf[T any](value *T) *T {
+	if value == nil {
+		return nil
+	}
+	c := *value
+	return &c
+}
+
+// Record stamps a copy of an event and adds it to the ring. A full ring drops its oldest event.
 func (r *Ring) Record(now time.Time, e wire.Event) {
 	if r.size == 0 {
 		return
 	}
 	e.Instance, e.Incarnation = r.instance, r.incarnation
+	ownPointers(&e)
 	r.mu.Lock()
 	e.Time = r.clock.Now(now)
 	if len(r.events) < r.size {
