quota: forwarded requests and calls for pieces have connections of their own

What callers saw: 502 for a request that must run once, though its worker answers it; pieces that were made at two workers, the first of which was left alone for as long as a refusal of something else had asked. Cause: both kinds shared one pool of connections, and a service may be a route's and a stage's. A late copy is recognized by what ties the answers of its kind to their requests: the ID of a forwarded request, the handles of a call for pieces. A copy of the other kind has neither, so the copy of a forwarded refusal counted as that of a call, with its Retry-After, and that of a call's answer, which has no ID, ended a forwarded request. Why this works: a connection carries one kind only. On those for calls a refusal, a failure or an answer without a handle ends the connection, so only copies of results can come there, and these are recognized.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -388,7 +388,7 @@
 		out.result = inputsGone
 	}
 	if a.Misdirected {
-		q.server.Client.Pool.CloseIdle(t.Address)
+		q.server.Client.CloseIdle(t.Address)
 		out.err = errors.New("address belongs to another upstream now")
 	}
 	return out, err == nil
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"plantainlane/plantainlane/exchange"
+	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/site"
 )
 
@@ -135,3 +138,63 @@
 	is.Equal(u.reused, 1)
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// serveAnswers starts an upstream that answers the request with number n on a connection, counted from 0, with the bytes that answer
+// returns, and adds a row that leads to it.
+func (h *harness) serveAnswers(answer func(n int, r *http.Request) string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, answer(n, r))
+				}
+			}()
+		}
+	}()
+	h.row("u", l.Addr().String())
+	return l.Addr().String()
+}
+
+// success returns a whole answer of the upstream to the request with an ID.
+func success(id, body string, headers ...string) string {
+	head := "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Signed: yes\r\n" + strings.Join(headers, "")
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
+// TestCopyOfCallsAnswerEndsRequest guards against a request that ends without its answer because its connection has carried a call for
+// pieces, whose answer has no ID, and a late copy of that comes before it.
+func TestCopyOfCallsAnswerEndsRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	const pieces = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhandle"
+	address := h.serveAnswers(func(n int, r *http.Request) string {
+		if r.URL.Path == "/pieces" {
+			return pieces
+		}
+		return strings.Repeat(pieces, n) + success(r.Header.Get("X-Id"), "ok")
+	})
+	_, err := h.server.Client.RoundTrip(t.Context(), quota.Peer{Address: address}, &exchange.Request{
+		Method: http.MethodPost, Target: "/pieces", Host: "h",
+		Accept: func(r *exchange.Reply) (string, error) { return string(r.Body), nil },
+	}, 100)
+	is.NoErr(err)
+	res, _, err := h.post()
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
--- a/plantainlane/quota/client.go
+++ b/plantainlane/quota/client.go
@@ -16,28 +16,39 @@
 type Reader func(status int, h http.Header) (Notice, error)
 
 // Client sends requests with a permit each, and reads the notices in their answers. It is safe for concurrent use.
+//
+// Requests of different kinds have connections of their own, since a late copy of an answer is only recognized by what ties the
+// answers of its kind to their requests.
 type Client struct {
+	// Pool holds the connections for the requests that are forwarded, whose answers have their IDs.
 	Pool *exchange.Pool
-	// Control holds the connections for RoundTripControl. They carry nothing else, since a second copy of an answer to a control
-	// call doesn't tell that it isn't the answer to the next request.
+	// Calls holds the connections for RoundTrip, whose answers have tokens.
+	Calls *exchange.Pool
+	// Control holds the connections for RoundTripControl. Nothing ties the answers on them to their requests.
 	Control *exchange.Pool
 	Gate    *Gate
 	Read    Reader
 }
 
-// NewClient returns a client that sends requests on connections of a pool, and control calls on connections of their own.
+// NewClient returns a client that forwards requests on connections of a pool, and makes other calls on connections of pools like it.
 func NewClient(pool *exchange.Pool, g *Gate, r Reader) *Client {
-	control := exchange.NewPool(pool.IdleLimit)
-	control.Memory = pool.Memory
-	return &Client{Pool: pool, Control: control, Gate: g, Read: r}
+	c := &Client{Pool: pool, Calls: exchange.NewPool(pool.IdleLimit), Control: exchange.NewPool(pool.IdleLimit), Gate: g, Read: r}
+	c.Calls.Memory, c.Control.Memory = pool.Memory, pool.Memory
+	return c
+}
+
+// CloseIdle closes all idle connections to an address.
+func (c *Client) CloseIdle(address string) {
+	c.Pool.CloseIdle(address)
+	c.Calls.CloseIdle(address)
+	c.Control.CloseIdle(address)
 }
 
 // Acquire obtains a permit as Gate.Acquire does. It closes the idle connections to an earlier process at the peer's
 // address: what answers on them say isn't about the peer.
 func (c *Client) Acquire(ctx context.Context, p Peer) (Permit, error) {
 	if c.Gate.Replaced(time.Now(), p) {
-		c.Pool.CloseIdle(p.Address)
-		c.Control.CloseIdle(p.Address)
+		c.CloseIdle(p.Address)
 	}
 	return c.Gate.Acquire(ctx, p)
 }
@@ -45,7 +56,7 @@
 // RoundTrip obtains a permit, sends a request and reads the whole answer, as exchange.Pool.RoundTrip does. If there is
 // no permit, it returns a *Refusal marked with exchange.ErrNotSent.
 func (c *Client) RoundTrip(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
-	reply, sentAt, err := c.roundTrip(ctx, c.Pool, p, r, maxBody)
+	reply, sentAt, err := c.roundTrip(ctx, c.Calls, p, r, maxBody)
 	if reply != nil && !errors.Is(err, exchange.ErrRepeatedAnswer) {
 		isRefusal := reply.Status == http.StatusServiceUnavailable
 		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header, IsOwn: err == nil || isRefusal, MayEndLimit: err == nil})
--- a/plantainlane/quota/notice_test.go
+++ b/plantainlane/quota/notice_test.go
@@ -130,7 +130,7 @@
 	is.True(c.Gate.IsLeaving(old))
 	_, err = c.Acquire(t.Context(), successor)
 	is.NoErr(err)
-	conn, err := c.Pool.Get(t.Context(), address, time.Minute)
+	conn, err := c.Calls.Get(t.Context(), address, "", time.Minute)
 	is.NoErr(err)
 	is.True(!conn.Reused)
 	conn.Close()
