exchange: a connection remembers all answers whose copies it may have to recognize

Cause: of the answers on a connection only the last eight were remembered. A copy that is older counted as the answer to the call under way, and each answer after it as that to the next call. Evidence: TestOldCopyIsTakenForNextAnswer, a copy that is 100 answers old, failed before. Why this works: all tokens of a connection are remembered, as hashes of 8 bytes, and after 256 answers the connection isn't kept. That is 2 KiB for a connection at most, and one new connection for 256 calls, each of which takes a worker the time of a call. Result: it passes, and the tests of exchange, quota and batch.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -36,8 +37,8 @@
 }
 
 const (
-	// maxTokens is the number of answers of a connection whose second copies are recognized.
-	maxTokens = 8
+	// maxTokens is the number of answers with tokens after which a connection isn't kept. The connection remembers all of them.
+	maxTokens = 256
 	// maxUnserved is the number of unserved requests after which a connection isn't kept.
 	maxUnserved = 16
 )
@@ -61,6 +62,9 @@
 	maxInformational = 5
 )
 
+// tokenSeed is the seed of the hashes of tokens.
+var tokenSeed = maphash.MakeSeed()
+
 // Conn is a connection to an upstream. It carries one request at a time, and must not be used concurrently except for
 // Close.
 type Conn struct {
@@ -76,8 +80,8 @@
 	expires time.Time
 	// Reused is set if the connection has carried a request before.
 	Reused bool
-	// tokens holds the tokens of the last answers, see Request.Accept.
-	tokens []string
+	// tokens holds the hashes of the tokens of all answers, see Request.Accept.
+	tokens []uint64
 	// unserved holds the IDs of the requests that the connection has carried and that were answered, but not served. They may be
 	// sent again, but not on this connection: a late copy of the answer couldn't be told from that to the second send.
 	unserved []string
@@ -264,8 +268,9 @@
 }
 
 // accept passes a whole answer to r.Accept. It returns ErrRepeatedAnswer if an earlier answer on the connection has the
-// same token. The result isKnown is false if a second copy of the answer couldn't be told from the answer to the next request.
-func (c *Conn) accept(r *Request, reply *Reply) (isKnown bool, err error) {
+// same token. The result keep is false if the connection can't carry another request: a copy of the answer couldn't be told from the
+// answer to that, or maxTokens are remembered.
+func (c *Conn) accept(r *Request, reply *Reply) (keep bool, err error) {
 	if r.Accept == nil {
 		return true, nil
 	}
@@ -273,14 +278,12 @@
 	if err != nil || token == "" {
 		return false, err
 	}
-	if slices.Contains(c.tokens, token) {
+	hash := maphash.String(tokenSeed, token)
+	if slices.Contains(c.tokens, hash) {
 		return false, ErrRepeatedAnswer
 	}
-	c.tokens = append(c.tokens, token)
-	if len(c.tokens) > maxTokens {
-		c.tokens = c.tokens[1:]
-	}
-	return true, nil
+	c.tokens = append(c.tokens, hash)
+	return len(c.tokens) < maxTokens, nil
 }
 
 // SetDeadline sets the time after which reads and writes fail. The zero time means no deadline.
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -181,8 +181,8 @@
 		return nil, 0, err
 	}
 	reply := &Reply{Status: res.StatusCode, Header: res.Header, Body: body}
-	isKnown, err := c.accept(r, reply)
-	if !isKnown {
+	keep, err := c.accept(r, reply)
+	if !keep {
 		return reply, 0, err
 	}
 	return reply, KeepFor(res), nil
--- a/plantainlane/exchange/repeated_test.go
+++ b/plantainlane/exchange/repeated_test.go
@@ -44,3 +44,35 @@
 	is.NoErr(err)
 	is.Equal(body, "a2")
 }
+
+// TestOldCopyIsTakenForNextAnswer guards against a copy that comes after its answer was forgotten, and is taken for the answer to the
+// next request.
+func TestOldCopyIsTakenForNextAnswer(t *testing.T) {
+	is := is.New(t)
+	answer := func(n int) string { return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na%04d", n) }
+	const late = 100
+	address := startUpstream(t, func(n int) string {
+		if n == late {
+			return answer(0) + answer(n)
+		}
+		return answer(n)
+	})
+	p := NewPool(time.Minute)
+	roundTrip := func() error {
+		_, err := p.RoundTrip(context.Background(), address, &Request{
+			Method: http.MethodPost, Target: "/", Host: "h",
+			Accept: func(r *Reply) (string, error) { return string(r.Body), nil },
+		}, 100)
+		return err
+	}
+	for range late {
+		is.NoErr(roundTrip())
+		is.Equal(countIdle(p, address), 1)
+	}
+	is.True(errors.Is(roundTrip(), ErrRepeatedAnswer))
+	is.Equal(countIdle(p, address), 0)
+	for range maxTokens {
+		is.NoErr(roundTrip())
+	}
+	is.Equal(countIdle(p, address), 0) // none of its answers was forgotten
+}
