quota, forward: an answer that nothing ties to its request doesn't raise a limit

Cause: an answer counted as made after the request was sent that it was read for. The answer to a release of results, one without an ID, and one whose body can't be read may be a late copy, or a part of one, of any earlier answer on the connection. Evidence: TestLateCopyRaisesLimit (9 for 3 requests a second) and TestAnswerWithoutIDRaisesLimit (900 for 300) failed before. Why this works: on a connection that has carried a request before, such an answer counts as made at any time since the connection was opened. Of two statements either of which may be the later one, the lower counts, as between instances. One on a new connection counts as before. What it can still do is lower a limit, until the next answer that is tied to its request. Result: both pass, and the tests of exchange, quota and forward.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -73,6 +73,8 @@
 	reader *bufio.Reader
 	// address is the host and port of the upstream.
 	address string
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// idleSince is when the connection was returned to the pool after its last answer.
 	idleSince time.Time
 	// expires is the time from which an idle connection isn't reused, because the upstream may close it or the pool's
@@ -90,6 +92,15 @@
 // MarkUnserved records that the request with an ID was answered on the connection, but not served.
 func (c *Conn) MarkUnserved(request string) { c.unserved = append(c.unserved, strings.Clone(request)) }
 
+// Since returns the time since which the upstream can have made the answer that was read last, if nothing ties that to the request that
+// was sent at sentAt: it may be a late one to any request on the connection.
+func (c *Conn) Since(sentAt time.Time) time.Time {
+	if c.Reused {
+		return c.openedAt
+	}
+	return sentAt
+}
+
 // LocalPort returns the local port, which identifies the connection among those to one upstream in logs.
 func (c *Conn) LocalPort() int {
 	if local, ok := c.raw.LocalAddr().(*net.TCPAddr); ok {
@@ -114,7 +125,7 @@
 		return nil, errors.Mark(errors.Newf("expected a TCP connection, got %T", c), ErrNotSent)
 	}
 	head := &headLimiter{source: raw}
-	return &Conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), address: address}, nil
+	return &Conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), address: address, openedAt: time.Now()}, nil
 }
 
 // headLimiter reads from a connection, and only a limited number of bytes while it is limited.
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -143,6 +143,9 @@
 	Header http.Header
 	// Body is the whole body.
 	Body []byte
+	// Since is the time since which the upstream can have made the answer, also if it is a late one to an earlier request on the
+	// connection. RoundTrip sets it.
+	Since time.Time
 }
 
 // RoundTrip sends a request and reads the whole answer. It is for requests that may run more than once: it may use a
@@ -168,6 +171,7 @@
 // roundTripOn sends a request on a connection and reads the whole answer. It also returns how long the connection may
 // be idle afterwards.
 func (p *Pool) roundTripOn(c *Conn, r *Request, maxBody int64) (*Reply, time.Duration, error) {
+	since := c.Since(time.Now())
 	if err := c.Write(r); err != nil {
 		return nil, 0, err
 	}
@@ -180,7 +184,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	reply := &Reply{Status: res.StatusCode, Header: res.Header, Body: body}
+	reply := &Reply{Status: res.StatusCode, Header: res.Header, Body: body, Since: since}
 	keep, err := c.accept(r, reply)
 	if !keep {
 		return reply, 0, err
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -277,6 +277,9 @@
 		return sendOutcome{result: mayHaveRun, err: err}, 0
 	}
 	defer res.Body.Close()
+	if answer.ID == "" {
+		sentAt = c.Since(sentAt)
+	}
 	q.server.Client.Observe(peerOf(t), quota.Heard{
 		SentAt: sentAt, Status: res.StatusCode, Header: res.Header, IsOwn: q.isOwn(c, answer),
 		MayEndLimit: answer.ID != "" && !answer.Misdirected,
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -198,3 +199,27 @@
 	is.NoErr(err)
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// TestAnswerWithoutIDRaisesLimit guards against the same by an answer without an ID, which on a kept connection may be a late one.
+func TestAnswerWithoutIDRaisesLimit(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	address := h.serveAnswers(func(n int, r *http.Request) string {
+		switch n {
+		case 0:
+			return success(r.Header.Get("X-Id"), "ok", "X-Limit: 900\r\n")
+		case 1:
+			return success(r.Header.Get("X-Id"), "ok", "X-Limit: 300\r\n")
+		}
+		return "HTTP/1.1 503 Full\r\nX-Not-Run: yes\r\nX-Limit: 900\r\nContent-Length: 0\r\n\r\n"
+	})
+	for n, status := range []int{http.StatusOK, http.StatusOK, http.StatusBadGateway} {
+		res, _, err := h.post("X-Id", strconv.Itoa(n))
+		is.NoErr(err)
+		is.Equal(res.StatusCode, status)
+	}
+	known := h.server.Client.Gate.All(time.Now())
+	is.Equal(len(known), 1)
+	is.Equal(known[0].Address, address)
+	is.Equal(known[0].PerSecond, 300.0)
+}
--- a/plantainlane/quota/client.go
+++ b/plantainlane/quota/client.go
@@ -58,8 +58,12 @@
 func (c *Client) RoundTrip(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
 	reply, sentAt, err := c.roundTrip(ctx, c.Calls, p, r, maxBody)
 	if reply != nil && !errors.Is(err, exchange.ErrRepeatedAnswer) {
-		isRefusal := reply.Status == http.StatusServiceUnavailable
-		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header, IsOwn: err == nil || isRefusal, MayEndLimit: err == nil})
+		// Others may be a part of a late copy.
+		isOwn := err == nil || reply.Status == http.StatusServiceUnavailable
+		if !isOwn {
+			sentAt = reply.Since
+		}
+		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header, IsOwn: isOwn, MayEndLimit: err == nil})
 	}
 	return reply, err
 }
@@ -67,9 +71,9 @@
 // RoundTripControl does the same for a call that is no work for the upstream. The answer may leave out the limit, so it
 // doesn't tell that a limit has ended.
 func (c *Client) RoundTripControl(ctx context.Context, p Peer, r *exchange.Request, maxBody int64) (*exchange.Reply, error) {
-	reply, sentAt, err := c.roundTrip(ctx, c.Control, p, r, maxBody)
+	reply, _, err := c.roundTrip(ctx, c.Control, p, r, maxBody)
 	if reply != nil {
-		c.Observe(p, Heard{SentAt: sentAt, Status: reply.Status, Header: reply.Header})
+		c.Observe(p, Heard{SentAt: reply.Since, Status: reply.Status, Header: reply.Header})
 	}
 	return reply, err
 }
@@ -91,7 +95,8 @@
 
 // Heard is the head of an answer.
 type Heard struct {
-	// SentAt is when the request was sent.
+	// SentAt is when the request was sent to which this is the answer. If that isn't known, it is when the first request was sent to
+	// which it can be the answer.
 	SentAt time.Time
 	Status int
 	Header http.Header
--- a/plantainlane/quota/client_test.go
+++ b/plantainlane/quota/client_test.go
@@ -58,3 +58,35 @@
 	is.NoErr(err)
 	is.Equal(limitOf(c.Gate, address), 3.0)
 }
+
+// TestLateCopyRaisesLimit guards against a late copy of an answer that raises a limit which was lowered meanwhile. Nothing ties the answer
+// to a control call to its request, so on a kept connection it may be as old as that.
+func TestLateCopyRaisesLimit(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Limit", r.URL.Path[1:])
+	}))
+	defer s.Close()
+	address := s.Listener.Addr().String()
+	c := NewClient(exchange.NewPool(time.Minute), NewGate(&slowAsker{}), readNotice)
+	request := func(limit string) *exchange.Request {
+		return &exchange.Request{Method: http.MethodPost, Target: "/" + limit, Host: "h"}
+	}
+	_, err := c.RoundTripControl(t.Context(), Peer{Address: address}, request("9"), 100)
+	is.NoErr(err)
+	is.Equal(limitOf(c.Gate, address), 9.0)
+	_, err = c.RoundTrip(t.Context(), Peer{Address: address}, request("3"), 100)
+	is.NoErr(err)
+	is.Equal(limitOf(c.Gate, address), 3.0)
+	_, err = c.RoundTripControl(t.Context(), Peer{Address: address}, request("9"), 100) // as the first answer, once more
+	is.NoErr(err)
+	is.Equal(limitOf(c.Gate, address), 3.0)
+	malformed := request("9")
+	malformed.Accept = func(*exchange.Reply) (string, error) { return "", errors.New("half a copy and the answer") }
+	_, err = c.RoundTrip(t.Context(), Peer{Address: address}, malformed, 100)
+	is.True(err != nil)
+	is.Equal(limitOf(c.Gate, address), 3.0)
+	_, err = c.RoundTrip(t.Context(), Peer{Address: address}, request("9"), 100)
+	is.NoErr(err)
+	is.Equal(limitOf(c.Gate, address), 9.0)
+}
--- a/plantainlane/quota/statement.go
+++ b/plantainlane/quota/statement.go
@@ -23,8 +23,8 @@
 	Limited bool
 	// PerSecond is the limit in requests a second, from all instances together. Finite and at least 0; 0 unless Limited.
 	PerSecond float64
-	// SentAt is when the request was sent, and HeardAt when its answer was received. The upstream made the statement
-	// between the two.
+	// SentAt is when the request was sent, the earliest one that the answer can be to, and HeardAt when the answer was received. The
+	// upstream made the statement between the two.
 	SentAt, HeardAt time.Time
 }
 
