upstream: a connection is closed after an answer to another attempt

What callers saw: calls of a pipeline to a sound upstream failed one after another, each by the answer to the call before. Cause: net/http keeps the connection of an answer without a body before the caller sees its head. So the connection on which a late copy of a refusal had come in place of an answer was used again, one answer behind, until it was idle for as long as an answer took. Evidence: TestCopyOfRefusalPutsCallsBehind failed before: the third call got the answer to the second. Why this works: the transport's own connection is closed when the attempt ID doesn't match, whatever the transport has done with it. Calls that must not run twice open a connection each and aren't touched.

--- a/plantainlane/upstream/client.go
+++ b/plantainlane/upstream/client.go
@@ -109,17 +109,25 @@
 		}
 		return nil, errors.Wrap(err, "call")
 	}
-	err = checkHead(res, call.Attempt)
-	if !errors.Is(err, ErrForeignAnswer) {
-		c.limits.Observe(call.Peer, quota.Heard{SentAt: tracker.sentAt(), Status: res.StatusCode, Header: res.Header, IsOwn: true, MayEndLimit: true})
-	}
-	if err != nil {
+	if err := c.checkAnswer(res, call, tracker); err != nil {
 		_ = res.Body.Close()
 		return nil, err
 	}
 	return res, nil
 }
 
+// checkAnswer checks the head of the answer to a call, and reads the notice in it. The connection of an answer to another attempt is
+// closed: each later answer on it would be that to the call before.
+func (c *Client) checkAnswer(res *http.Response, call Call, t *writeTracker) error {
+	err := checkHead(res, call.Attempt)
+	if errors.Is(err, ErrForeignAnswer) {
+		t.closeConn()
+		return err
+	}
+	c.limits.Observe(call.Peer, quota.Heard{SentAt: t.sentAt(), Status: res.StatusCode, Header: res.Header, IsOwn: true, MayEndLimit: true})
+	return err
+}
+
 // silenceTimer cancels a call with ErrSilent if no data of the answer is received for the timeout.
 type silenceTimer struct {
 	// timer is nil if there is no timeout.
--- a/plantainlane/upstream/client_test.go
+++ b/plantainlane/upstream/client_test.go
@@ -158,3 +158,53 @@
 		is.True(!errors.Is(err, ErrNotRun))
 	}
 }
+
+// TestCopyOfRefusalPutsCallsBehind guards against a connection that is used again after a late copy of a refusal came in place of an
+// answer: each later call on it would get the answer to the call before, and fail.
+func TestCopyOfRefusalPutsCallsBehind(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go refuseThenLagBehind(c)
+		}
+	}()
+	client := NewClient(1, quota.NewGate(nil))
+	var errs []error
+	for n := range 4 {
+		call := Call{Peer: quota.Peer{Address: l.Addr().String()}, Path: "/run", Attempt: fmt.Sprintf("a%d", n), Body: []byte("{}")}
+		_, err := client.Do(t.Context(), call)
+		errs = append(errs, err)
+	}
+	is.True(errors.Is(errs[0], ErrRefused))
+	is.True(errors.Is(errs[1], ErrForeignAnswer))
+	is.True(errors.Is(errs[2], ErrRefused)) // on a new connection
+	is.True(errors.Is(errs[3], ErrForeignAnswer))
+}
+
+// refuseThenLagBehind serves a connection: it refuses each call, and sends the refusals of the calls before again, each in place of that of
+// the call after it.
+func refuseThenLagBehind(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	last := ""
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		own := answerHead("503 Busy", r.Header.Get(HeaderAttempt), "Plantainlane-Execution: notRun\r\nContent-Length: 0\r\n") + "\r\n"
+		if last == "" {
+			last = own
+		}
+		_, _ = io.WriteString(c, last)
+		last = own
+	}
+}
--- a/plantainlane/upstream/transport.go
+++ b/plantainlane/upstream/transport.go
@@ -107,6 +107,13 @@
 	return time.Time{}
 }
 
+// closeConn closes the connection of the call, also one that the transport keeps because the answer on it had no body.
+func (t *writeTracker) closeConn() {
+	if c := t.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // hasWritten reports whether the call may have sent any byte.
 func (t *writeTracker) hasWritten() bool {
 	c := t.conn.Load()
