instance: calls to engines other than generation have a connection each

Cause: the answers to exports, cancellations, orders, reads of the state and of the list of cached blocks come on kept connections, and but for an order's ID nothing in them says which call they answer. A late copy of an export counts as that of the next attempt, that of a state as read after its time, which for engines that don't check fencing numbers is what allows a new leader its first order. Evidence: TestCopyOfExportAnswersNextExport failed before: attempt a2 got the handle of a1. Why this works: there is one call on a connection, so every answer on it is to that call. Cost: a connection for each call. A leader reads at most 20 idle engines a second, an instance 4 lists a second; the others follow failures and changes. Result: it passes, and the tests of instance, engine, order and pipeline.

--- a/plantainlane/instance/engines.go
+++ b/plantainlane/instance/engines.go
@@ -17,9 +17,6 @@
 	engineInterval = time.Second
 	// maxResyncs is the maximum number of engines whose list of cached blocks is read in one period.
 	maxResyncs = 4
-	// engineIdleTimeout is how long an idle connection to an engine is kept. It applies to the connections for calls
-	// other than generation, such as reading the list of cached blocks.
-	engineIdleTimeout = 5 * time.Second
 	// relayFanout is the maximum number of instances that cache events are forwarded to.
 	relayFanout = 16
 )
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -163,11 +163,11 @@
 	return x, x.listen(ctx)
 }
 
-// newEngineClient returns the client for calls to engines.
+// newEngineClient returns the client for calls to engines other than generation, such as exports, orders and reads of their state. Each
+// has a connection of its own: nothing in the answers ties them to the calls, so on a kept connection a late copy of one would be taken
+// for the answer to the next call. These calls are rare.
 func newEngineClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		IdleConnTimeout: engineIdleTimeout, MaxResponseHeaderBytes: maxEngineHeadBytes,
-	}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxEngineHeadBytes}}
 }
 
 // openReplica opens the replica of the control log in the data folder. It does nothing if the settings name no data
