forward: a large copy of an earlier answer doesn't end a request

What callers saw: 502 for a request that must run once, though its upstream answers it. Cause: an answer to another request was skipped only up to 64 KiB, and took memory that is meant for answers to callers. Evidence: TestLargeCopyEndsNextRequest (a copy of one byte more) failed before. One without an end of its own ends the request at once, since nothing can come after it.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"net/http"
 	"time"
@@ -336,13 +337,25 @@
 		}
 		klog.InfoS("answer to another request skipped", "request", q.call.ID, "answered", answer.ID, "status", res.StatusCode,
 			"upstream", q.upstream, "port", c.LocalPort(), "reused", c.Reused)
-		if _, err := q.server.Client.Pool.Memory.ReadBody(res, maxSkippedBytes); err != nil {
+		if err := skipBody(res); err != nil {
 			return nil, Answer{}, err
 		}
 	}
 	return nil, Answer{}, errMismatchedID
 }
 
+// skipBody reads the body of an answer to another request, which may be as large as any. It returns an error if nothing can come after it.
+func skipBody(res *http.Response) error {
+	if !exchange.HasEnd(res) {
+		return errors.Wrap(errMismatchedID, "without an end of its own")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBodyBytes+1))
+	if err == nil && n > maxBodyBytes {
+		err = exchange.ErrTooLarge
+	}
+	return errors.Wrap(err, "read answer to another request")
+}
+
 // handleAnswer checks an answer and forwards it if it is a success. Only successes need the upstream's signature. The
 // result complete is true if the answer was read to its end, so that the connection can carry another request.
 func (q *request) handleAnswer(c *exchange.Conn, t route.Target, res *http.Response, a Answer) (out sendOutcome, complete bool) {
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -223,3 +223,22 @@
 	is.Equal(known[0].Address, address)
 	is.Equal(known[0].PerSecond, 300.0)
 }
+
+// TestLargeCopyEndsNextRequest guards against a request that ends without its answer because the late copy before that is large.
+func TestLargeCopyEndsNextRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	large := success("0", strings.Repeat("x", maxSkippedBytes+1))
+	h.serveAnswers(func(n int, r *http.Request) string {
+		if n == 0 {
+			return large
+		}
+		return large + success(r.Header.Get("X-Id"), "ok")
+	})
+	for n := range 3 {
+		res, body, err := h.post("X-Id", strconv.Itoa(n))
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.True(n == 0 || body == "ok")
+	}
+}
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -63,9 +63,9 @@
 	answerMargin = 20 * time.Millisecond
 	// firstEventMargin is the time between the deadline for the first event and the caller's timeout for it.
 	firstEventMargin = 200 * time.Millisecond
-	// maxBodyBytes bounds the body of an answer that is read whole before it is forwarded.
+	// maxBodyBytes bounds the body of an answer that is read whole before it is forwarded, or skipped.
 	maxBodyBytes = 16 << 20
-	// maxSkippedBytes bounds the body of an answer that is read only to use the connection again.
+	// maxSkippedBytes bounds the body of a refusal, which is read only to use the connection again.
 	maxSkippedBytes = 64 << 10
 	// shortRetryAfter is the least time after which callers of a busy service may retry.
 	shortRetryAfter = 150 * time.Millisecond
