--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -7,11 +7,15 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"plantainlane/plantainlane/exchange"
+	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/site"
 )
 
@@ -135,3 +139,106 @@
 	is.Equal(u.reused, 1)
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// serveAnswers starts an upstream that answers the request with number n on a connection, counted from 0, with the bytes that answer
+// returns, and adds a row that leads to it.
+func (h *harness) serveAnswers(answer func(n int, r *http.Request) string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, answer(n, r))
+				}
+			}()
+		}
+	}()
+	h.row("u", l.Addr().String())
+	return l.Addr().String()
+}
+
+// success returns a whole answer of the upstream to the request with an ID.
+func success(id, body string, headers ...string) string {
+	head := "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Signed: yes\r\n" + strings.Join(headers, "")
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
+// TestCopyOfCallsAnswerEndsRequest guards against a request that ends without its answer because its connection has carried a call for
+// pieces, whose answer has no ID, and a late copy of that comes before it.
+func TestCopyOfCallsAnswerEndsRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	const pieces = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhandle"
+	address := h.serveAnswers(func(n int, r *http.Request) string {
+		if r.URL.Path == "/pieces" {
+			return pieces
+		}
+		return strings.Repeat(pieces, n) + success(r.Header.Get("X-Id"), "ok")
+	})
+	_, err := h.server.Client.RoundTrip(t.Context(), quota.Peer{Address: address}, &exchange.Request{
+		Method: http.MethodPost, Target: "/pieces", Host: "h",
+		Accept: func(r *exchange.Reply) (string, error) { return string(r.Body), nil },
+	}, 100)
+	is.NoErr(err)
+	res, _, err := h.post()
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
+// TestAnswerWithoutIDRaisesLimit guards against the same by an answer without an ID, which on a kept connection may be a late one.
+func TestAnswerWithoutIDRaisesLimit(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	address := h.serveAnswers(func(n int, r *http.Request) string {
+		switch n {
+		case 0:
+			return success(r.Header.Get("X-Id"), "ok", "X-Limit: 900\r\n")
+		case 1:
+			return success(r.Header.Get("X-Id"), "ok", "X-Limit: 300\r\n")
+		}
+		return "HTTP/1.1 503 Full\r\nX-Not-Run: yes\r\nX-Limit: 900\r\nContent-Length: 0\r\n\r\n"
+	})
+	for n, status := range []int{http.StatusOK, http.StatusOK, http.StatusBadGateway} {
+		res, _, err := h.post("X-Id", strconv.Itoa(n))
+		is.NoErr(err)
+		is.Equal(res.StatusCode, status)
+	}
+	known := h.server.Client.Gate.All(time.Now())
+	is.Equal(len(known), 1)
+	is.Equal(known[0].Address, address)
+	is.Equal(known[0].PerSecond, 300.0)
+}
+
+// TestLargeCopyEndsNextRequest guards against a request that ends without its answer because the late copy before that is large.
+func TestLargeCopyEndsNextRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	large := success("0", strings.Repeat("x", maxSkippedBytes+1))
+	h.serveAnswers(func(n int, r *http.Request) string {
+		if n == 0 {
+			return large
+		}
+		return large + success(r.Header.Get("X-Id"), "ok")
+	})
+	for n := range 3 {
+		res, body, err := h.post("X-Id", strconv.Itoa(n))
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.True(n == 0 || body == "ok")
+	}
+}
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -66,13 +66,13 @@
 	answerMargin = 20 * time.Millisecond
 	// firstEventMargin is the time between the deadline for the first event and the caller's timeout for it.
 	firstEventMargin = 200 * time.Millisecond
-	// maxBodyBytes bounds the body of an answer that is read whole before it is forwarded.
+	// maxBodyBytes bounds the body of an answer that is read whole before it is forwarded, or skipped.
 	maxBodyBytes = 16 << 20
 	// RequestBytes bounds the bodies of all requests that an instance holds at the same time.
 	RequestBytes = 64 << 20
 	// discardTime is how long the rest of a body is read of a request that is refused because of it.
 	discardTime = time.Second
-	// maxSkippedBytes bounds the body of an answer that is read only to use the connection again.
+	// maxSkippedBytes bounds the body of a refusal, which is read only to use the connection again.
 	maxSkippedBytes = 64 << 10
 	// shortRetryAfter is the least time after which callers of a busy service may retry.
 	shortRetryAfter = 150 * time.Millisecond
