forward: a connection isn't kept after an answer without an ID

What callers saw: 502 for a request that must run once, though its upstream answers it. Cause: a refusal without the request's ID is believed on a new connection, which was then kept. A late copy of it comes where the answer to the next request is due and ends that, since it may be its own and may not be. Evidence: TestCopyWithoutIDEndsNextRequest failed before (502 for 200). Why this works: on a kept connection all earlier answers had IDs, so copies of them have some, and are skipped. Upstreams that echo IDs lose no connection. Result: it passes, and the tests of forward.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -289,7 +289,8 @@
 		t.Reported(*answer.Load)
 	}
 	out, complete := q.handleAnswer(c, t, res, answer)
-	if !complete {
+	if !complete || answer.ID == "" {
+		// A copy of an answer without an ID couldn't be told from the next answer.
 		return out, 0
 	}
 	return out, exchange.KeepFor(res)
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -242,3 +242,25 @@
 		is.True(n == 0 || body == "ok")
 	}
 }
+
+// TestCopyWithoutIDEndsNextRequest guards against a request that ends without its answer because an upstream refuses an earlier one without
+// its ID, and sends a copy of that before the answer.
+func TestCopyWithoutIDEndsNextRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	const refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: yes\r\nContent-Length: 0\r\n\r\n"
+	refused := false
+	h.serveAnswers(func(n int, r *http.Request) string {
+		if !refused {
+			refused = true
+			return refusal
+		}
+		return strings.Repeat(refusal, n) + success(r.Header.Get("X-Id"), "ok")
+	})
+	res, _, err := h.post()
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	res, _, err = h.post("X-Id", "id2")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
