exchange: a connection isn't kept after an answer to HEAD that names a length

What callers saw: 504 for a request that must run once, though its upstream answered it at once. Cause: an answer to HEAD has a Content-Length and no body. Where a late copy of it comes before the answer to a request of another method, it is skipped with the body that it names, which is the answer, and then the rest is waited for. Evidence: TestCopyOfHeadAnswerHoldsNextRequest failed before (504 for 200 after the whole timeout). Why this works: no answer to HEAD with a length came on a kept connection before, so no copy of one can come there. Answers 204 and 304 have no body for any method. Result: it passes, and the tests of exchange and forward.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -304,9 +304,11 @@
 func HasEnd(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
 
 // KeepFor returns how long a connection may be idle after the answer res, whose whole body must have been read. It
-// returns 0 if the connection can't carry another request.
+// returns 0 if the connection can't carry another request, which is also so after an answer to HEAD that names the length of a body: where
+// a copy of that is read as the answer to another request, what comes after it would be taken for its body.
 func KeepFor(res *http.Response) time.Duration {
-	if res.Close || !HasEnd(res) {
+	isLengthOnly := res.Request != nil && res.Request.Method == http.MethodHead && res.ContentLength != 0
+	if res.Close || !HasEnd(res) || isLengthOnly {
 		return 0
 	}
 	idle := maxIdleTime
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -264,3 +264,23 @@
 	is.NoErr(err)
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// TestCopyOfHeadAnswerHoldsNextRequest guards against a request whose answer is taken for the body of a copy of an answer to HEAD, which
+// names a length but has no body.
+func TestCopyOfHeadAnswerHoldsNextRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1, Timeout: time.Second})
+	const head = "HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Signed: yes\r\nContent-Length: 1000\r\n\r\n"
+	h.serveAnswers(func(n int, r *http.Request) string {
+		if r.Method == http.MethodHead {
+			return head
+		}
+		return strings.Repeat(head, n) + success(r.Header.Get("X-Id"), "ok")
+	})
+	res, _, err := h.send(http.MethodHead)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	res, _, err = h.post("X-Id", "id2")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -215,7 +215,13 @@
 // post sends a caller's request with the given header names and values, and returns the answer's head and body.
 func (h *harness) post(headers ...string) (*response, string, error) {
 	h.t.Helper()
-	req, err := http.NewRequest(http.MethodPost, h.listener.URL+"/x/y?z=%2F", strings.NewReader("body"))
+	return h.send(http.MethodPost, headers...)
+}
+
+// send does the same with any method.
+func (h *harness) send(method string, headers ...string) (*response, string, error) {
+	h.t.Helper()
+	req, err := http.NewRequest(method, h.listener.URL+"/x/y?z=%2F", strings.NewReader("body"))
 	if err != nil {
 		h.t.Fatal(err)
 	}
