exchange, upstream: a copy that is cut in its head doesn't join the next answer

Cause: an upstream that breaks off a copy within a header's value or the reason, and goes on with the answer that is due, writes a head that reads as one: the status and headers of the copy up to there, and behind it those of the answer, its ID and its signature too. Why this works: the status line of the second answer is then within the reason or a value of the first. A head with one is that of no answer; the request may have run, and the connection is closed. Cut elsewhere, the line isn't a header and can't be read, or is a body's.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -261,7 +261,8 @@
 
 // Read reads the status and headers of the next final answer, and skips the informational (1xx) answers before it. The
 // caller must read the whole body from the answer, or close the connection; closing the body does nothing. method is the
-// method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes.
+// method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes, and ErrJoinedAnswers if the head is not that of one
+// answer.
 func (c *Conn) Read(method string) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	defer c.head.release()
@@ -270,6 +271,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
+		if IsJoined(res) {
+			return nil, ErrJoinedAnswers
+		}
 		res.Body = unreadBody{res.Body}
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -284,3 +284,47 @@
 	is.NoErr(err)
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// TestCutCopyJoinsAnswer guards against a copy that its upstream breaks off within its head, so that the next answer looks like the rest of
+// it: a failure that is given on as a success, or a success as a refusal, though both bear the ID and the signature of the request.
+func TestCutCopyJoinsAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: yes\r\nRetry-After: 1\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n"
+	const failure = "HTTP/1.1 500 Broken\r\nX-Id: 1\r\nX-Signed: yes\r\nContent-Length: 2\r\n\r\nno"
+	for name, c := range map[string]struct {
+		copied, own string
+		// status is that of the own answer, on which the copy that is whole or hasn't begun has no effect.
+		status int
+	}{
+		"refusal before success": {refusal, success("1", "ok"), http.StatusOK},
+		"refusal before failure": {refusal, failure, http.StatusInternalServerError},
+		"success before failure": {success("0", "ok"), failure, http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for cut := range len(c.copied) + 1 {
+				for _, mode := range []site.RetryMode{site.AtMostOnce, site.Idempotent} {
+					h := newHarness(t, &site.Route{RetryMode: mode, MaxAttempts: 1, Timeout: 200 * time.Millisecond})
+					h.serveAnswers(func(n int, _ *http.Request) string {
+						if n == 0 {
+							return c.copied
+						}
+						return c.copied[:cut] + c.own
+					})
+					_, _, err := h.post("X-Id", "0")
+					if err != nil {
+						t.Fatal(err)
+					}
+					h.server.Client.Gate = quota.NewGate(nil) // the pause is over
+					res, body, err := h.post("X-Id", "1")
+					if err != nil {
+						t.Fatal(err)
+					}
+					isOwn := res.StatusCode == c.status && (body == "ok" || body == "no")
+					if !isOwn && res.StatusCode != http.StatusBadGateway && res.StatusCode != http.StatusGatewayTimeout {
+						t.Errorf("cut after %d bytes, %v: status %d, %q", cut, mode, res.StatusCode, body)
+					}
+				}
+			}
+		})
+	}
+}
--- a/plantainlane/upstream/call.go
+++ b/plantainlane/upstream/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/quota"
 )
 
@@ -59,7 +60,8 @@
 	// ErrFailed reports that the upstream answered with a failure, or with an answer that is malformed or too large.
 	// The work may have run.
 	ErrFailed = errors.New("upstream: call failed")
-	// ErrForeignAnswer reports an answer without the attempt ID of the call. The work may have run.
+	// ErrForeignAnswer reports an answer without the attempt ID of the call, or one with a part of another answer in its head. The work
+	// may have run.
 	ErrForeignAnswer = errors.New("upstream: answer to another attempt")
 	// ErrTruncated reports an answer that ended too early. The work may have run.
 	ErrTruncated = errors.New("upstream: answer is truncated")
@@ -153,7 +155,7 @@
 // checkHead returns nil if the head of an answer reports that the attempt succeeded, and otherwise the error that the
 // head stands for.
 func checkHead(res *http.Response, attempt string) error {
-	if res.Header.Get(HeaderAttempt) != attempt {
+	if res.Header.Get(HeaderAttempt) != attempt || exchange.IsJoined(res) {
 		return errors.Wrapf(ErrForeignAnswer, "status %d", res.StatusCode)
 	}
 	if res.StatusCode == http.StatusOK {
--- a/plantainlane/upstream/client_test.go
+++ b/plantainlane/upstream/client_test.go
@@ -208,3 +208,21 @@
 		last = own
 	}
 }
+
+// TestCutAnswerJoinsAnswer guards against a failure that counts as a success or as not run, because an answer to another attempt that was
+// broken off within its head came before it.
+func TestCutAnswerJoinsAnswer(t *testing.T) {
+	is := is.New(t)
+	own := answerHead("500 Oops", "a1", "Content-Length: 2\r\n") + "\r\n{}"
+	for _, earlier := range []string{
+		answerHead("200 OK", "a0") + "\r\n",
+		"HTTP/1.1 503 Busy\r\nPlantainlane-Execution: notRun\r\nRetry-After: 1\r\n",
+	} {
+		for cut := range earlier {
+			call := Call{Peer: quota.Peer{Address: startUpstream(t, earlier[:cut]+own)}, Path: "/run", Attempt: "a1", Body: []byte("{}"), Fresh: true}
+			_, err := NewClient(1, quota.NewGate(nil)).Do(t.Context(), call)
+			is.True(err != nil)
+			is.True(!errors.Is(err, ErrNotRun))
+		}
+	}
+}
