forward: test of copies of a refusal at each moment of the next request

A copy of a refusal, given before its body of 300 kB was read, comes while the connection is idle, between head and body of the next request, while that is under way, behind its answer and three times before it. The next three requests get their own answers, on the same connection except where it held data when it was looked at.

--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -328,3 +329,105 @@
 		})
 	}
 }
+
+// copyMoment is when an upstream sends the copy of the refusal of request 0 on the connection on which request 1 comes.
+type copyMoment string
+
+const (
+	whileIdle    copyMoment = "while the connection is idle"
+	beforeBody   copyMoment = "between the head and the body"
+	underWay     copyMoment = "while the request is under way"
+	behindAnswer copyMoment = "behind its answer"
+	thrice       copyMoment = "three times"
+)
+
+// refusalOf0 is the refusal of request 0.
+const refusalOf0 = "HTTP/1.1 503 Full\r\nX-Id: 0\r\nX-Not-Run: yes\r\nContent-Length: 0\r\n\r\n"
+
+// serveCopyAt starts an upstream that sends a copy of its refusal of request 0 at a moment. It adds a row that leads to it, and counts its
+// connections.
+func (h *harness) serveCopyAt(moment copyMoment, connections *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); answerWithCopyAt(c, in, moment) == nil; {
+				}
+			}()
+		}
+	}()
+	h.row("u", l.Addr().String())
+}
+
+// answerWithCopyAt answers one request. It refuses request 0 before it has read its body.
+func answerWithCopyAt(c net.Conn, in *bufio.Reader, moment copyMoment) error {
+	send := func(at copyMoment) {
+		if at == moment {
+			_, _ = io.WriteString(c, refusalOf0)
+		}
+	}
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return err
+	}
+	id := r.Header.Get("X-Id")
+	if id == "0" {
+		_, _ = io.WriteString(c, refusalOf0)
+		_, err := io.Copy(io.Discard, r.Body)
+		time.Sleep(20 * time.Millisecond)
+		send(whileIdle)
+		return err
+	}
+	send(beforeBody)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	send(underWay)
+	for range 3 {
+		send(thrice)
+	}
+	time.Sleep(20 * time.Millisecond)
+	_, err = io.WriteString(c, success(id, strconv.Itoa(len(body))))
+	time.Sleep(5 * time.Millisecond)
+	send(behindAnswer)
+	return err
+}
+
+// TestCopyChangesAnswerAtAnyMoment guards against a copy of a refusal, also of one before the body was read, that changes the answer to a
+// request after it, whenever it comes.
+func TestCopyChangesAnswerAtAnyMoment(t *testing.T) {
+	for _, moment := range []copyMoment{whileIdle, beforeBody, underWay, behindAnswer, thrice} {
+		t.Run(string(moment), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+			h.body = strings.Repeat("x", 300<<10)
+			h.site.Limits.BodyBytes = len(h.body)
+			var connections atomic.Int64
+			h.serveCopyAt(moment, &connections)
+			res, _, err := h.post("X-Id", "0")
+			is.NoErr(err)
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			time.Sleep(40 * time.Millisecond)
+			for n := 1; n <= 3; n++ {
+				res, body, err := h.post("X-Id", strconv.Itoa(n))
+				is.NoErr(err)
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.Equal(body, strconv.Itoa(len(h.body)))
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.Equal(connections.Load() == 1, moment != whileIdle && moment != behindAnswer)
+		})
+	}
+}
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -114,6 +114,8 @@
 	balancer   *route.Balancer
 	roster     *roster.Roster
 	freshness  site.Freshness
+	// body is that of the requests of callers.
+	body string
 
 	mu sync.Mutex
 	// arrivals is the number of requests that each upstream received.
@@ -131,7 +133,7 @@
 func newHarness(t *testing.T, r *site.Route) *harness {
 	t.Helper()
 	now := time.Now()
-	h := &harness{t: t, dispatcher: &fakeDispatcher{}, arrivals: make(map[string]int), roster: roster.New()}
+	h := &harness{t: t, body: "body", dispatcher: &fakeDispatcher{}, arrivals: make(map[string]int), roster: roster.New()}
 	r.Name, r.Host, r.Prefix, r.Splits = "r", "a.example", "/x/", []site.Split{{Service: "s", Weight: 1}}
 	if r.Timeout == 0 {
 		r.Timeout = 5 * time.Second
@@ -221,7 +223,7 @@
 // send does the same with any method.
 func (h *harness) send(method string, headers ...string) (*response, string, error) {
 	h.t.Helper()
-	req, err := http.NewRequest(method, h.listener.URL+"/x/y?z=%2F", strings.NewReader("body"))
+	req, err := http.NewRequest(method, h.listener.URL+"/x/y?z=%2F", strings.NewReader(h.body))
 	if err != nil {
 		h.t.Fatal(err)
 	}
