--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -263,7 +263,8 @@
 
 // Read reads the status and headers of the next final answer, and skips the informational (1xx) answers before it. The
 // caller must read the whole body from the answer, or close the connection; closing the body does nothing. method is the
-// method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes.
+// method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes, and ErrJoinedAnswers if the head is not that of one
+// answer.
 func (c *Conn) Read(method string) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	defer c.head.release()
@@ -272,6 +273,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
+		if IsJoined(res) {
+			return nil, ErrJoinedAnswers
+		}
 		res.Body = unreadBody{res.Body}
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
@@ -306,9 +310,11 @@
 func HasEnd(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
 
 // KeepFor returns how long a connection may be idle after the answer res, whose whole body must have been read. It
-// returns 0 if the connection can't carry another request.
+// returns 0 if the connection can't carry another request, which is also so after an answer to HEAD that names the length of a body: where
+// a copy of that is read as the answer to another request, what comes after it would be taken for its body.
 func KeepFor(res *http.Response) time.Duration {
-	if res.Close || !HasEnd(res) {
+	isLengthOnly := res.Request != nil && res.Request.Method == http.MethodHead && res.ContentLength != 0
+	if res.Close || !HasEnd(res) || isLengthOnly {
 		return 0
 	}
 	idle := maxIdleTime
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -264,3 +265,169 @@
 	is.NoErr(err)
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// TestCopyOfHeadAnswerHoldsNextRequest guards against a request whose answer is taken for the body of a copy of an answer to HEAD, which
+// names a length but has no body.
+func TestCopyOfHeadAnswerHoldsNextRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1, Timeout: time.Second})
+	const head = "HTTP/1.1 200 OK\r\nX-Id: id1\r\nX-Signed: yes\r\nContent-Length: 1000\r\n\r\n"
+	h.serveAnswers(func(n int, r *http.Request) string {
+		if r.Method == http.MethodHead {
+			return head
+		}
+		return strings.Repeat(head, n) + success(r.Header.Get("X-Id"), "ok")
+	})
+	res, _, err := h.send(http.MethodHead)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	res, _, err = h.post("X-Id", "id2")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
+// TestCutCopyJoinsAnswer guards against a copy that its upstream breaks off within its head, so that the next answer looks like the rest of
+// it: a failure that is given on as a success, or a success as a refusal, though both bear the ID and the signature of the request.
+func TestCutCopyJoinsAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: yes\r\nRetry-After: 1\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n"
+	const failure = "HTTP/1.1 500 Broken\r\nX-Id: 1\r\nX-Signed: yes\r\nContent-Length: 2\r\n\r\nno"
+	for name, c := range map[string]struct {
+		copied, own string
+		// status is that of the own answer, on which the copy that is whole or hasn't begun has no effect.
+		status int
+	}{
+		"refusal before success": {refusal, success("1", "ok"), http.StatusOK},
+		"refusal before failure": {refusal, failure, http.StatusInternalServerError},
+		"success before failure": {success("0", "ok"), failure, http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for cut := range len(c.copied) + 1 {
+				for _, mode := range []site.RetryMode{site.AtMostOnce, site.Idempotent} {
+					h := newHarness(t, &site.Route{RetryMode: mode, MaxAttempts: 1, Timeout: 200 * time.Millisecond})
+					h.serveAnswers(func(n int, _ *http.Request) string {
+						if n == 0 {
+							return c.copied
+						}
+						return c.copied[:cut] + c.own
+					})
+					_, _, err := h.post("X-Id", "0")
+					if err != nil {
+						t.Fatal(err)
+					}
+					h.server.Client.Gate = quota.NewGate(nil) // the pause is over
+					res, body, err := h.post("X-Id", "1")
+					if err != nil {
+						t.Fatal(err)
+					}
+					isOwn := res.StatusCode == c.status && (body == "ok" || body == "no")
+					if !isOwn && res.StatusCode != http.StatusBadGateway && res.StatusCode != http.StatusGatewayTimeout {
+						t.Errorf("cut after %d bytes, %v: status %d, %q", cut, mode, res.StatusCode, body)
+					}
+				}
+			}
+		})
+	}
+}
+
+// copyMoment is when an upstream sends the copy of the refusal of request 0 on the connection on which request 1 comes.
+type copyMoment string
+
+const (
+	whileIdle    copyMoment = "while the connection is idle"
+	beforeBody   copyMoment = "between the head and the body"
+	underWay     copyMoment = "while the request is under way"
+	behindAnswer copyMoment = "behind its answer"
+	thrice       copyMoment = "three times"
+)
+
+// refusalOf0 is the refusal of request 0.
+const refusalOf0 = "HTTP/1.1 503 Full\r\nX-Id: 0\r\nX-Not-Run: yes\r\nContent-Length: 0\r\n\r\n"
+
+// serveCopyAt starts an upstream that sends a copy of its refusal of request 0 at a moment. It adds a row that leads to it, and counts its
+// connections.
+func (h *harness) serveCopyAt(moment copyMoment, connections *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); answerWithCopyAt(c, in, moment) == nil; {
+				}
+			}()
+		}
+	}()
+	h.row("u", l.Addr().String())
+}
+
+// answerWithCopyAt answers one request. It refuses request 0 before it has read its body.
+func answerWithCopyAt(c net.Conn, in *bufio.Reader, moment copyMoment) error {
+	send := func(at copyMoment) {
+		if at == moment {
+			_, _ = io.WriteString(c, refusalOf0)
+		}
+	}
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return err
+	}
+	id := r.Header.Get("X-Id")
+	if id == "0" {
+		_, _ = io.WriteString(c, refusalOf0)
+		_, err := io.Copy(io.Discard, r.Body)
+		time.Sleep(20 * time.Millisecond)
+		send(whileIdle)
+		return err
+	}
+	send(beforeBody)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	send(underWay)
+	for range 3 {
+		send(thrice)
+	}
+	time.Sleep(20 * time.Millisecond)
+	_, err = io.WriteString(c, success(id, strconv.Itoa(len(body))))
+	time.Sleep(5 * time.Millisecond)
+	send(behindAnswer)
+	return err
+}
+
+// TestCopyChangesAnswerAtAnyMoment guards against a copy of a refusal, also of one before the body was read, that changes the answer to a
+// request after it, whenever it comes.
+func TestCopyChangesAnswerAtAnyMoment(t *testing.T) {
+	for _, moment := range []copyMoment{whileIdle, beforeBody, underWay, behindAnswer, thrice} {
+		t.Run(string(moment), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+			h.body = strings.Repeat("x", 300<<10)
+			h.site.Limits.BodyBytes = len(h.body)
+			var connections atomic.Int64
+			h.serveCopyAt(moment, &connections)
+			res, _, err := h.post("X-Id", "0")
+			is.NoErr(err)
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			time.Sleep(40 * time.Millisecond)
+			for n := 1; n <= 3; n++ {
+				res, body, err := h.post("X-Id", strconv.Itoa(n))
+				is.NoErr(err)
+				is.Equal(res.StatusCode, http.StatusOK)
+				is.Equal(body, strconv.Itoa(len(h.body)))
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.Equal(connections.Load() == 1, moment != whileIdle && moment != behindAnswer)
+		})
+	}
+}
