control: departures that replicas read in the log are told to the instances

Cause: a departure is in the log, but a replica that reads it there again kept it to itself. Instances without a disk learned of it by the digests that pairs of instances at random compare each second.

Why the fix works: what a replica learns from the log and from nobody else is passed on like a departure that was reported to it. While instances run, departures come by their announcement first, so nothing more is sent.

--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -100,7 +100,7 @@
 	if cmd.Quarantine != nil {
 		c.recordQuarantine(cmd.Quarantine)
 	}
-	if cmd.Depart != nil && c.roster.Depart(*cmd.Depart, c.now) {
+	if cmd.Depart != nil && c.roster.Record(*cmd.Depart, c.now) {
 		c.dirty = true
 	}
 	c.answerApplied(e.Index, out)
--- a/plantainlane/roster/departure.go
+++ b/plantainlane/roster/departure.go
@@ -16,7 +16,7 @@
 // upstream is known or not.
 type departures struct {
 	rows table.Table[wire.Departure]
-	// recorded lists the departures recorded since the last TakeDepartures.
+	// recorded lists the departures recorded here, and not at another instance, since the last TakeDepartures.
 	recorded []wire.Departure
 }
 
@@ -26,7 +26,7 @@
 // Departures returns the number of departures that are remembered.
 func (r *Roster) Departures() int { return r.departed.rows.Len() }
 
-// TakeDepartures returns the departures that upstreams reported to this instance since the last call.
+// TakeDepartures returns the departures that upstreams reported to this instance, or that it learned by Record, since the last call.
 func (r *Roster) TakeDepartures() []wire.Departure {
 	out := r.departed.recorded
 	r.departed.recorded = nil
@@ -45,12 +45,19 @@
 		return errors.Wrapf(ErrStale, "upstream %s is known with incarnation %d, sequence %d",
 			id, old.Announcement.Incarnation, old.Announcement.Sequence)
 	}
-	if r.Depart(d, now) {
-		r.departed.recorded = append(r.departed.recorded, d)
-	}
+	r.Record(d, now)
 	return nil
 }
 
+// Record records a departure of which the other instances may not know, as Depart does, and lists it for TakeDepartures.
+func (r *Roster) Record(d wire.Departure, now time.Time) bool {
+	if !r.Depart(d, now) {
+		return false
+	}
+	r.departed.recorded = append(r.departed.recorded, d)
+	return true
+}
+
 // Depart records a departure, and marks the upstream as leaving if it is known. It returns false, and changes nothing, unless the
 // departure is newer than the known one and not forgotten yet.
 func (r *Roster) Depart(d wire.Departure, now time.Time) bool {
