control: an instance that starts is told the departures before its configuration

What callers could see: a machine that had just started sent requests to a worker whose departure was acknowledged, if a late heartbeat of it came before the machine's first connection to another one; until two random instances compared digests.

Serving needs a configuration of the leader; knowing who has left needed chance.

Evidence: TestStartedInstanceUsesDepartedUpstream failed without the change (digests held back, 3 s after the start).

Why the fix works: the leader sends the newest departures (256 at most, some 20 kB) right before a configuration that is the instance's first, on the same connection, so that no instance serves before it has them.

--- a/plantainlane/control/config.go
+++ b/plantainlane/control/config.go
@@ -26,6 +26,9 @@
 		return
 	}
 	row.pushedRevision = newest
+	if row.appliedRevision == 0 {
+		c.sendDepartures(row.info.ID)
+	}
 	update := c.updateSince(row.appliedRevision)
 	c.send(row.info.ID, wire.Frame{Config: &update})
 }
--- a/plantainlane/control/departure.go
+++ b/plantainlane/control/departure.go
@@ -13,6 +13,9 @@
 // another instance.
 const departureWait = 800 * time.Millisecond
 
+// toldDepartures is the number of departures that an instance is told when it starts. In a large region it passes them on.
+const toldDepartures = 256
+
 // ErrNotRecorded reports a departure that isn't known to be in the control log. The instances heed it while they run.
 var ErrNotRecorded = errors.New("control: departure not recorded in time")
 
@@ -80,3 +83,10 @@
 	}
 	c.dirty = true
 }
+
+// sendDepartures sends an instance the newest departures that the state holds.
+func (c *Core) sendDepartures(to string) {
+	if list := c.state.NewestDepartures(toldDepartures); len(list) > 0 {
+		c.send(to, wire.Frame{Upstreams: &wire.UpstreamDelta{Departures: list}})
+	}
+}
--- a/plantainlane/replica/power_loss_test.go
+++ b/plantainlane/replica/power_loss_test.go
@@ -342,3 +342,33 @@
 		}
 	}
 }
+
+// TestStartedInstanceUsesDepartedUpstream guards against an instance that serves before it knows which upstreams have departed: an
+// announcement that is late came before its first connection, so that nobody has told it.
+func TestStartedInstanceUsesDepartedUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPowerPlay(t, 0, 0)
+		defer func() {
+			p.close()
+			time.Sleep(10 * time.Second)
+		}()
+		p.prepare()
+		p.acknowledge(t)
+		p.run(time.Second)
+		m := p.members[len(p.members)-1]
+		p.cluster.mu.Lock()
+		p.isLost = func(from, _ string, f wire.Frame) bool {
+			return f.Digest != nil || from == m.info.ID && f.Upstreams != nil
+		}
+		p.cluster.mu.Unlock()
+		m.crash()
+		m.start()
+		m.running.Load().Deliver(context.Background(), control.UpstreamAnnounced{Announcement: announcementOf(0), Reply: make(chan error, 1)})
+		p.run(3 * time.Second)
+		v := m.running.Load().Publisher.View()
+		row, ok := v.Upstreams.Rows.Get(announcementOf(0).ID)
+		if v.Config.Revision == 0 || ok && row.Usable() {
+			t.Fatalf("revision %d, upstream known: %v", v.Config.Revision, ok)
+		}
+	})
+}
--- a/plantainlane/state/departure.go
+++ b/plantainlane/state/departure.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// NewestDepartures returns up to n departures, those that were stored last.
+func (s *State) NewestDepartures(n int) []wire.Departure {
+	return slices.Clone(s.departed[max(len(s.departed)-n, 0):])
+}
+
 // departuresInOrder returns the stored departures, the oldest first.
 func (s *State) departuresInOrder() []wire.Departure {
 	var out []wire.Departure
