forward: copies of all refusals that a connection has carried don't end a request

What callers saw: 502 for a request that must run once, though its upstream answers it. Cause: a connection may carry 15 refusals, and was given up at the eighth answer to another request. Evidence: TestManyCopiesEndNextRequest (15 refusals, two copies each) failed before. Why this works: 64 answers may be read, which is more than the refusals with four copies each. Result: it passes, and the tests of forward, with those of answers without end.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -19,8 +19,9 @@
 const (
 	// maxSends bounds the sends of one request, including those that did not run.
 	maxSends = 4
-	// maxMismatchedAnswers is the number of answers to other requests after which a connection is abandoned.
-	maxMismatchedAnswers = 8
+	// maxMismatchedAnswers is the number of answers to other requests after which a connection is abandoned. It is larger than that of
+	// the requests that may have been refused on it, with some copies each; their bodies together may be as large as one answer's.
+	maxMismatchedAnswers = 64
 	// maxIdleNonIdempotent is the idle time up to which a connection is reused for a request that is not idempotent.
 	maxIdleNonIdempotent = 2 * time.Second
 	// minTimeLeft is the time until the deadline below which a request is not sent.
@@ -327,6 +328,7 @@
 
 // readHead reads the head of the answer to this request. It skips late answers to earlier requests on the connection.
 func (q *request) readHead(c *exchange.Conn) (*http.Response, Answer, error) {
+	left := int64(maxBodyBytes)
 	for range maxMismatchedAnswers {
 		res, err := c.Read(q.method)
 		if err != nil {
@@ -338,23 +340,26 @@
 		}
 		klog.InfoS("answer to another request skipped", "request", q.call.ID, "answered", answer.ID, "status", res.StatusCode,
 			"upstream", q.upstream, "port", c.LocalPort(), "reused", c.Reused)
-		if err := skipBody(res); err != nil {
+		skipped, err := skipBody(res, left)
+		if err != nil {
 			return nil, Answer{}, err
 		}
+		left -= skipped
 	}
 	return nil, Answer{}, errMismatchedID
 }
 
-// skipBody reads the body of an answer to another request, which may be as large as any. It returns an error if nothing can come after it.
-func skipBody(res *http.Response) error {
+// skipBody reads the body of an answer to another request, of at most maxBytes, and returns its size. It returns an error if nothing can come
+// after it.
+func skipBody(res *http.Response, maxBytes int64) (size int64, err error) {
 	if !exchange.HasEnd(res) {
-		return errors.Wrap(errMismatchedID, "without an end of its own")
+		return 0, errors.Wrap(errMismatchedID, "without an end of its own")
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBodyBytes+1))
-	if err == nil && n > maxBodyBytes {
+	size, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxBytes+1))
+	if err == nil && size > maxBytes {
 		err = exchange.ErrTooLarge
 	}
-	return errors.Wrap(err, "read answer to another request")
+	return size, errors.Wrap(err, "read answer to another request")
 }
 
 // handleAnswer checks an answer and forwards it if it is a success. Only successes need the upstream's signature. The
--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -431,3 +431,19 @@
 		})
 	}
 }
+
+// TestManyCopiesEndNextRequest guards against the same by copies of all refusals that a connection may have carried.
+func TestManyCopiesEndNextRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	u := &copyingUpstream{copies: 2, refuses: func(r *http.Request) bool { return r.Header.Get("X-Id") != "last" }}
+	h.serveCopies(u, "u")
+	for n := range 15 {
+		_, _, err := h.post("X-Id", strconv.Itoa(n))
+		is.NoErr(err)
+	}
+	res, _, err := h.post("X-Id", "last")
+	is.NoErr(err)
+	is.Equal(u.reused, 1)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
