control: an instance whose process started at an earlier time of day is registered

What callers saw: a machine that answers 503 for good, after its process ended or all lost power, if its clock had been ahead when the process before started and was set back since: within as many seconds after that start as it was ahead. If all clocks were set back, no machine served again.

Cause: an incarnation is the time of day at the process's start, and the leader registers only a later one than is registered. A process knows nothing of the one before, on a machine without a disk there is nothing to know it from, and the registered one is removed only 30 s after its lease of two minutes. So what was needed for serving again was the clock of the past.

Evidence: TestClockSetBackEndsServiceForGood (replica, paused clock): 12 of 12 cases failed: one process ends, power is lost with one clock set back, with all.

Why the fix works: a registered incarnation that is silent, while an instance of its ID asks under an earlier one, has ended; it is forgotten (its running claims are unknown, as always), and the next request registers the other. While it isn't silent, or a change may wait for its lease, nothing is done, so a late frame of a process that has ended replaces nobody.

Result: 0 of 12 (serving within 12 s); control, replica and instance pass.

--- a/plantainlane/control/instance.go
+++ b/plantainlane/control/instance.go
@@ -89,11 +89,12 @@
 }
 
 // registerInstance appends the instance's registration to the log. An instance is registered before its first lease,
-// since every later leader must know each instance that may hold a lease. Nothing is appended if this or a later
-// incarnation is registered, or if this leader has already appended such a registration.
+// since every later leader must know each instance that may hold a lease. Nothing is appended if this
+// incarnation is registered, or if this leader has already appended such a registration. A later one is removed first, see forgetEnded.
 func (c *Core) registerInstance(info wire.InstanceInfo) {
 	old, ok := c.state.Instances.Get(info.ID)
 	if ok && old.Incarnation >= info.Incarnation {
+		c.forgetEnded(old, info.Incarnation)
 		return
 	}
 	if c.leaderState.registering[info.ID] >= info.Incarnation {
@@ -104,6 +105,21 @@
 	c.appendWithoutReply(wire.Command{Register: &info})
 }
 
+// forgetEnded removes the registered incarnation of an instance that sends lease requests under an earlier one, once the registered one is
+// silent and has no lease on which a change waits: its clock was ahead, and it has ended. The next request registers the instance again.
+func (c *Core) forgetEnded(registered wire.InstanceInfo, incarnation int) {
+	row := c.leaderState.rows[registered.ID]
+	if row == nil || !row.info.Silent || row.info.Incarnation != registered.Incarnation || incarnation == registered.Incarnation {
+		return
+	}
+	if !c.timing.AcceptCommitted && c.now.Before(row.leaseUntil) {
+		return
+	}
+	delete(c.leaderState.registering, registered.ID)
+	c.appendWithoutReply(wire.Command{Forget: &registered})
+	c.record(wire.Event{Kind: "instanceReplaced", Detail: &registered.ID})
+}
+
 // randomPeer returns the ID of a random connected instance; empty if there is none.
 func (c *Core) randomPeer() string {
 	ids := slices.Sorted(maps.Keys(c.peers))
