exchange: a connection remembers unserved requests by hashes

An ID may be as long as a request's headers; sixteen of them are 128 bytes now, as the tokens of answers are. Two IDs with one hash cost a new connection.

--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -64,8 +64,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
+	hash := hashOf(request)
 	for i, c := range slices.Backward(list) {
-		if slices.Contains(c.unserved, request) {
+		if slices.Contains(c.unserved, hash) {
 			continue
 		}
 		p.idle[address] = slices.Delete(list, i, i+1)
