--- a/plantainlane/replica/power_loss_test.go
+++ b/plantainlane/replica/power_loss_test.go
@@ -17,7 +17,7 @@
 
 // powerSeeds is the number of seeds of TestLostDiskAndPowerLoseAcknowledged, powerFirst the first of them.
 var (
-	powerSeeds = flag.Uint64("power.seeds", 30, "number of seeds of TestLostDiskAndPowerLoseAcknowledged")
+	powerSeeds = flag.Uint64("power.seeds", 42, "number of seeds of TestLostDiskAndPowerLoseAcknowledged")
 	powerFirst = flag.Uint64("power.first", 0, "first seed of TestLostDiskAndPowerLoseAcknowledged")
 )
 
@@ -48,6 +48,10 @@
 	hasLostDisk
 	// hasLostProcess: a process has just been killed. It may be the leader's.
 	hasLostProcess
+	// hasLostDiskAndPower: a disk was lost, then all instances lost power while a voter was exchanged; nextLossAfter has passed since.
+	hasLostDiskAndPower
+	// wasSplit: the disks were cut into two halves for a while.
+	wasSplit
 	situations
 )
 
@@ -176,6 +180,31 @@
 		p.run(200 * time.Millisecond)
 		m.start()
 		p.run(time.Duration(p.random.IntN(1500)) * time.Millisecond)
+	case hasLostDiskAndPower:
+		m.crash()
+		m.wipe()
+		p.run(successorAfter)
+		m.start()
+		p.run(time.Duration(p.random.IntN(2000)) * time.Millisecond)
+		p.losePower()
+		p.run(nextLossAfter)
+	case wasSplit:
+		p.split(true)
+		p.run(time.Duration(500+p.random.IntN(4000)) * time.Millisecond)
+		p.split(false)
+	}
+}
+
+// split cuts the links between the instances of even and of odd number, or restores them.
+func (p *powerPlay) split(isCut bool) {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	for i, a := range p.members {
+		for j, b := range p.members {
+			if (i+j)%2 == 1 && a.disk != nil && b.disk != nil {
+				p.cut[[2]string{a.info.ID, b.info.ID}] = isCut
+			}
+		}
 	}
 }
 
