--- a/plantainlane/replica/power_loss_test.go
+++ b/plantainlane/replica/power_loss_test.go
@@ -293,6 +293,13 @@
 	}
 }
 
+// hasHeard reports whether an instance has been told of the entry since the loss of power.
+func (p *powerPlay) hasHeard(m *member) bool {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	return p.quarantined[m.info.ID]
+}
+
 // loseDiskAndPower ends all processes, and with them what isn't synced, and the disk of one. They start again one after the other within
 // startsWithin. The announcements of the departed upstreams arrive at random instances up to a second after these have started.
 func (p *powerPlay) loseDiskAndPower(lost *member) {
@@ -346,7 +353,7 @@
 			t.Fatalf("seed %d: situation %d: %s is at revision %d of %d, serves: %v, leader after %v", p.seed, p.situation, m.info.ID,
 				v.Config.Revision, before, v.LeaseHeld(time.Now()), leaderAt)
 		}
-		if l := p.leader(); m != l && !p.quarantined[m.info.ID] {
+		if l := p.leader(); m != l && !p.hasHeard(m) {
 			t.Fatalf("seed %d: situation %d: %s isn't told of the quarantine", p.seed, p.situation, m.info.ID)
 		}
 	}
