forward: the line on a failed send says of its connection what was true of the send

Cause: since the line is written after the connection went back to its pool, and reads Conn.Reused, which the next request on the connection sets. It is also a data race. Evidence: go test -race on a play of copies (two instances, one upstream): DATA RACE between Pool.Get and logFailedSend. Why this works: port and reuse are read before the connection is returned.

--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -64,8 +64,9 @@
 	// run, though it may have.
 	answer       *exchange.Reply
 	claimsNotRun bool
-	// conn is the connection that was used; nil if there was none.
-	conn *exchange.Conn
+	// port is the local port of the connection that was used, 0 if there was none, and reused is set if it had carried a request before.
+	port   int
+	reused bool
 }
 
 var (
@@ -234,7 +235,8 @@
 	if !stop() {
 		keepFor = 0
 	}
-	out.conn = c
+	// Once the connection is returned, another request may use it.
+	out.port, out.reused = c.LocalPort(), c.Reused
 	if out.result != delivered {
 		c.MarkUnserved(q.call.ID)
 	}
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -204,11 +204,7 @@
 
 // logFailedSend logs a send that was not delivered, with its connection and the parts of the prompt that other requests may share.
 func (q *request) logFailedSend(t route.Target, out sendOutcome, took time.Duration) {
-	port, reused := 0, false
-	if out.conn != nil {
-		port, reused = out.conn.LocalPort(), out.conn.Reused
-	}
 	klog.InfoS("send failed", "request", q.call.ID, "upstream", t.ID, "zone", t.Zone, "send", q.sends,
 		"notRun", out.result == notRun || out.result == inputsGone, "events", q.events, "parts", q.call.sharedParts(),
-		"port", port, "reused", reused, "ms", took.Milliseconds(), "err", out.err.Error())
+		"port", out.port, "reused", out.reused, "ms", took.Milliseconds(), "err", out.err.Error())
 }
