--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -447,3 +447,32 @@
 	is.Equal(u.reused, 1)
 	is.Equal(res.StatusCode, http.StatusOK)
 }
+
+// TestCopyOfUnservedAnswersNextSend guards against a copy of an answer that is no refusal, but after which the same request is sent again to
+// another row with the same address: that results of its stages are gone, or that it has failed.
+func TestCopyOfUnservedAnswersNextSend(t *testing.T) {
+	for _, c := range []struct {
+		mode  site.RetryMode
+		first string
+	}{
+		{site.AtMostOnce, "HTTP/1.1 409 Gone\r\nX-Id: id1\r\nX-Not-Run: yes\r\nContent-Length: 0\r\n\r\n"},
+		{site.Idempotent, "HTTP/1.1 500 Broken\r\nX-Id: id1\r\nX-Signed: yes\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		is := is.New(t)
+		h := newHarness(t, &site.Route{RetryMode: c.mode, MaxAttempts: 2})
+		var sends, runs atomic.Int64
+		address := h.serveAnswers(func(n int, r *http.Request) string {
+			if sends.Add(1) == 1 {
+				return c.first
+			}
+			runs.Add(1)
+			return strings.Repeat(c.first, n) + success(r.Header.Get("X-Id"), "ok")
+		})
+		h.row("second", address)
+		h.row("third", address)
+		res, _, err := h.post()
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(runs.Load(), int64(1))
+	}
+}
