--- a/plantainlane/quota/notice_test.go
+++ b/plantainlane/quota/notice_test.go
@@ -125,13 +125,20 @@
 	address := s.Listener.Addr().String()
 	c := NewClient(exchange.NewPool(time.Minute), NewGate(nil), readNotice)
 	old, successor := Peer{Address: address, ID: "u", Incarnation: 1}, Peer{Address: address, ID: "u", Incarnation: 2}
+	pools := []*exchange.Pool{c.Pool, c.Calls, c.Control}
+	for _, pool := range pools {
+		_, err := pool.RoundTrip(t.Context(), address, &exchange.Request{Method: http.MethodPost, Target: "/", Host: "h"}, 100)
+		is.NoErr(err)
+	}
 	_, err := c.RoundTrip(t.Context(), old, &exchange.Request{Method: http.MethodPost, Target: "/", Host: "h"}, 100)
 	is.NoErr(err)
 	is.True(c.Gate.IsLeaving(old))
 	_, err = c.Acquire(t.Context(), successor)
 	is.NoErr(err)
-	conn, err := c.Calls.Get(t.Context(), address, "", time.Minute)
-	is.NoErr(err)
-	is.True(!conn.Reused)
-	conn.Close()
+	for _, pool := range pools {
+		conn, err := pool.Get(t.Context(), address, "", time.Minute)
+		is.NoErr(err)
+		is.True(!conn.Reused)
+		conn.Close()
+	}
 }
