forward: a request that may have run isn't refused as not run when its stages can't be run again

What callers saw: 503 for a request that may run twice, or a stream that may be resumed, of which a first send may have run: results of its stages were gone at the second upstream, and the stages failed, were held, or were gone once more. 503 promises that nothing ran. Cause: answerUndelivered looks at the sends before it gives a promise; the three ends in run and refuseWithoutStages did not. Why this works: they answer 502 unless no send may have run, as answerUndelivered does. Requests that must not run twice were not concerned: none is sent on after a send that may have run. Result: TestRequestWithoutStagesIsRefusedAfterRun failed before (503 for 502).

--- a/plantainlane/forward/promise_test.go
+++ b/plantainlane/forward/promise_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/site"
 )
 
@@ -39,3 +40,30 @@
 	is.NoErr(err)
 	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
 }
+
+// TestRequestWithoutStagesIsRefusedAfterRun guards against a caller that is told that its request hasn't run, because its stages can't be run
+// again after their results were gone at a second upstream, though the first one may have run it.
+func TestRequestWithoutStagesIsRefusedAfterRun(t *testing.T) {
+	for _, mode := range []site.RetryMode{site.Resumable, site.Idempotent} {
+		is := is.New(t)
+		h := newHarness(t, &site.Route{
+			RetryMode: mode, MaxAttempts: 3, Stream: mode == site.Resumable, Stages: []site.Stage{{Service: "p"}},
+		})
+		h.dispatcher.outcomes = []batch.Outcome{{Handles: []string{"h"}}, {Reason: batch.ReasonFailed}}
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			if h.totalArrivals() == 1 {
+				resetConnection(w)
+				return
+			}
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			w.Header().Set("X-Not-Run", "yes")
+			w.WriteHeader(http.StatusConflict)
+		}
+		h.upstream("u1", handler)
+		h.upstream("u2", handler)
+		res, _, err := h.post("X-Pieces", "1", "X-Piece-Key", "k")
+		is.NoErr(err)
+		is.Equal(h.totalArrivals(), 2)
+		is.Equal(res.StatusCode, http.StatusBadGateway)
+	}
+}
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -162,7 +162,7 @@
 	for restart := 0; ; restart++ {
 		// Stages are not run for a request that then isn't sent.
 		if refusal := q.obtainTrial(ctx); refusal != nil {
-			q.refuse(*refusal)
+			q.refuseUnlessRun(*refusal)
 			return
 		}
 		if err := q.runStages(ctx); err != nil {
@@ -174,7 +174,7 @@
 		q.releaseStages()
 		if !rerunStages || restart >= maxRestarts {
 			if rerunStages {
-				q.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: "stage results no longer exist", RetryAfter: shortRetryAfter})
+				q.refuseUnlessRun(Refusal{Status: http.StatusServiceUnavailable, Reason: "stage results no longer exist", RetryAfter: shortRetryAfter})
 			}
 			return
 		}
@@ -218,7 +218,7 @@
 	}
 }
 
-// refuseWithoutStages refuses a request whose stages were not completed. The request itself has not run.
+// refuseWithoutStages refuses a request whose stages were not completed.
 func (q *request) refuseWithoutStages(ctx context.Context, err error) {
 	refusal := Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: shortRetryAfter}
 	var failed *stageError
@@ -228,7 +228,15 @@
 			refusal.Reason = "stages not completed before the request was cancelled or timed out"
 		}
 	}
-	q.refuse(refusal)
+	q.refuseUnlessRun(refusal)
+}
+
+// refuseUnlessRun refuses a request as not run, or with a status that promises nothing if a send may have run.
+func (q *request) refuseUnlessRun(r Refusal) {
+	if !q.hasNotRun() {
+		r = Refusal{Status: http.StatusBadGateway, Reason: r.Reason + " after the request may have run"}
+	}
+	q.refuse(r)
 }
 
 // refuse answers the request by the instance itself, or aborts the answer if its head was sent already.
