exchange: idle connections hold hashes of refused requests' IDs

Since each idle connection holds up to 15 IDs of requests that weren't served, as long as callers made them: 15 MB for one upstream with IDs of 60 kB, which a site that allows headers of 64 kB lets through. Now 8 bytes each, as for tokens. Two IDs with one hash only cost a new connection.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -62,8 +62,11 @@
 	maxInformational = 5
 )
 
-// tokenSeed is the seed of the hashes of tokens.
-var tokenSeed = maphash.MakeSeed()
+// hashSeed is the seed of the hashes of tokens and request IDs.
+var hashSeed = maphash.MakeSeed()
+
+// hashOf returns the hash of a token or request ID, which may be long.
+func hashOf(text string) uint64 { return maphash.String(hashSeed, text) }
 
 // Conn is a connection to an upstream. It carries one request at a time, and must not be used concurrently except for
 // Close.
@@ -84,13 +87,13 @@
 	Reused bool
 	// tokens holds the hashes of the tokens of all answers, see Request.Accept.
 	tokens []uint64
-	// unserved holds the IDs of the requests that the connection has carried and that were answered, but not served. They may be
+	// unserved holds the hashes of the IDs of the requests that the connection has carried and that were answered, but not served. They may be
 	// sent again, but not on this connection: a late copy of the answer couldn't be told from that to the second send.
-	unserved []string
+	unserved []uint64
 }
 
 // MarkUnserved records that the request with an ID was answered on the connection, but not served.
-func (c *Conn) MarkUnserved(request string) { c.unserved = append(c.unserved, strings.Clone(request)) }
+func (c *Conn) MarkUnserved(request string) { c.unserved = append(c.unserved, hashOf(request)) }
 
 // Since returns the time since which the upstream can have made the answer that was read last, if nothing ties that to the request that
 // was sent at sentAt: it may be a late one to any request on the connection.
@@ -295,7 +298,7 @@
 	if err != nil || token == "" {
 		return false, err
 	}
-	hash := maphash.String(tokenSeed, token)
+	hash := hashOf(token)
 	if slices.Contains(c.tokens, hash) {
 		return false, ErrRepeatedAnswer
 	}
--- a/plantainlane/exchange/exchange_test.go
+++ b/plantainlane/exchange/exchange_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -244,3 +246,31 @@
 	}
 	is.Equal(countIdle(p, address), 0)
 }
+
+// TestLongIDsOfRefusedRequestsAreKept guards against idle connections that hold the IDs of refused requests, each as long as a site allows
+// headers to be.
+func TestLongIDsOfRefusedRequestsAreKept(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(time.Minute)
+	address := startUpstream(t, func(int) string { return completeAnswer })
+	id := strings.Repeat("i", 60<<10)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var conns []*Conn
+	for range maxIdlePerAddress {
+		c, err := p.Get(context.Background(), address, id, time.Minute)
+		is.NoErr(err)
+		conns = append(conns, c)
+	}
+	for _, c := range conns {
+		for n := range maxUnserved - 1 {
+			c.MarkUnserved(id + strconv.Itoa(n))
+		}
+		p.Put(c, time.Minute)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	is.Equal(countIdle(p, address), maxIdlePerAddress)
+	is.True(int64(after.HeapAlloc)-int64(before.HeapAlloc) < 2<<20) // 15 MB if they are kept
+}
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -61,11 +61,12 @@
 // pop removes the most recently used idle connection to an address that hasn't carried a request and returns it; nil if there
 // is none.
 func (p *Pool) pop(address, request string) *Conn {
+	hash := hashOf(request)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if slices.Contains(c.unserved, request) {
+		if slices.Contains(c.unserved, hash) {
 			continue
 		}
 		p.idle[address] = slices.Delete(list, i, i+1)
