replica: a lock in the test of lost disks and power

go test -race reported a race of TestDepartureIsHeardLateAfterLossOfPower (seed 0): the test read which instances know the quarantine while frames recorded it.

--- a/plantainlane/replica/power_loss_test.go
+++ b/plantainlane/replica/power_loss_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -64,7 +65,7 @@
 	// revision and entry are the acknowledged configuration and entry of the quarantine.
 	revision int
 	entry    string
-	// quarantined holds the instances that have been told of entry since the loss of power.
+	// quarantined holds the instances that have been told of entry since the loss of power. The cluster's mu guards it.
 	quarantined map[string]bool
 	// usable is when an upstream that had departed was last seen in use, after the instances were back at backAt.
 	usable, backAt time.Time
@@ -340,13 +341,16 @@
 		}
 		p.requireDeparted(t, leaderAt)
 	}
+	p.cluster.mu.Lock()
+	quarantined := maps.Clone(p.quarantined)
+	p.cluster.mu.Unlock()
 	for _, m := range p.members {
 		v := m.running.Load().Publisher.View()
 		if v.Config.Revision < before || !v.LeaseHeld(time.Now()) || !v.IsCertain(time.Now()) {
 			t.Fatalf("seed %d: situation %d: %s is at revision %d of %d, serves: %v, leader after %v", p.seed, p.situation, m.info.ID,
 				v.Config.Revision, before, v.LeaseHeld(time.Now()), leaderAt)
 		}
-		if l := p.leader(); m != l && !p.quarantined[m.info.ID] {
+		if l := p.leader(); m != l && !quarantined[m.info.ID] {
 			t.Fatalf("seed %d: situation %d: %s isn't told of the quarantine", p.seed, p.situation, m.info.ID)
 		}
 	}
