--- a/plantainlane/replica/power_loss_test.go
+++ b/plantainlane/replica/power_loss_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -64,7 +65,7 @@
 	// revision and entry are the acknowledged configuration and entry of the quarantine.
 	revision int
 	entry    string
-	// quarantined holds the instances that have been told of entry since the loss of power.
+	// quarantined holds the instances that have been told of entry since the loss of power. The cluster's mu guards it.
 	quarantined map[string]bool
 	// usable is when an upstream that had departed was last seen in use, after the instances were back at backAt.
 	usable, backAt time.Time
@@ -293,13 +294,6 @@
 	}
 }
 
-// hasHeard reports whether an instance has been told of the entry since the loss of power.
-func (p *powerPlay) hasHeard(m *member) bool {
-	p.cluster.mu.Lock()
-	defer p.cluster.mu.Unlock()
-	return p.quarantined[m.info.ID]
-}
-
 // loseDiskAndPower ends all processes, and with them what isn't synced, and the disk of one. They start again one after the other within
 // startsWithin. The announcements of the departed upstreams arrive at random instances up to a second after these have started.
 func (p *powerPlay) loseDiskAndPower(lost *member) {
@@ -347,13 +341,16 @@
 		}
 		p.requireDeparted(t, leaderAt)
 	}
+	p.cluster.mu.Lock()
+	quarantined := maps.Clone(p.quarantined)
+	p.cluster.mu.Unlock()
 	for _, m := range p.members {
 		v := m.running.Load().Publisher.View()
 		if v.Config.Revision < before || !v.LeaseHeld(time.Now()) || !v.IsCertain(time.Now()) {
 			t.Fatalf("seed %d: situation %d: %s is at revision %d of %d, serves: %v, leader after %v", p.seed, p.situation, m.info.ID,
 				v.Config.Revision, before, v.LeaseHeld(time.Now()), leaderAt)
 		}
-		if l := p.leader(); m != l && !p.hasHeard(m) {
+		if l := p.leader(); m != l && !quarantined[m.info.ID] {
 			t.Fatalf("seed %d: situation %d: %s isn't told of the quarantine", p.seed, p.situation, m.info.ID)
 		}
 	}
