forward: wait for the end of a stream's run whatever ended its connection

What callers saw: a stream that was resumed at another upstream ran at both. Whether the users' cases of TWICE were this isn't shown; it only may be.

Cause: waitForEnd took a reset or an end of file for the end of the run. It is the end of a connection: a relay or the network may have caused it, or an upstream that cut its answer off and works on until it looks.

Evidence: TestStreamWithLostLinkGoesOnWhileUpstreamIsAtWork on failed in 14 of 14 cases (the second send came 2 to 4 ms after the loss).

Fix (forward/end.go): a stream goes on when a new connection to its upstream's address is refused, so that the process is gone, or half a second after its connection has ended. Only the first proves an end; the second covers upstreams that look each 0.9 s.

TestCutHeadEndsStream and TestErrorOfNextUpstreamIsInStream run their cases in parallel, since each now waits; what they check is unchanged.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -113,6 +113,17 @@
 	return &Conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), address: address}, nil
 }
 
+// IsRefused reports whether an address refuses a new connection, so that no process listens there. It returns false if that isn't
+// known when ctx ends.
+func IsRefused(ctx context.Context, address string) bool {
+	c, err := dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.Close()
+	return false
+}
+
 // headLimiter reads from a connection, and only a limited number of bytes while it is limited.
 type headLimiter struct {
 	source  io.Reader
--- a/plantainlane/forward/foreign_test.go
+++ b/plantainlane/forward/foreign_test.go
@@ -60,6 +60,7 @@
 	}
 	for name, rest := range rests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			h := newHarness(t, &site.Route{Stream: true, RetryMode: site.Resumable, MaxAttempts: 2, TargetGap: time.Second})
 			handler := func(w http.ResponseWriter, r *http.Request) {
