--- a/plantainlane/forward/copy_test.go
+++ b/plantainlane/forward/copy_test.go
@@ -35,28 +35,11 @@
 // serveCopies starts the upstream, and adds rows with the given IDs that lead to it.
 func (h *harness) serveCopies(u *copyingUpstream, ids ...string) {
 	u.runs = make(map[string]int)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	h.t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(c)
-		}
-	}()
-	for _, id := range ids {
-		h.row(id, l.Addr().String())
-	}
+	h.listen(u.serve, ids...)
 }
 
 // serve serves one connection.
 func (u *copyingUpstream) serve(c net.Conn) {
-	defer c.Close()
 	in := bufio.NewReader(c)
 	var refusals []string
 	for n := 0; ; n++ {
@@ -144,33 +127,17 @@
 // serveAnswers starts an upstream that answers the request with number n on a connection, counted from 0, with the bytes that answer
 // returns, and adds a row that leads to it.
 func (h *harness) serveAnswers(answer func(n int, r *http.Request) string) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	h.t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	return h.listen(func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, answer(n, r))
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, answer(n, r))
 		}
-	}()
-	h.row("u", l.Addr().String())
-	return l.Addr().String()
+	}, "u")
 }
 
 // success returns a whole answer of the upstream to the request with an ID.
@@ -347,26 +314,11 @@
 // serveCopyAt starts an upstream that sends a copy of its refusal of request 0 at a moment. It adds a row that leads to it, and counts its
 // connections.
 func (h *harness) serveCopyAt(moment copyMoment, connections *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	h.t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			go func() {
-				defer c.Close()
-				for in := bufio.NewReader(c); answerWithCopyAt(c, in, moment) == nil; {
-				}
-			}()
+	h.listen(func(c net.Conn) {
+		connections.Add(1)
+		for in := bufio.NewReader(c); answerWithCopyAt(c, in, moment) == nil; {
 		}
-	}()
-	h.row("u", l.Addr().String())
+	}, "u")
 }
 
 // answerWithCopyAt answers one request. It refuses request 0 before it has read its body.
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -198,6 +198,31 @@
 	h.balancer.Apply(time.Now(), a)
 }
 
+// listen starts an upstream that serves each connection with serve, which need not close it, and adds rows with the given IDs that lead to it.
+func (h *harness) listen(serve func(c net.Conn), ids ...string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	for _, id := range ids {
+		h.row(id, l.Addr().String())
+	}
+	return l.Addr().String()
+}
+
 // totalArrivals returns the number of requests that all upstreams received.
 func (h *harness) totalArrivals() int {
 	h.mu.Lock()
--- a/plantainlane/forward/rest_body_test.go
+++ b/plantainlane/forward/rest_body_test.go
@@ -22,20 +22,8 @@
 	h := newHarness(t, &site.Route{RetryMode: site.Idempotent, MaxAttempts: 2, Timeout: 2 * time.Second})
 	h.body = strings.Repeat("b", 8<<20)
 	h.site.Limits.BodyBytes = len(h.body)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
 	var wrong atomic.Int64
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go refuseEarly(c, &wrong)
-		}
-	}()
-	h.row("u", l.Addr().String())
+	h.listen(func(c net.Conn) { refuseEarly(c, &wrong) }, "u")
 	res, _, err := h.post("X-Id", "0")
 	is.NoErr(err)
 	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
@@ -48,7 +36,6 @@
 
 // refuseEarly refuses request 0 on a connection and reads its body later. It counts the bytes in that which aren't its own.
 func refuseEarly(c net.Conn, wrong *atomic.Int64) {
-	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
