--- a/plantainlane/exchange/endless_test.go
+++ b/plantainlane/exchange/endless_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -106,3 +107,22 @@
 	runtime.ReadMemStats(&after)
 	is.True(int64(after.HeapSys)-int64(before.HeapSys) < 4*AnswerBytes)
 }
+
+// TestLargeBodyIsRefusedAlone guards against a body that is refused for the memory of others though there are none, because its parts and the
+// whole take more together than there is. A second one is refused while the first is held.
+func TestLargeBodyIsRefusedAlone(t *testing.T) {
+	is := is.New(t)
+	const size = 3 << 20
+	m := NewMemory(4 << 20)
+	first := m.Reserve()
+	body, err := first.ReadAll(strings.NewReader(strings.Repeat("b", size)), size)
+	is.NoErr(err)
+	is.Equal(len(body), size)
+	second := m.Reserve()
+	_, err = second.ReadAll(strings.NewReader(strings.Repeat("b", size)), size)
+	is.True(errors.Is(err, ErrNoMemory))
+	first.Release()
+	second.Release()
+	_, err = m.ReadAll(strings.NewReader(strings.Repeat("b", size)), size)
+	is.NoErr(err)
+}
