forward, exchange: tests of the rest of a refused body, and of an answer without a token

The review's mutations showed that nothing failed without either: q.discard (the connection is closed under the caller), and that a connection isn't kept after an answer whose copy couldn't be recognized. The code did both.

--- a/plantainlane/exchange/repeated_test.go
+++ b/plantainlane/exchange/repeated_test.go
@@ -76,3 +76,16 @@
 	}
 	is.Equal(countIdle(p, address), 0) // none of its answers was forgotten
 }
+
+// TestAnswerWithoutTokenIsKept guards against a connection that is used again after an answer whose copy couldn't be told from the next one.
+func TestAnswerWithoutTokenIsKept(t *testing.T) {
+	is := is.New(t)
+	address := startUpstream(t, func(int) string { return completeAnswer })
+	p := NewPool(time.Minute)
+	_, err := p.RoundTrip(context.Background(), address, &Request{
+		Method: http.MethodPost, Target: "/", Host: "h",
+		Accept: func(*Reply) (string, error) { return "", nil },
+	}, 100)
+	is.NoErr(err)
+	is.Equal(countIdle(p, address), 0)
+}
--- a/plantainlane/forward/bodies_test.go
+++ b/plantainlane/forward/bodies_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,3 +61,37 @@
 	is.Equal(served.Load(), int64(h.totalArrivals()))
 	is.Equal(send(), http.StatusOK)
 }
+
+// TestRefusedBodyEndsConnection guards against a caller that is still sending its body when it is refused, and whose connection is closed
+// under it: it might not read the refusal.
+func TestRefusedBodyEndsConnection(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{RetryMode: site.AtMostOnce, MaxAttempts: 1})
+	const size = 4 << 20
+	h.site.Limits.BodyBytes = size
+	h.server.Bodies = exchange.NewMemory(1 << 20)
+	others := h.server.Bodies.Reserve()
+	is.NoErr(others.Grow(2 << 20))
+	reused := 0
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if info.Reused {
+			reused++
+		}
+	}}
+	const requests = 3
+	for range requests {
+		req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodPost, h.listener.URL+"/x/y",
+			strings.NewReader(strings.Repeat("b", size)))
+		is.NoErr(err)
+		req.Host = "a.example"
+		req.Header = http.Header{"X-Id": {"id1"}, "X-Key": {"key"}}
+		res, err := h.listener.Client().Do(req)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, res.Body)
+		is.NoErr(err)
+		res.Body.Close()
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	}
+	is.Equal(reused, requests-1)
+	is.Equal(h.totalArrivals(), 0)
+}
