--- a/plantainlane/quarantine/ended.go
+++ b/plantainlane/quarantine/ended.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"plantainlane/plantainlane/exchange"
 )
 
 // checkTimes are when, after a connection to a process broke, it is checked whether the process has ended: it may still be
@@ -45,10 +43,7 @@
 
 // isRefused reports whether a connection to an address is refused.
 func isRefused(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = c.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return exchange.IsRefused(ctx, address)
 }
