--- a/plantainlane/consensus/append.go
+++ b/plantainlane/consensus/append.go
@@ -83,6 +83,7 @@
 	}
 	n.becomeFollower(m.Term, m.From, now)
 	n.leaderSeenAt, n.lastLeader = now, m.From
+	n.votesFrom = now.Add(n.cfg.ElectionTimeout)
 	return true
 }
 
--- a/plantainlane/consensus/election.go
+++ b/plantainlane/consensus/election.go
@@ -58,6 +58,22 @@
 	n.electionAt = now.Add(t + time.Duration(n.rand.Int64N(int64(t))))
 }
 
+// startupQuiet is the fraction of the election timeout for which a replica that has started answers no vote requests: a leader may
+// rely for half of the timeout on a heartbeat that the replica answered just before it was restarted, and clocks drift.
+// startupSpread is the fraction over which the first elections of replicas that start together are spread.
+const (
+	startupQuiet  = 0.6
+	startupSpread = 0.5
+)
+
+// startElectionTimer sets when a replica that starts answers vote requests, and when its first election is. The first election is
+// earlier than those after a lost leader: a leader that is alive is heard by the pre-vote.
+func (n *Node) startElectionTimer(now time.Time) {
+	t := float64(n.cfg.ElectionTimeout)
+	n.votesFrom = now.Add(time.Duration(startupQuiet * t))
+	n.electionAt = n.votesFrom.Add(time.Duration(n.rand.Int64N(int64(startupSpread * t))))
+}
+
 // becomeFollower makes the replica a follower of leader, which is empty while unknown, and adopts the term if it
 // is newer.
 func (n *Node) becomeFollower(term int, leader string, now time.Time) {
@@ -83,8 +99,15 @@
 		n.campaign(false, now)
 		return
 	}
+	n.requestPreVotes(now)
+}
+
+// requestPreVotes asks the voters that haven't granted the pre-vote. It is repeated at each HeartbeatInterval, since after a
+// restart of all replicas the connections to them and their readiness to vote come one after the other.
+func (n *Node) requestPreVotes(now time.Time) {
+	n.preVoteAt = now.Add(n.cfg.HeartbeatInterval)
 	for _, id := range n.replicas().Voters {
-		if id == n.cfg.ID {
+		if n.votes[id] {
 			continue
 		}
 		m := n.message(kindPreVote, id)
@@ -116,11 +139,11 @@
 	}
 }
 
-// hasRecentLeader reports whether this replica is the leader or received a message from a leader within the last
-// election timeout. It then ignores pre-vote requests, and vote requests other than those of a leader transfer,
+// hasRecentLeader reports whether this replica is the leader, received a message from a leader within the last
+// election timeout, or may have done so before its start. It then ignores pre-vote requests, and vote requests other than those of a leader transfer,
 // because a live leader may rely on this voter.
 func (n *Node) hasRecentLeader(now time.Time) bool {
-	return n.role == Leader || now.Sub(n.leaderSeenAt) < n.cfg.ElectionTimeout
+	return n.role == Leader || now.Before(n.votesFrom)
 }
 
 // isUpToDate reports whether the candidate's log, whose last position is in m, is at least as up to date as this
--- a/plantainlane/consensus/node.go
+++ b/plantainlane/consensus/node.go
@@ -56,10 +56,14 @@
 	applied int
 	// leaderSeenAt is when the last message from a leader was received, or when the replica started.
 	leaderSeenAt time.Time
+	// votesFrom is when the replica begins to answer vote requests: a leader that heard from it may rely on it until then.
+	votesFrom time.Time
 	// lastLeader is the ID of the leader that sent that message; empty if there was none since the start.
 	lastLeader string
 	// electionAt is when the replica starts an election unless a leader contacts it first.
 	electionAt time.Time
+	// preVoteAt is when a pre-candidate asks the voters that haven't granted its pre-vote again.
+	preVoteAt time.Time
 	// tickedAt is when Tick was last called; zero before that.
 	tickedAt time.Time
 	// votes holds the IDs of the replicas that granted their vote or pre-vote.
@@ -103,7 +107,7 @@
 	if n.rand == nil {
 		n.rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	n.resetElection(now)
+	n.startElectionTimer(now)
 	if n.isSoleVoter() {
 		n.electionAt = now
 	}
@@ -139,10 +143,15 @@
 		n.tickLeader(now)
 		return
 	}
-	if now.Before(n.electionAt) || !n.isVoter(n.cfg.ID) || n.isStorageStalled(now) {
+	if !n.isVoter(n.cfg.ID) || n.isStorageStalled(now) {
 		return
 	}
-	n.preCampaign(now)
+	switch {
+	case !now.Before(n.electionAt):
+		n.preCampaign(now)
+	case n.role == PreCandidate && !now.Before(n.preVoteAt):
+		n.requestPreVotes(now)
+	}
 }
 
 // recordStandstill gives the others time if this replica itself has just stood still, for lack of processor time: their
