--- a/plantainlane/peer/net.go
+++ b/plantainlane/peer/net.go
@@ -24,6 +24,10 @@
 // was lost or an attempt to open one failed.
 const assumedUnreachableFor = 3 * time.Second
 
+// firstRedial is the pause after the first failed attempt to connect to an address passed to Join. It doubles up to Timing.Redial:
+// instances that start at the same time miss each other by some milliseconds.
+const firstRedial = 20 * time.Millisecond
+
 // maxHeadBytes is the maximum size of the headers of another instance's answer to a handshake.
 const maxHeadBytes = 16 << 10
 
@@ -37,7 +41,7 @@
 	// SilentAfter is how long nothing may be received on a connection, or a write may take, before the connection is
 	// closed. It also bounds the opening of a connection, handshake included. It must be more than twice Heartbeat.
 	SilentAfter time.Duration
-	// Redial is the pause between two attempts to connect to an address passed to Join.
+	// Redial is the longest pause between two attempts to connect to an address passed to Join, see firstRedial.
 	Redial time.Duration
 	// Unused is how long a connection that this instance opened may carry nothing but heartbeats before it is closed.
 	// Connections to neighbors stay open.
@@ -248,7 +252,7 @@
 // as the next Send or SetNeighbors starts another. If id is empty, attempts are repeated until one succeeds or the
 // context of the Net ends.
 func (n *Net) dialWithRetries(address, id string) {
-	for n.ctx.Err() == nil {
+	for pause := min(firstRedial, n.timing.Redial); n.ctx.Err() == nil; pause = min(2*pause, n.timing.Redial) {
 		err := n.connect(address)
 		if err == nil || (id != "" && !errors.Is(err, context.Canceled)) {
 			return
@@ -257,7 +261,7 @@
 		select {
 		case <-n.ctx.Done():
 			return
-		case <-time.After(n.timing.Redial):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/plantainlane/peer/net_test.go
+++ b/plantainlane/peer/net_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -123,6 +124,26 @@
 	}
 }
 
+// TestJoinIsRetriedSoon guards against instances that start together and miss each other by some milliseconds: they must not be
+// apart for the whole redial pause.
+func TestJoinIsRetriedSoon(t *testing.T) {
+	is := is.New(t)
+	a, b := newTestInstance(t, "a"), newTestInstance(t, "b")
+	a.net.timing.Redial = time.Hour
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := free.Addr().String()
+	is.NoErr(free.Close())
+	a.net.Join(address)
+	time.Sleep(10 * time.Millisecond)
+	late, err := net.Listen("tcp", address)
+	is.NoErr(err)
+	server := &http.Server{Handler: b.net, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(late) }()
+	t.Cleanup(func() { _ = server.Close() })
+	is.Equal(await(t, a.recorder.connected, "connection"), "b")
+}
+
 // TestSendOpensConnectionAndDeliversFrame sends to an instance without a connection. The frame must wait until the
 // connection is open, and must not be dropped.
 func TestSendOpensConnectionAndDeliversFrame(t *testing.T) {
