--- a/plantainlane/control/view.go
+++ b/plantainlane/control/view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,12 @@
 // Publisher makes the newest View available to traffic goroutines. The zero value holds an empty View.
 type Publisher struct {
 	view atomic.Pointer[View]
+
+	mu sync.Mutex
+	// siteKnown is closed once a view with a site was published; nil until it is asked for.
+	siteKnown chan struct{}
+	// isKnown is set once siteKnown is closed. Only the control goroutine uses it.
+	isKnown bool
 }
 
 // View returns the newest view. It is never nil.
@@ -67,6 +74,24 @@
 	return &View{}
 }
 
+// SiteKnown returns a channel that is closed once a view with a site was published.
+func (p *Publisher) SiteKnown() <-chan struct{} { return p.siteChannel() }
+
+func (p *Publisher) siteChannel() chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.siteKnown == nil {
+		p.siteKnown = make(chan struct{})
+	}
+	return p.siteKnown
+}
+
+// publish replaces the view. Only the control goroutine calls it.
 func (p *Publisher) publish(v *View) {
 	p.view.Store(v)
+	if p.isKnown || v.Config.Site == nil {
+		return
+	}
+	p.isKnown = true
+	close(p.siteChannel())
 }
--- a/plantainlane/forward/admit.go
+++ b/plantainlane/forward/admit.go
@@ -35,6 +35,10 @@
 	s := q.server
 	var freshness site.Freshness
 	q.site, freshness = s.Views.Site()
+	if q.site == nil {
+		s.awaitSite(r.Context())
+		q.site, freshness = s.Views.Site()
+	}
 	switch {
 	case q.site == nil:
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no configuration yet", RetryAfter: longRetryAfter}
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -114,6 +114,8 @@
 	balancer   *route.Balancer
 	roster     *roster.Roster
 	freshness  site.Freshness
+	// siteKnown is closed by tests in which site is nil at first.
+	siteKnown chan struct{}
 	// body is that of the requests of callers.
 	body string
 
@@ -124,7 +126,13 @@
 	headers []http.Header
 }
 
-func (h *harness) Site() (*site.Site, site.Freshness) { return h.site, h.freshness }
+func (h *harness) Site() (*site.Site, site.Freshness) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.site, h.freshness
+}
+
+func (h *harness) SiteKnown() <-chan struct{} { return h.siteKnown }
 
 func (h *harness) Upstreams() roster.View { return h.roster.View() }
 
@@ -133,7 +141,7 @@
 func newHarness(t *testing.T, r *site.Route) *harness {
 	t.Helper()
 	now := time.Now()
-	h := &harness{t: t, body: "body", dispatcher: &fakeDispatcher{}, arrivals: make(map[string]int), roster: roster.New()}
+	h := &harness{t: t, body: "body", siteKnown: make(chan struct{}), dispatcher: &fakeDispatcher{}, arrivals: make(map[string]int), roster: roster.New()}
 	r.Name, r.Host, r.Prefix, r.Splits = "r", "a.example", "/x/", []site.Split{{Service: "s", Weight: 1}}
 	if r.Timeout == 0 {
 		r.Timeout = 5 * time.Second
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -21,6 +21,8 @@
 type Views interface {
 	// Site returns the site configuration in force, nil until one is known, and what is known about its age.
 	Site() (*site.Site, site.Freshness)
+	// SiteKnown returns a channel that is closed once there is a site configuration.
+	SiteKnown() <-chan struct{}
 	// Upstreams returns the known state of all upstreams.
 	Upstreams() roster.View
 }
@@ -53,6 +55,7 @@
 	// durations are the times of requests from their receipt on, sendDurations those from their first send on.
 	durations, sendDurations durations
 	backlogs                 backlogs
+	startup                  startup
 	// OnTimeLines samples the log lines on requests that were answered on time by their first send; nil logs all.
 	OnTimeLines *logs.Sampler
 }
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -129,6 +129,9 @@
 	return s.instance.proxy.Translate(text)
 }
 
+// SiteKnown returns a channel that is closed once a configuration with a site was applied.
+func (s *sites) SiteKnown() <-chan struct{} { return s.instance.loop.Publisher.SiteKnown() }
+
 // freshnessOf returns what is known about the age of the configuration of a view.
 func freshnessOf(v *control.View, now time.Time) site.Freshness {
 	switch {
