--- a/wire/types.go
+++ b/wire/types.go
@@ -2070,6 +2070,10 @@
 	// Number of calls in progress.
 	InFlight int `json:"inFlight" cbor:"inFlight"`
 
+	// How long work takes at the upstream now, in percent of the normal time; 0 if
+	// unknown, which counts as 100.
+	Pace int `json:"pace,omitempty,omitzero" cbor:"pace,omitempty"`
+
 	// Number of calls that wait at the upstream.
 	Queued int `json:"queued" cbor:"queued"`
 }
