--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -272,7 +272,7 @@
 		MayEndLimit: answer.ID != "" && !answer.Misdirected,
 	})
 	if answer.Load != nil {
-		t.Reported(*answer.Load)
+		t.Reported(time.Now(), *answer.Load)
 	}
 	out, complete := q.handleAnswer(c, t, res, answer)
 	if !complete || answer.ID == "" {
--- a/plantainlane/route/balancer.go
+++ b/plantainlane/route/balancer.go
@@ -137,7 +137,7 @@
 		b.drop(u, batch)
 		b.insert(now, a, batch)
 	case a.Incarnation == old.Incarnation && a.Sequence > old.Sequence:
-		b.update(u, old, a, batch)
+		b.update(now, u, old, a, batch)
 	}
 }
 
@@ -155,8 +155,8 @@
 
 // update updates an upstream by a newer announcement of the same incarnation. A leaving upstream stays leaving. If the
 // pools change, update records both those of the old announcement and those of the new one in batch.
-func (b *Balancer) update(u *upstream, old, a wire.Announcement, batch edits) {
-	u.observeLoad(a.Load)
+func (b *Balancer) update(now int64, u *upstream, old, a wire.Announcement, batch edits) {
+	u.observeLoad(now, a.Load)
 	a.Leaving = a.Leaving || old.Leaving
 	if old.Leaving || samePools(old, a) {
 		u.setAnnouncement(a)
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -146,7 +146,7 @@
 	latencies := map[string][]float64{}
 	for _, u := range s.members {
 		key := u.info.Load().modelKey
-		latency := math.Float64frombits(u.latency.Load())
+		latency := u.meanLatency()
 		if latency > 0 && u.ejectedUntil.Load() == 0 && len(latencies[key]) < maxMedianMembers {
 			latencies[key] = append(latencies[key], latency)
 		}
@@ -164,6 +164,7 @@
 // review does the part of Review that concerns this upstream. median is the median latency of the upstreams with the
 // same models, in nanoseconds; 0 if unknown.
 func (u *upstream) review(now int64, median float64) {
+	u.dropOldPace(now)
 	u.medianLatency.Store(math.Float32bits(float32(median)))
 	inFlight := u.inFlight.Load()
 	u.averageInFlight += inFlightWeight * (float64(inFlight) - u.averageInFlight)
@@ -188,9 +189,9 @@
 // for its high latency would get no call that could show that it has recovered.
 func (u *upstream) decayLatency(median float64) {
 	bits := u.latency.Load()
-	old := math.Float64frombits(bits)
+	old := float64(math.Float32frombits(bits))
 	if old > median && median > 0 {
-		u.latency.CompareAndSwap(bits, math.Float64bits(old+latencyDecay*(median-old)))
+		u.latency.CompareAndSwap(bits, math.Float32bits(float32(old+latencyDecay*(median-old))))
 	}
 }
 
--- a/plantainlane/route/outcome.go
+++ b/plantainlane/route/outcome.go
@@ -44,6 +44,8 @@
 
 	upstream *upstream
 	balancer *Balancer
+	// pace is the upstream's pace as known at the time of the choice; 0 if it wasn't looked at.
+	pace float64
 }
 
 // Done records the end of the attempt. It may eject the upstream or end its probation.
@@ -58,30 +60,36 @@
 			u.failureRun.Store(0)
 		}
 		u.endProbation()
-		u.observeLatency(o.Latency)
+		u.observeLatency(t.normalLatency(at, o))
 	case Failure:
 		u.lastProgress.Store(at)
 		u.failureRun.Add(1)
 		u.failuresSinceReview.Add(1)
-		u.observeLatencyBound(o.Latency)
+		u.observeLatencyBound(t.normalLatency(at, o))
 		u.ejectOnFailures(at)
 	case Refused:
 		u.lastProgress.Store(at)
 		u.endProbation()
 		u.markFull()
 	case Cancelled:
-		u.observeLatencyBound(o.Latency)
+		u.observeLatencyBound(t.normalLatency(at, o))
 	}
 }
 
 // observeLatencyBound records the time of a call that failed or was cancelled. The time is a lower bound of the latency
 // that a success would have had, so it counts as a latency sample only if it is above the average.
-func (u *upstream) observeLatencyBound(sample time.Duration) {
-	if float64(sample) > math.Float64frombits(u.latency.Load()) && u.latency.Load() != 0 {
-		u.observeLatency(sample)
+func (u *upstream) observeLatencyBound(normal float64) {
+	if mean := u.meanLatency(); mean != 0 && normal > mean {
+		u.observeLatency(normal)
 	}
 }
 
+// normalLatency returns the latency of an ended call at the normal pace, in nanoseconds. Contention may have ended
+// during the call or begun during it, so the slower of the paces at its start and its end counts.
+func (t Target) normalLatency(now int64, o Outcome) float64 {
+	return atNormalPace(float64(o.Latency), max(t.pace, t.upstream.paceAt(now)))
+}
+
 // markFull raises the other load to the upstream's free capacity after a refusal, so that the upstream counts as full
 // until its next load reports lower the other load.
 func (u *upstream) markFull() {
@@ -101,7 +109,7 @@
 // received. Without these calls a long stream would count as slow.
 func (t Target) Progressed(now time.Time) { t.upstream.lastProgress.Store(t.balancer.since(now)) }
 
-// Reported records the load that the upstream reported with an answer.
-func (t Target) Reported(load wire.UpstreamLoad) {
-	t.upstream.observeLoad(load)
+// Reported records the load that the upstream reported with an answer received at a time.
+func (t Target) Reported(now time.Time, load wire.UpstreamLoad) {
+	t.upstream.observeLoad(t.balancer.since(now), load)
 }
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -94,7 +94,7 @@
 		if u == nil || u.slowdown(now) > maxPreferredSlowdown {
 			continue
 		}
-		if best.upstream == nil || u.load() <= best.upstream.load()+q.PreferredSlack {
+		if best.upstream == nil || u.pacedLoad(now) <= best.upstream.pacedLoad(now)+q.PreferredSlack {
 			return u
 		}
 	}
@@ -111,7 +111,7 @@
 	i := u.info.Load()
 	return Target{
 		ID: i.id, Address: i.address, Zone: i.zone, Incarnation: i.incarnation, Capacity: i.capacity,
-		Models: i.announcement.Models, Role: i.announcement.Role, upstream: u, balancer: b,
+		Models: i.announcement.Models, Role: i.announcement.Role, upstream: u, balancer: b, pace: u.paceAt(now),
 	}, true
 }
 
@@ -205,9 +205,9 @@
 	return best
 }
 
-// isSlow reports whether the candidate's latency is above typical variation.
+// isSlow reports whether the candidate's latency, or the time that work takes there now, is above typical variation.
 func (c candidate) isSlow(now int64) bool {
-	return c.upstream.slowdown(now) > toleratedSlowdown
+	return c.upstream.slowdown(now) > toleratedSlowdown || c.upstream.paceAt(now) > toleratedSlowdown
 }
 
 // firstUsable returns the first usable upstream of a tier, in the order of the tier from index first on.
@@ -235,11 +235,12 @@
 }
 
 // score rates the upstream for one more call: the fraction of its capacity that is then in use, multiplied by the
-// tier's penalty, and raised for a slowdown above typical variation and for consecutive failures.
+// tier's penalty and the upstream's pace, and raised for a slowdown above typical variation and for consecutive failures.
 func (u *upstream) score(now int64, penalty float64) candidate {
 	load := u.load() + 1
 	capacity := float64(u.capacity.Load()) * u.slowStartFactor(now)
-	score := load / capacity * penalty
+	pace := u.paceAt(now)
+	score := load / capacity * penalty * pace
 	// A ratio above 1 is more than typical variation.
 	ratio := u.slowdown(now) / toleratedSlowdown
 	if ratio > 1 {
@@ -250,7 +251,7 @@
 	}
 	return candidate{
 		upstream: u, score: score,
-		saturated: load > max(1, saturatedFraction*capacity) || ratio > 1,
+		saturated: load > max(1, saturatedFraction*capacity) || ratio > 1 || pace > toleratedSlowdown,
 	}
 }
 
--- a/plantainlane/route/pick_test.go
+++ b/plantainlane/route/pick_test.go
@@ -261,7 +261,7 @@
 			balancer := New(epoch, "r1", "a")
 			balancer.Apply(epoch, announcements(n, "a", 16)...)
 			for _, u := range balancer.service("encode").members {
-				u.observeLatency(time.Millisecond)
+				u.observeLatency(float64(time.Millisecond))
 			}
 			balancer.Review(afterSlowStart)
 			b.ReportAllocs()
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"plantainlane/wire"
 )
@@ -61,8 +60,10 @@
 	// medianLatency is the median latency of the upstreams that serve the same models, in nanoseconds, as float32 bits;
 	// 0 if unknown.
 	medianLatency atomic.Uint32
-	// latency is the moving average of the latency in nanoseconds, as float64 bits; 0 without a sample.
-	latency atomic.Uint64
+	// latency is the moving average of the latency at the normal pace in nanoseconds, as float32 bits; 0 without a sample.
+	latency atomic.Uint32
+	// pace is a paceReport; 0 while the pace is unknown.
+	pace atomic.Uint32
 	// lastProgress is the last time at which a call ended or progressed, or a call started while none was in flight.
 	// Cancelled calls do not count as ended.
 	lastProgress atomic.Int64
@@ -99,6 +100,9 @@
 	u.slowStartAt.Store(now)
 	u.lastProgress.Store(now)
 	u.otherLoad.Store(math.Float32bits(float32(a.Load.InFlight + a.Load.Queued)))
+	if a.Load.Pace > 0 {
+		u.pace.Store(newPaceReport(now, a.Load.Pace))
+	}
 	u.setAnnouncement(a)
 	return u
 }
@@ -116,11 +120,15 @@
 	}
 }
 
-// observeLoad adds a reported load, without the calls of this instance, to the moving average otherLoad.
-func (u *upstream) observeLoad(load wire.UpstreamLoad) {
+// observeLoad adds a reported load, without the calls of this instance, to the moving average otherLoad, and records the
+// reported pace.
+func (u *upstream) observeLoad(now int64, load wire.UpstreamLoad) {
 	sample := float64(load.InFlight+load.Queued) - u.averageInFlight
 	old := float64(math.Float32frombits(u.otherLoad.Load()))
 	u.otherLoad.Store(math.Float32bits(float32(old + otherLoadWeight*(sample-old))))
+	if load.Pace > 0 {
+		u.pace.Store(newPaceReport(now, load.Pace))
+	}
 }
 
 // load returns the upstream's load in calls: the calls in flight of this instance plus the other load if above 0.
@@ -135,21 +143,24 @@
 	}
 }
 
-// observeLatency adds a sample to the moving average of the latency.
-func (u *upstream) observeLatency(sample time.Duration) {
+// meanLatency returns the moving average of the latency at the normal pace in nanoseconds; 0 without a sample.
+func (u *upstream) meanLatency() float64 { return float64(math.Float32frombits(u.latency.Load())) }
+
+// observeLatency adds a sample in nanoseconds, at the normal pace, to the moving average of the latency.
+func (u *upstream) observeLatency(normal float64) {
 	for {
 		bits := u.latency.Load()
-		old := math.Float64frombits(bits)
+		old := float64(math.Float32frombits(bits))
 		weight := latencyFallWeight
-		if float64(sample) > old {
+		if normal > old {
 			weight = latencyRiseWeight
 		}
 		if bits == 0 {
 			weight = 1
 		}
 		// The average stays at least 1 ns, because 0 stands for no sample.
-		next := max(old+weight*(float64(sample)-old), 1)
-		if u.latency.CompareAndSwap(bits, math.Float64bits(next)) {
+		next := max(old+weight*(normal-old), 1)
+		if u.latency.CompareAndSwap(bits, math.Float32bits(float32(next))) {
 			u.samples.Add(1)
 			return
 		}
@@ -157,16 +168,16 @@
 }
 
 // slowdown returns the ratio of the upstream's latency to the median latency of the upstreams that serve the same
-// models. While calls are in flight, the time since the last progress counts as latency if it is longer. The ratio is 1
-// while the median is unknown.
+// models, both at the normal pace. While calls are in flight, the time since the last progress counts as latency if it is
+// longer. The ratio is 1 while the median is unknown.
 func (u *upstream) slowdown(now int64) float64 {
 	median := float64(math.Float32frombits(u.medianLatency.Load()))
 	if median == 0 {
 		return 1
 	}
-	latency := math.Float64frombits(u.latency.Load())
+	latency := u.meanLatency()
 	if u.inFlight.Load() > 0 {
-		latency = max(latency, float64(now-u.lastProgress.Load()))
+		latency = max(latency, atNormalPace(float64(now-u.lastProgress.Load()), u.paceAt(now)))
 	}
 	return latency / median
 }
