--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -114,7 +114,7 @@
 	if isFree := q.isFree(now, u); isFree != q.isFree(now, other) {
 		return isFree
 	}
-	return u.isPreferredTo(other, zone)
+	return u.isPreferredTo(other, zone, q.expectedSlowness(now, u)-q.expectedSlowness(now, other))
 }
 
 // piecesUpTo returns the number of pieces to send, at most limit.
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -16,7 +16,8 @@
 type Executor interface {
 	// Execute sends a call to its upstream and returns one result for each item, in the order of the items. busy is set
 	// if the upstream refused the call because it is at capacity. If err is set, the call failed and results is
-	// ignored. A *quota.Refusal means that the call wasn't sent, as the upstream's limit allows none now.
+	// ignored. A *quota.Refusal means that the call wasn't sent, as the upstream's limit allows none now. Execute sets
+	// c.Pace.
 	Execute(ctx context.Context, c *Call) (results []Result, busy bool, err error)
 	// Free tells the upstreams that hold the results to delete them.
 	Free(ctx context.Context, handles []string)
@@ -364,8 +365,7 @@
 
 // execute runs a call and reports its end to the owner's main loop.
 func (o *owner) execute(ctx context.Context, c *Call) {
-	limit := callTimeoutFactor*c.ExpectedAt.Sub(c.StartedAt) + callTimeoutSlack
-	callCtx, cancel := context.WithTimeout(ctx, limit)
+	callCtx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	results, busy, err := o.executor.Execute(callCtx, c)
 	var refusal *quota.Refusal
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -29,8 +29,12 @@
 	Items    []Item
 	// StartedAt is when the call was sent.
 	StartedAt time.Time
-	// ExpectedAt is when the answer is expected, given the number of pieces and the upstream's slowdown.
+	// ExpectedAt is when the answer is expected, given the number of pieces and the upstream's slowdown and pace.
 	ExpectedAt time.Time
+	// timeout is how long the call may take.
+	timeout time.Duration
+	// Pace is the pace that the upstream reported with its answer, in percent; 0 if it reported none. The Executor sets it.
+	Pace int
 	// Broken is set if the connection broke before the answer was whole: the upstream may have ended under the pieces.
 	Broken bool
 }
@@ -305,7 +309,7 @@
 	if u.calls > 0 && u.calls >= q.slots() {
 		begins = later(now, u.endsAt)
 	}
-	c.ExpectedAt = begins.Add(time.Duration(float64(q.callTime(len(items))) * u.slowdown))
+	q.expect(c, begins)
 	u.calls++
 	u.reserved += callBytes(c)
 	u.usedAt, u.endsAt = now, c.ExpectedAt
@@ -410,16 +414,17 @@
 	u.reserved -= callBytes(c)
 	startedAt := later(c.StartedAt, u.endedAt)
 	u.usedAt, u.endedAt = now, now
+	normal := u.observePace(now, c, startedAt)
 	isMeasured := !c.StartedAt.Before(q.resumedAt)
 	switch {
 	case !isMeasured:
 	case results == nil:
 		u.recordFailure(now, busy)
 	default:
-		took, expected := now.Sub(startedAt), q.callTime(len(c.Items))
-		u.recordSuccess(took, expected)
+		expected := q.callTime(len(c.Items))
+		u.recordSuccess(normal, expected)
 		q.counts.Answered++
-		q.counts.Took += took
+		q.counts.Took += now.Sub(startedAt)
 		q.counts.Expected += expected
 	}
 	u.recordMemory(now, c, results, q.spec.MemoryBytes, u.used+u.reserved)
--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -29,8 +29,11 @@
 	unneededBytes int
 	// freeing is set from the time that Freeable returned handles until Freed is called.
 	freeing bool
-	// slowdown is the moving average of the measured over the expected time of calls, each at least 1. It starts at 1.
+	// slowdown is the moving average of the measured time of calls, at the normal pace, over the expected one, each at least
+	// 1. It starts at 1.
 	slowdown float64
+	// pace is the last reported pace.
+	pace paceReport
 	// usedAt is when the last call was sent or ended.
 	usedAt time.Time
 	// failures is the number of consecutive failed calls.
@@ -43,13 +46,14 @@
 func (u *Upstream) isFast() bool { return !u.Leaving && u.slowdown < slowdownLimit }
 
 // isPreferredTo reports whether u is a better choice than other for a job with the given preferred zone: an upstream in
-// that zone, or else a clearly faster one, or else one with less memory occupied, or else the one with the lower ID.
-func (u *Upstream) isPreferredTo(other *Upstream, zone string) bool {
+// that zone, or else a clearly faster one, or else one with less memory occupied, or else the one with the lower ID. slower
+// is by how much u is expected to be slower than other, see expectedSlowness.
+func (u *Upstream) isPreferredTo(other *Upstream, zone string, slower float64) bool {
 	if (u.Zone == zone) != (other.Zone == zone) {
 		return u.Zone == zone
 	}
-	if d := u.slowdown - other.slowdown; max(d, -d) > similarSlowdown {
-		return d < 0
+	if max(slower, -slower) > similarSlowdown {
+		return slower < 0
 	}
 	return u.used < other.used || u.used == other.used && u.ID < other.ID
 }
@@ -108,7 +112,8 @@
 	return int(float64(u.unknown) * float64(keepFor-age) / float64(keepFor))
 }
 
-// recordSuccess resets the consecutive failures and updates slowdown from the measured and the expected time of a call.
+// recordSuccess resets the consecutive failures and updates slowdown from the measured time of a call at the normal pace and
+// the expected one.
 func (u *Upstream) recordSuccess(took, expected time.Duration) {
 	u.failures = 0
 	if expected > 0 {
--- a/plantainlane/route/outcome.go
+++ b/plantainlane/route/outcome.go
@@ -87,7 +87,7 @@
 // normalLatency returns the latency of an ended call at the normal pace, in nanoseconds. Contention may have ended
 // during the call or begun during it, so the slower of the paces at its start and its end counts.
 func (t Target) normalLatency(now int64, o Outcome) float64 {
-	return atNormalPace(float64(o.Latency), max(t.pace, t.upstream.paceAt(now)))
+	return atNormalPace(o.Latency, max(t.pace, t.upstream.paceAt(now)))
 }
 
 // markFull raises the other load to the upstream's free capacity after a refusal, so that the upstream counts as full
--- a/plantainlane/route/pace.go
+++ b/plantainlane/route/pace.go
@@ -1,19 +1,9 @@
 package route
 
-import "time"
+import (
+	"time"
 
-// An upstream's pace is the time that work takes there now, relative to the normal time. It is reported in percent and
-// changes several times a second.
-const (
-	// paceValidity is the time over which a reported pace reverts to the normal one. Contention lasts about 600 ms, so a
-	// report that is as old says nothing, and the chance that it still holds falls about evenly until then.
-	paceValidity = 500 * time.Millisecond
-	// contentionTime is the part of a call, the last, to which the pace at its end is applied.
-	contentionTime = 600 * time.Millisecond
-	// minPace and maxPace bound the paces that are used, in percent: no report makes an upstream look much better or worse
-	// than its load does.
-	minPace = 25
-	maxPace = 1000
+	"plantainlane/plantainlane/pace"
 )
 
 // A paceReport is a pace in percent in the upper 16 bits, and the time of the report in milliseconds since the
@@ -22,19 +12,14 @@
 
 // newPaceReport returns the report of a pace in percent.
 func newPaceReport(now int64, percent int) paceReport {
-	return uint32(min(max(percent, minPace), maxPace))<<16 | uint32(uint16(now/int64(time.Millisecond)))
+	return uint32(pace.Bounded(percent))<<16 | uint32(uint16(now/int64(time.Millisecond)))
 }
 
-// paceOf returns the pace that a report of some time ago stands for: the reported one at first, and then linearly less
-// different from the normal pace, 1.
+// paceOf returns the pace that a report stands for now; 1 is normal.
 func paceOf(r paceReport, now int64) float64 {
+	// The age is below 0 if another goroutine read now before the report was recorded.
 	age := int16(uint16(now/int64(time.Millisecond)) - uint16(r))
-	// A report may be slightly newer than now, which another goroutine read before.
-	left := 1 - float64(max(age, 0))/float64(paceValidity/time.Millisecond)
-	if left <= 0 {
-		return 1
-	}
-	return 1 + (float64(r>>16)/100-1)*left
+	return pace.At(int(r>>16), time.Duration(age)*time.Millisecond)
 }
 
 // paceAt returns the upstream's pace as known now; 1 if it is unknown.
@@ -57,9 +42,5 @@
 // time of a call.
 func (u *upstream) pacedLoad(now int64) float64 { return u.load() * u.paceAt(now) }
 
-// atNormalPace returns how long something that took some time up to now would have taken at the normal pace. Only its last
-// part, of contentionTime, ran at the pace known now.
-func atNormalPace(took, pace float64) float64 {
-	contended := min(took, float64(contentionTime))
-	return took - contended + contended/pace
-}
+// atNormalPace returns how many nanoseconds something that took some time up to now would have taken at the normal pace.
+func atNormalPace(took time.Duration, p float64) float64 { return float64(pace.Normal(took, p)) }
--- a/plantainlane/route/pace_test.go
+++ b/plantainlane/route/pace_test.go
@@ -166,9 +166,9 @@
 	Target{upstream: u, balancer: b}.Reported(afterSlowStart, wire.UpstreamLoad{Pace: 250})
 	is.Equal(at(0), 2.5)
 	is.Equal(at(-time.Millisecond), 2.5) // read by a goroutine with an earlier time
-	is.Equal(at(paceValidity/2), 1.75)
-	is.Equal(at(paceValidity), 1.0)
-	b.Review(afterSlowStart.Add(paceValidity))
+	is.Equal(at(250*time.Millisecond), 1.75)
+	is.Equal(at(500*time.Millisecond), 1.0)
+	b.Review(afterSlowStart.Add(500 * time.Millisecond))
 	is.Equal(at(65536*time.Millisecond), 1.0) // the time in the report wraps around
 	Target{upstream: u, balancer: b}.Reported(afterSlowStart, wire.UpstreamLoad{Pace: 50})
 	is.Equal(at(0), 0.5)
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"plantainlane/wire"
 )
@@ -177,7 +178,7 @@
 	}
 	latency := u.meanLatency()
 	if u.inFlight.Load() > 0 {
-		latency = max(latency, atNormalPace(float64(now-u.lastProgress.Load()), u.paceAt(now)))
+		latency = max(latency, atNormalPace(time.Duration(now-u.lastProgress.Load()), u.paceAt(now)))
 	}
 	return latency / median
 }
