--- a/plantainlane/batch/queue_test.go
+++ b/plantainlane/batch/queue_test.go
@@ -496,3 +496,44 @@
 	is.True(slow.Upstream.isFast())
 	is.True(q.isSteady(retry.ExpectedAt.Add(2 * steadyAfter)))
 }
+
+// TestSubPriorityOrdersWithinPriority guards against a workspace whose less urgent requests make its urgent ones late, because the
+// priority of the workspace takes the place of that of the route.
+func TestSubPriorityOrdersWithinPriority(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQueue(spec, "z")
+	add := func(name string, priority, subPriority int) {
+		j, _ := newJob(now, spec.MaxPieces, 2*time.Second, time.Minute)
+		j.Request, j.Priority, j.SubPriority = name, priority, subPriority
+		q.Add(now, j)
+	}
+	add("other workspace", 1, 0)
+	add("less urgent", 0, 2)
+	add("urgent", 0, 0)
+	var order []string
+	for range 3 {
+		c := q.Next(now)
+		order = append(order, c.Items[0].Job.Request)
+		q.Done(now, c, completedResults(c, c.Items[0].Job.Request), false)
+	}
+	is.Equal(order, []string{"urgent", "less urgent", "other workspace"})
+}
+
+// TestDueCountsSharedCalls guards against jobs that count as on time although the calls of later stages, which they share with
+// others, will take longer than they alone would need.
+func TestDueCountsSharedCalls(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQueue(spec, "z")
+	call := 500 * time.Millisecond
+	q.WaitTimesOf = func(string) WaitTimes { return WaitTimes{Call: call} }
+	j, _ := newJob(now, 1, 2*time.Second, time.Minute)
+	j.NextServices, j.NextTimes = []string{"a", "b"}, []time.Duration{250 * time.Millisecond, 250 * time.Millisecond}
+	q.Add(now, j)
+	is.Equal(j.effectiveDue, j.Due.Add(-(500*time.Millisecond - callTimeSlack)))
+	call = 200 * time.Millisecond
+	clear(q.laterWaits)
+	q.updateDue(j)
+	is.Equal(j.effectiveDue, j.Due)
+}
--- a/plantainlane/forward/admit.go
+++ b/plantainlane/forward/admit.go
@@ -163,7 +163,7 @@
 	}
 	q.workspace = w.Name
 	if w.HasPriority {
-		q.priority = w.Priority
+		q.priority, q.subPriority = w.Priority, q.route.Priority
 	}
 	return nil
 }
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -46,7 +46,8 @@
 	received time.Time
 	// deadline for the request's answer, or for its first event if the route has a FirstEventTimeout.
 	deadline time.Time
-	priority int
+	// priority and subPriority are those of the request's jobs.
+	priority, subPriority int
 
 	// mu guards generation and consumers, and the release of handles while stages are running.
 	mu sync.Mutex
@@ -129,7 +130,7 @@
 		return nil
 	}
 	job := batch.Job{
-		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Bytes: stage.Bytes, Priority: x.priority,
+		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Bytes: stage.Bytes, Priority: x.priority, SubPriority: x.subPriority,
 	}
 	for _, dep := range stage.After {
 		job.HoldsMemory = job.HoldsMemory || x.hasLargeResults(dep)
@@ -144,10 +145,10 @@
 		job.Key = x.call.PieceKey
 	}
 	job.Zone, job.CrossBytes = x.preferredZone(i)
-	remaining, next := x.remainingTime(i)
+	remaining, next, times := x.remainingTime(i)
 	job.Due = x.received.Add(time.Duration(targetFraction*float64(x.route.TargetLatency)) - remaining)
 	job.Deadline = x.deadline.Add(-remaining)
-	job.NextServices = next
+	job.NextServices, job.NextTimes = next, times
 	consumeInputs := sync.OnceFunc(func() { x.consumeResults(stage.After, generation) })
 	if len(stage.After) > 0 {
 		inputs := x.queuesOf(stage.After)
@@ -279,19 +280,21 @@
 
 // remainingTime returns the time that a request needs after a stage is completed if it waits in no queue: the longest
 // chain of calls of the stages that depend on the stage, and timeToFirstEvent. It also returns the services of this
-// chain in order.
-func (x *stageRun) remainingTime(stage int) (remaining time.Duration, services []string) {
+// chain in order, and the time of the call of each.
+func (x *stageRun) remainingTime(stage int) (remaining time.Duration, services []string, times []time.Duration) {
 	remaining = timeToFirstEvent
 	for j := stage + 1; j < len(x.route.Stages); j++ {
 		if x.pieces(j) == 0 || !slices.Contains(x.route.Stages[j].After, stage) {
 			continue
 		}
-		rest, next := x.remainingTime(j)
-		if chain := x.typicalCallTime(j) + rest; chain > remaining {
+		rest, next, nextTimes := x.remainingTime(j)
+		call := x.typicalCallTime(j)
+		if chain := call + rest; chain > remaining {
 			remaining, services = chain, append([]string{x.route.Stages[j].Service}, next...)
+			times = append([]time.Duration{call}, nextTimes...)
 		}
 	}
-	return remaining, services
+	return remaining, services, times
 }
 
 // typicalCallTime returns the typical time of a call with the pieces of a stage; 0 if not known.
