--- a/plantainlane/quota/allocator.go
+++ b/plantainlane/quota/allocator.go
@@ -43,6 +43,9 @@
 // row is the state of one upstream.
 type row struct {
 	statement Statement
+	warmup    warmupLimit
+	// askedAt is when a permit was last asked for.
+	askedAt time.Time
 	// version is the version of the Allocator as of the last change of the limit.
 	version int
 	// issued is when the last permit was issued, or when the limit became known. Permits issued at once are counted as if
@@ -59,7 +62,7 @@
 // Count holds the numbers of permits issued for an upstream and of queries refused since the last TakeCounts.
 type Count struct {
 	Address string
-	// PerSecond is the limit in requests a second.
+	// PerSecond is the limit in requests a second; 0 if it has ended.
 	PerSecond       float64
 	Issued, Refused int
 }
@@ -90,7 +93,7 @@
 	}
 	if !ok || !r.statement.Limited && s.Limited {
 		// The first permit is issued one interval later, those of a burst only after a pause.
-		r.issued = now.Add(s.burst())
+		r.issued = now.Add(burst(s.interval()))
 	}
 	if !ok || s.rate() != r.statement.rate() {
 		a.version++
@@ -100,15 +103,30 @@
 	return r
 }
 
+// asked returns the row of the upstream that a query is about, after it has recorded the statement in the query and what the
+// query says about a warm-up. A query for a cold upstream without a limit has no statement.
+func (a *Allocator) asked(now time.Time, w wire.UpstreamLimit) *row {
+	r := a.rows[w.Address]
+	if w.Limited || w.WarmupLeftMs <= 0 {
+		r = a.report(now, w)
+	} else if r == nil {
+		r = &row{}
+		a.rows[w.Address] = r
+	}
+	r.warmUp(now, w)
+	r.askedAt = now
+	return r
+}
+
 // Issue answers a query for a permit, and records the statement in the query.
 func (a *Allocator) Issue(now time.Time, w wire.UpstreamLimit) wire.PermitAnswer {
 	if !IsValid(w.PerSecond) {
 		return wire.PermitAnswer{WaitMs: int(maxInterval / time.Millisecond)}
 	}
-	r := a.report(now, w)
-	interval := r.statement.interval()
+	r := a.asked(now, w)
+	interval := r.interval(now)
 	next := r.issued.Add(interval)
-	wait := next.Sub(now) - r.statement.burst()
+	wait := next.Sub(now) - burst(interval)
 	if wait > 0 {
 		r.refused++
 		r.refusedCount++
@@ -135,17 +153,22 @@
 }
 
 // interval returns the time between two permits; 0 without a limit.
-func (s Statement) interval() time.Duration {
-	if s.rate() <= 1/maxInterval.Seconds() {
+func (s Statement) interval() time.Duration { return intervalOf(s.rate()) }
+
+// interval returns the time between two permits now; 0 without a limit.
+func (r *row) interval(now time.Time) time.Duration { return intervalOf(r.rate(now)) }
+
+// intervalOf returns the time between two permits at a rate a second, which may be infinite.
+func intervalOf(rate float64) time.Duration {
+	if rate <= 1/maxInterval.Seconds() {
 		return maxInterval
 	}
-	return time.Duration(float64(time.Second) / s.rate())
+	return time.Duration(float64(time.Second) / rate)
 }
 
 // burst returns how much earlier than one interval after the last permit the next one may be issued, so that the permits
 // of a pause aren't lost.
-func (s Statement) burst() time.Duration {
-	interval := s.interval()
+func burst(interval time.Duration) time.Duration {
 	return max(burstTime, minBurst*interval) - interval
 }
 
@@ -180,12 +203,16 @@
 	}
 	a.nextCount = now.Add(countPeriod)
 	for address, r := range a.rows {
-		if now.Sub(r.statement.HeardAt) > forgetAfter {
+		if now.Sub(later(r.statement.HeardAt, r.askedAt)) > forgetAfter {
 			delete(a.rows, address)
 			continue
 		}
 		if r.issuedCount+r.refusedCount > 0 {
-			out = append(out, Count{address, r.statement.PerSecond, r.issuedCount, r.refusedCount})
+			n := Count{Address: address, Issued: r.issuedCount, Refused: r.refusedCount}
+			if rate := r.rate(now); IsValid(rate) {
+				n.PerSecond = rate
+			}
+			out = append(out, n)
 		}
 		r.issuedCount, r.refusedCount = 0, 0
 	}
--- a/plantainlane/quota/gate.go
+++ b/plantainlane/quota/gate.go
@@ -57,6 +57,8 @@
 // leaving, and which have asked for a pause. It obtains permits. It is safe for concurrent use.
 type Gate struct {
 	asker Asker
+	// warmups is nil if no upstream is ever cold.
+	warmups Warmups
 	// standings is replaced under mu, and read without a lock.
 	standings atomic.Pointer[standings]
 	// known holds the statements. It is replaced under mu, and read without a lock.
@@ -92,25 +94,52 @@
 	if err := g.standings.Load().refuse(time.Now(), peer); err != nil {
 		return p, err
 	}
-	s, ok := g.known.Load().Get(peer.Address)
-	if !ok || !s.Limited {
+	askedAt := time.Now()
+	query, needed, lapsesAt := g.query(askedAt, peer)
+	if !needed {
 		return p, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	askedAt := time.Now()
-	a, ok := g.asker.Ask(ctx, s.toWire(askedAt, peer.Address))
-	switch {
-	case !ok:
-		return p, &Refusal{Until: time.Now().Add(unansweredPause)}
-	case !a.Granted:
-		return p, &Refusal{Until: time.Now().Add(time.Duration(a.WaitMs) * time.Millisecond)}
+	a, ok := g.asker.Ask(ctx, query)
+	if !ok {
+		return p, refusedFor(unansweredPause, lapsesAt)
+	}
+	if !a.Granted {
+		return p, refusedFor(time.Duration(a.WaitMs)*time.Millisecond, lapsesAt)
 	}
 	// The permit's time counts from when it was asked for: the answer may have been delayed.
 	p.until = askedAt.Add(time.Duration(a.ValidMs) * time.Millisecond)
 	return p, nil
 }
 
+// query returns the query for a permit for one request to an upstream, and whether one is needed. lapsesAt is when none is
+// needed any more; zero if that isn't known.
+func (g *Gate) query(now time.Time, peer Peer) (q wire.UpstreamLimit, needed bool, lapsesAt time.Time) {
+	s, ok := g.known.Load().Get(peer.Address)
+	isLimited := ok && s.Limited
+	w, isCold := g.warmup(now, peer)
+	if isLimited {
+		q = s.toWire(now, peer.Address)
+	} else {
+		q.Address, lapsesAt = peer.Address, w.Until
+	}
+	if isCold {
+		w.addTo(&q, now)
+	}
+	return q, isLimited || isCold, lapsesAt
+}
+
+// refusedFor returns a refusal for a time, which ends at lapsesAt at the latest unless that is zero: an upstream that has
+// become warm must not rest for the wait of a cold one.
+func refusedFor(wait time.Duration, lapsesAt time.Time) *Refusal {
+	until := time.Now().Add(wait)
+	if !lapsesAt.IsZero() && lapsesAt.Before(until) {
+		until = lapsesAt
+	}
+	return &Refusal{Until: until}
+}
+
 // Check returns nil if the request may be sent now. It returns a *Refusal if the permit has expired, or if what forbids
 // the request became known after Acquire. It is to be called immediately before the request is written.
 func (p Permit) Check() error {
@@ -124,7 +153,7 @@
 	if !expiry.IsPast(now, p.until) {
 		return nil
 	}
-	if s, ok := p.gate.known.Load().Get(p.peer.Address); !ok || !s.Limited {
+	if _, needed, _ := p.gate.query(now, p.peer); !needed {
 		return nil
 	}
 	return &Refusal{Until: now}
@@ -146,6 +175,9 @@
 // ObserveStanding records what an answer of a peer says about the peer, limits excepted. The answer must be known to be
 // the peer's, to a request of this instance. An answer of an unknown peer tells nothing.
 func (g *Gate) ObserveStanding(now time.Time, p Peer, n Notice) {
+	if p.ID != "" && n.Warmup > 0 && g.warmups != nil {
+		g.warmups.Observe(p, now.Add(n.Warmup))
+	}
 	if p.ID == "" || !n.Leaving && n.Pause <= 0 {
 		return
 	}
--- a/plantainlane/quota/notice.go
+++ b/plantainlane/quota/notice.go
@@ -36,6 +36,8 @@
 	Leaving bool
 	// Pause is how long the upstream wants no request from this instance; 0 for no pause.
 	Pause time.Duration
+	// Warmup is how long the upstream is still cold; 0 if it doesn't say so.
+	Warmup time.Duration
 }
 
 // Errors of malformed notices.
@@ -44,6 +46,8 @@
 	ErrBadLimit = errors.New("quota: malformed limit")
 	// ErrBadPause reports an answer whose pause can't be read.
 	ErrBadPause = errors.New("quota: malformed pause")
+	// ErrBadWarmup reports an answer whose warm-up can't be read.
+	ErrBadWarmup = errors.New("quota: malformed warm-up")
 )
 
 const (
--- a/wire/types.go
+++ b/wire/types.go
@@ -61,6 +61,9 @@
 	// this long.
 	TTLMs int `json:"ttlMs" cbor:"ttlMs"`
 
+	// Time in milliseconds for which the upstream is still cold; 0 if it is warm.
+	WarmupLeftMs int `json:"warmupLeftMs,omitempty,omitzero" cbor:"warmupLeftMs,omitempty"`
+
 	// Availability zone of the upstream.
 	Zone string `json:"zone" cbor:"zone"`
 }
@@ -2060,6 +2063,14 @@
 	// Time in milliseconds from the sending of the request until this message was
 	// sent.
 	SentAgoMs int `json:"sentAgoMs" cbor:"sentAgoMs"`
+
+	// Time in milliseconds for which the upstream is still cold; 0 if it is warm or
+	// has no limit while it is cold.
+	WarmupLeftMs int `json:"warmupLeftMs,omitempty,omitzero" cbor:"warmupLeftMs,omitempty"`
+
+	// Requests a second that the upstream takes from all instances together while it
+	// is cold; used in queries only.
+	WarmupPerSecond float64 `json:"warmupPerSecond,omitempty,omitzero" cbor:"warmupPerSecond,omitempty"`
 }
 
 // UpstreamLoad is the load that an upstream reports.
@@ -2136,6 +2147,10 @@
 
 	// Sequences of the announcements.
 	Sequences []int `json:"sequences" cbor:"sequences"`
+
+	// Times in milliseconds for which the upstreams are still cold; absent if all are
+	// warm.
+	WarmupLeftMs []int `json:"warmupLeftMs,omitempty,omitzero" cbor:"warmupLeftMs,omitempty"`
 }
 
 // UpstreamStatus is an upstream's row in the status for operators.
