--- a/plantainlane/roster/digest.go
+++ b/plantainlane/roster/digest.go
@@ -11,7 +11,7 @@
 const digestBuckets = 64
 
 // Digest returns the hash of each bucket. It covers the announcements of the upstreams that are not expired, without
-// sequence, cache sequence and load, so that instances that differ only in renewals send nothing to each other. It covers the
+// sequence, cache sequence, load and the rest of a warm-up, so that instances that differ only in renewals send nothing to each other. It covers the
 // departures without their time.
 func (r *Roster) Digest() []int {
 	out := make([]int, digestBuckets)
@@ -63,7 +63,7 @@
 
 // stableHash returns a hash of the fields of an announcement that a renewal doesn't change; 0 if they can't be encoded.
 func stableHash(a wire.Announcement) uint64 {
-	a.Sequence, a.CacheSequence, a.Load = 0, 0, wire.UpstreamLoad{}
+	a.Sequence, a.CacheSequence, a.Load, a.WarmupLeftMs = 0, 0, wire.UpstreamLoad{}, 0
 	return hashOf(a)
 }
 
--- a/plantainlane/roster/renewal.go
+++ b/plantainlane/roster/renewal.go
@@ -7,8 +7,23 @@
 	"plantainlane/wire"
 )
 
+// warmupTolerance is by how much later a warm-up may seem to end, since announcements are received with different delays,
+// without counting as a new one.
+const warmupTolerance = 500 * time.Millisecond
+
+// turnsCold reports whether an announcement received at the time now says that an upstream has turned cold since its known
+// row was announced.
+func turnsCold(a wire.Announcement, old *Row, now time.Time) bool {
+	return a.WarmupLeftMs > 0 && now.Add(warmupLeft(a)).After(old.HeardAt().Add(warmupLeft(old.Announcement)+warmupTolerance))
+}
+
+// warmupLeft returns for how long an upstream is still cold when the announcement is received.
+func warmupLeft(a wire.Announcement) time.Duration {
+	return time.Duration(a.WarmupLeftMs) * time.Millisecond
+}
+
 // isRenewal reports whether an announcement differs from the old one of the same upstream at most in sequence, cache
-// sequence and load.
+// sequence, load and the rest of its warm-up.
 func isRenewal(a, old wire.Announcement) bool {
 	return a.Incarnation == old.Incarnation && a.Leaving == old.Leaving && a.Service == old.Service &&
 		a.Zone == old.Zone && a.Region == old.Region && a.Address == old.Address && a.Capacity == old.Capacity &&
@@ -29,6 +44,11 @@
 		out.FreeBlocks = append(out.FreeBlocks, a.Load.FreeBlocks)
 		out.CacheSequences = append(out.CacheSequences, a.CacheSequence)
 	}
+	if slices.ContainsFunc(list, func(a wire.Announcement) bool { return a.WarmupLeftMs > 0 }) {
+		for _, a := range list {
+			out.WarmupLeftMs = append(out.WarmupLeftMs, a.WarmupLeftMs)
+		}
+	}
 	return out
 }
 
@@ -38,7 +58,10 @@
 // in n have different lengths, Renew applies nothing.
 func (r *Roster) Renew(n wire.UpstreamRenewals, now time.Time) (renewed []wire.Announcement, unknown []string, late []wire.Departure) {
 	size := len(n.Ids)
-	for _, l := range [][]int{n.Incarnations, n.Sequences, n.InFlight, n.Queued, n.FreeBlocks, n.CacheSequences} {
+	if n.WarmupLeftMs == nil {
+		n.WarmupLeftMs = make([]int, size)
+	}
+	for _, l := range [][]int{n.Incarnations, n.Sequences, n.InFlight, n.Queued, n.FreeBlocks, n.CacheSequences, n.WarmupLeftMs} {
 		if len(l) != size {
 			return nil, nil, nil
 		}
@@ -58,7 +81,7 @@
 		if a.Incarnation != n.Incarnations[i] || a.Sequence >= n.Sequences[i] || a.Leaving {
 			continue
 		}
-		a.Sequence, a.CacheSequence = n.Sequences[i], n.CacheSequences[i]
+		a.Sequence, a.CacheSequence, a.WarmupLeftMs = n.Sequences[i], n.CacheSequences[i], n.WarmupLeftMs[i]
 		a.Load = wire.UpstreamLoad{InFlight: n.InFlight[i], Queued: n.Queued[i], FreeBlocks: n.FreeBlocks[i]}
 		r.put(&Row{Announcement: a, Until: now.Add(ttl(a)), Credential: old.Credential})
 		renewed = append(renewed, a)
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -48,6 +48,9 @@
 	return !r.Expired && !r.Announcement.Leaving
 }
 
+// HeardAt returns when the announcement was received by this instance.
+func (r *Row) HeardAt() time.Time { return r.Until.Add(-ttl(r.Announcement)) }
+
 // View is an immutable version of a Roster.
 type View struct {
 	// Rows holds the rows by upstream ID. Upstreams that are leaving or recently expired are included.
@@ -95,7 +98,7 @@
 	if ok && contradicts(a, old.Announcement) {
 		return errors.Wrapf(ErrImplausible, "upstream %s", a.ID)
 	}
-	onlyRenewed := ok && !old.Expired && isRenewal(a, old.Announcement)
+	onlyRenewed := ok && !old.Expired && isRenewal(a, old.Announcement) && !turnsCold(a, old, now)
 	if pendingOnlyRenewed, pending := r.announced[a.ID]; pending {
 		onlyRenewed = onlyRenewed && pendingOnlyRenewed
 	}
@@ -106,7 +109,7 @@
 }
 
 // Merge applies announcements from another instance. It returns those that were newer than the known ones: renewals in
-// renewed, all others in changed. late lists the departures of upstreams whose announcements were made before.
+// renewed, all others, among them those of upstreams that turned cold, in changed. late lists the departures of upstreams whose announcements were made before.
 func (r *Roster) Merge(list []wire.Announcement, now time.Time) (changed, renewed []wire.Announcement, late []wire.Departure) {
 	for _, a := range list {
 		if r.isLate(a) {
@@ -124,7 +127,7 @@
 			row.Credential = old.Credential
 		}
 		r.put(row)
-		if ok && !old.Expired && isRenewal(a, old.Announcement) {
+		if ok && !old.Expired && isRenewal(a, old.Announcement) && !turnsCold(a, old, now) {
 			renewed = append(renewed, a)
 		} else {
 			changed = append(changed, a)
--- a/plantainlane/site/site.go
+++ b/plantainlane/site/site.go
@@ -115,6 +115,17 @@
 	Engine bool
 	// Batch describes the calls for pieces; nil if the service runs no pieces.
 	Batch *Batch
+	// Warmup is how the upstreams warm up; the zero value if they are never cold.
+	Warmup Warmup
+}
+
+// Warmup describes the time after its start, or later, in which an upstream is cold.
+type Warmup struct {
+	// Time is how long an upstream is cold.
+	Time time.Duration
+	// PerSecond is the number of requests a second that a cold upstream takes from all instances together; 0 if that
+	// isn't limited.
+	PerSecond float64
 }
 
 // Batch describes the calls that run pieces. Slots, MaxPieces and MemoryBytes are limits of each upstream.
