--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/route"
 	"plantainlane/wire"
 )
@@ -40,6 +41,13 @@
 	Review(now time.Time)
 }
 
+// Warmups learns which upstreams are cold. It is called by the control goroutine only.
+type Warmups interface {
+	// Refresh records what has become known up to now: the newest announcements, and the IDs of upstreams that have
+	// expired. rows holds all upstreams. It is called on each step.
+	Refresh(now time.Time, announced []wire.Announcement, expired []string, rows roster.View)
+}
+
 // Loop runs a Core on the control goroutine.
 type Loop struct {
 	core        *Core
@@ -54,6 +62,9 @@
 	Publisher Publisher
 	// OrderSender sends the planned orders to engines and reads the engines' states; if nil, neither is done.
 	OrderSender OrderSender
+	// Warmups learns of changes of upstreams before the balancer does, so that none is chosen before its limit is known; it
+	// may be nil.
+	Warmups Warmups
 }
 
 // NewLoop returns a loop that isn't running yet. Each value received from wake causes a step of the core; wake may
@@ -125,6 +136,9 @@
 // updateBalancer passes changed and expired upstreams to the balancer and runs its periodic review.
 func (l *Loop) updateBalancer(now time.Time) {
 	updated, expired := l.core.TakeUpstreams()
+	if l.Warmups != nil {
+		l.Warmups.Refresh(now, updated, expired, l.Publisher.View().Upstreams)
+	}
 	if len(updated) > 0 {
 		l.balancer.Apply(now, updated...)
 	}
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -37,6 +37,7 @@
 	"plantainlane/plantainlane/settings"
 	"plantainlane/plantainlane/timeline"
 	"plantainlane/plantainlane/upstream"
+	"plantainlane/plantainlane/warmup"
 	"plantainlane/wire"
 	wiretimeline "plantainlane/wire/timeline"
 )
@@ -75,6 +76,8 @@
 	limiter  *limit.Limiter
 	// gate holds the limits that upstreams name.
 	gate *quota.Gate
+	// warmups knows which upstreams are cold.
+	warmups *warmup.Tracker
 	// guard refuses requests whose content ends upstreams.
 	guard *quarantine.Guard
 	// ownedQueues is the newest claim of queues, which is passed on under claiming until proxyCtx ends.
@@ -137,7 +140,8 @@
 	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.activeCount)
 	x.limiter = limit.New(now)
-	x.gate = quota.NewGate(x)
+	x.warmups = warmup.New(now, x.services.Balancer, nil)
+	x.gate = quota.NewGate(x).WithWarmups(x.warmups)
 	x.guard = quarantine.NewGuard(ctx, &quarantine.Dialer{IsReplaced: x.isReplaced}, func() {
 		go x.loop.Deliver(ctx, control.QuarantineObserved{})
 	}).WithAsker(x)
@@ -157,6 +161,7 @@
 		wake = x.replica.Wake()
 	}
 	x.loop = control.NewLoop(x.newCore(), x.net, x.services, wake)
+	x.loop.Warmups = x.warmups
 	x.loop.OrderSender = &order.Sender{Client: x.fleet.Client(), Report: func(r order.Report) {
 		x.loop.Deliver(ctx, control.OrderReported{Report: r})
 	}}
@@ -237,10 +242,11 @@
 }
 
 // PublishMetrics publishes the instance's metrics by expvar under name, and the statistics of the prefix index under
-// "prefixIndex" and of the quarantine under "quarantine". It panics if one of the names is in use.
+// "prefixIndex", of the quarantine under "quarantine" and of warm-ups under "warmups". It panics if one of the names is in use.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
 	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
+	expvar.Publish("warmups", expvar.Func(func() any { return x.warmups.Stats() }))
 	expvar.Publish("quarantine", expvar.Func(func() any { return x.guard.Stats(time.Now()) }))
 }
 
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -112,6 +112,7 @@
 	}
 	klog.InfoS("site in force", "version", source.Version, "routes", len(compiled.Routes))
 	s.compiled = compiled
+	s.instance.warmups.SetServices(compiled.Services)
 }
 
 // compile returns the compiled form of a site. A document that Translate can't cope with is an error like any other: it is
--- a/plantainlane/instance/site_test.go
+++ b/plantainlane/instance/site_test.go
@@ -12,6 +12,7 @@
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/settings"
 	"plantainlane/plantainlane/site"
+	"plantainlane/plantainlane/warmup"
 	"plantainlane/wire"
 )
 
@@ -37,6 +38,7 @@
 	timing.AcceptCommitted, timing.Lease = true, 2*time.Minute
 	core := control.New(wire.InstanceInfo{ID: "e", Incarnation: 1}, control.WithTiming(timing))
 	x := &Instance{settings: &settings.Settings{}, loop: control.NewLoop(core, silence{}, silence{}, nil)}
+	x.warmups = warmup.New(time.Now(), nil, nil)
 	x.proxy = &Proxy{Translate: func(text []byte) (*site.Site, error) {
 		if string(text) == "panics" {
 			panic("document")
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -165,6 +165,7 @@
 // same models, in nanoseconds; 0 if unknown.
 func (u *upstream) review(now int64, median float64) {
 	u.dropOldPace(now)
+	u.endWarmup(now)
 	u.medianLatency.Store(math.Float32bits(float32(median)))
 	inFlight := u.inFlight.Load()
 	u.averageInFlight += inFlightWeight * (float64(inFlight) - u.averageInFlight)
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -90,9 +90,11 @@
 	failuresSinceReview atomic.Int32
 	// samplesAtReview is the value of samples at the previous Review. Only Review uses it.
 	samplesAtReview int32
+	// coldUntil is when the upstream's warm-up ends; 0 while it is warm. Review resets this field.
+	coldUntil atomic.Int64
 	// The padding makes the size a multiple of 64 bytes, so that the first 64 bytes of each upstream are one cache
 	// line.
-	_ [16]byte
+	_ [8]byte
 }
 
 // newUpstream returns an upstream in slow start whose other load is the whole reported load.
