--- a/plantainlane/announce/server.go
+++ b/plantainlane/announce/server.go
@@ -162,6 +162,8 @@
 		return "capacity"
 	case a.TTLMs <= 0 || a.TTLMs > int(roster.MaxTTL/time.Millisecond):
 		return "ttlMs"
+	case a.WarmupLeftMs < 0 || a.WarmupLeftMs > int(roster.MaxWarmup/time.Millisecond):
+		return "warmupLeftMs"
 	}
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		return "address"
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -30,6 +30,9 @@
 // MaxTTL is the longest time to live of an announcement.
 const MaxTTL = 5 * time.Minute
 
+// MaxWarmup is the longest time for which an announcement may say that its upstream is still cold.
+const MaxWarmup = 10 * time.Minute
+
 // Row is the known state of one upstream.
 type Row struct {
 	// Announcement is the newest announcement. Its (Incarnation, Sequence) never decreases while the row is kept.
--- a/plantainlane/route/cold.go
+++ b/plantainlane/route/cold.go
@@ -26,3 +26,6 @@
 	// An ejection or a pause may have begun another slow start meanwhile.
 	u.slowStartAt.CompareAndSwap(end, end-int64(SlowStart))
 }
+
+// isCold reports whether the upstream is in warm-up.
+func (u *upstream) isCold(now int64) bool { return now < u.slowStartAt.Load() }
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -45,8 +45,8 @@
 	Avoid []string
 	// Hints lists upstreams with part of the prefix cached. They are favoured while they are not saturated.
 	Hints []Hint
-	// Preferred lists the IDs of preferred upstreams, most preferred first. Pick chooses the first that is usable, that
-	// has a slowdown of at most maxPreferredSlowdown, and whose load exceeds that of the upstream which would be chosen
+	// Preferred lists the IDs of preferred upstreams, most preferred first. Pick chooses the first that is usable and warm,
+	// that has a slowdown of at most maxPreferredSlowdown, and whose load exceeds that of the upstream which would be chosen
 	// otherwise by at most PreferredSlack.
 	Preferred []string
 	// PreferredSlack is a load in calls, see Preferred.
@@ -91,7 +91,7 @@
 func (b *Balancer) preferred(now int64, q *Query, best candidate) *upstream {
 	for _, id := range q.Preferred {
 		u := b.usableByID(now, Hint{Upstream: id}, q)
-		if u == nil || u.slowdown(now) > maxPreferredSlowdown {
+		if u == nil || u.slowdown(now) > maxPreferredSlowdown || u.isCold(now) {
 			continue
 		}
 		if best.upstream == nil || u.pacedLoad(now) <= best.upstream.pacedLoad(now)+q.PreferredSlack {
