--- a/plantainlane/site/site.go
+++ b/plantainlane/site/site.go
@@ -111,12 +111,20 @@
 type Service struct {
 	// Name is the name of the service.
 	Name string
-	// Engine is set if the upstreams run a model.
-	Engine bool
+	// Engine describes the upstreams if they run a model; nil otherwise.
+	Engine *Engine
 	// Batch describes the calls for pieces; nil if the service runs no pieces.
 	Batch *Batch
 }
 
+// Engine describes an upstream that runs a model. A value that isn't known is 0.
+type Engine struct {
+	// Slots is the number of requests that run at the same time.
+	Slots int
+	// CacheTokens is the memory for parts of prompts and running requests, in tokens.
+	CacheTokens int
+}
+
 // Batch describes the calls that run pieces. Slots, MaxPieces and MemoryBytes are limits of each upstream.
 type Batch struct {
 	// Slots is the maximum number of concurrent calls.
