--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -51,6 +51,9 @@
 	Preferred []string
 	// PreferredSlack is a load in calls, see Preferred.
 	PreferredSlack float64
+	// Weigh, if set, chooses among the preferred upstreams and the best of the others instead. PreferredSlack has no
+	// effect then.
+	Weigh Weigher
 }
 
 // candidate is an upstream that may be chosen, with its score. A lower score is better.
@@ -78,6 +81,12 @@
 		return b.target(at, s.nextRoundRobin(at, p, q.Avoid))
 	}
 	best := b.choose(at, p, &q)
+	if q.Weigh != nil {
+		if u := b.weighed(at, &q, best); u != nil {
+			return b.target(at, u)
+		}
+		return b.target(at, fallback(at, p, &q))
+	}
 	if preferred := b.preferred(at, &q, best); preferred != nil {
 		return b.target(at, preferred)
 	}
