--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -30,6 +30,7 @@
 	"plantainlane/plantainlane/order"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/pipeline"
+	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/replica"
@@ -98,9 +99,11 @@
 	// callerServers holds the servers that serve callers. A drain waits for their requests in flight.
 	callerServers []*server
 	// proxy, sites and dispatcher are nil unless the instance serves opaque requests.
-	proxy          *Proxy
-	sites          *sites
-	dispatcher     *batch.Dispatcher
+	proxy      *Proxy
+	sites      *sites
+	dispatcher *batch.Dispatcher
+	// prompts weighs kept prompts of opaque requests against waiting.
+	prompts        *promptcache.Estimator
 	extraListeners []extraListener
 	// drain is nil unless the instance drains.
 	drain atomic.Pointer[forward.Drain]
@@ -132,6 +135,7 @@
 			HasData:         s.Data != nil,
 			ControlOnly:     s.Instance.ControlOnly,
 			Cores:           s.Instance.Cores,
+			Capacity:        s.Capacity(),
 		},
 	}
 	for _, o := range opts {
@@ -139,6 +143,7 @@
 	}
 	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.activeCount)
+	x.prompts = &promptcache.Estimator{Share: x.requestShare}
 	x.limiter = limit.New(now)
 	x.warmups = warmup.New(now, x.services.Balancer, nil)
 	x.gate = quota.NewGate(x).WithWarmups(x.warmups)
@@ -242,10 +247,12 @@
 }
 
 // PublishMetrics publishes the instance's metrics by expvar under name, and the statistics of the prefix index under
-// "prefixIndex", of the quarantine under "quarantine" and of warm-ups under "warmups". It panics if one of the names is in use.
+// "prefixIndex", of the weighing of kept prompts under "promptCache", of the quarantine under "quarantine" and of warm-ups under
+// "warmups". It panics if one of the names is in use.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
 	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
+	expvar.Publish("promptCache", expvar.Func(func() any { return x.prompts.Stats() }))
 	expvar.Publish("warmups", expvar.Func(func() any { return x.warmups.Stats() }))
 	expvar.Publish("quarantine", expvar.Func(func() any { return x.guard.Stats(time.Now()) }))
 }
