--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -59,6 +59,9 @@
 	executor Executor
 	source   func(service string) Source
 	ctx      context.Context
+	// OnLoad is called with the load of an upstream that another instance passed on, and when it was reported. It may be nil.
+	OnLoad func(upstream string, load wire.UpstreamLoad, at time.Time)
+	loads  *loadBoard
 
 	mu     sync.Mutex
 	owners map[queueID]*owner
@@ -115,6 +118,7 @@
 func NewDispatcher(ctx context.Context, self, zone string, firstFrameCall int, peers Peers, executor Executor, source func(service string) Source) *Dispatcher {
 	return &Dispatcher{
 		self: self, zone: zone, peers: peers, executor: executor, source: source, ctx: ctx, lastFrameCall: firstFrameCall,
+		loads:     newLoadBoard(),
 		owners:    make(map[queueID]*owner),
 		layouts:   make(map[string]layout),
 		pending:   make(map[int]pendingJob),
@@ -308,7 +312,10 @@
 	case d.self:
 		d.deliver(d.owner(q), released{handles})
 	default:
-		d.peers.Send(to, wire.Frame{PieceRelease: &wire.PieceRelease{Service: q.service, QueueZone: q.zone, Handles: handles}})
+		d.peers.Send(to, wire.Frame{
+			PieceRelease:  &wire.PieceRelease{Service: q.service, QueueZone: q.zone, Handles: handles},
+			UpstreamLoads: d.loads.news(time.Now(), to, true),
+		})
 	}
 }
 
@@ -353,6 +360,7 @@
 
 // HandleFrame handles a frame from another instance and reports whether the frame was meant for a dispatcher.
 func (d *Dispatcher) HandleFrame(f wire.Frame) bool {
+	d.learnLoads(f.From, f.UpstreamLoads)
 	switch {
 	case f.PieceOrder != nil:
 		d.handlePieceOrder(f.From, f.Call, f.PieceOrder)
@@ -425,7 +433,7 @@
 	now := time.Now()
 	w := d.publishedWait(q, now)
 	other := d.shortestOther(q, now)
-	d.peers.Send(to, wire.Frame{Call: call, PieceAnswer: &wire.PieceAnswer{
+	d.peers.Send(to, wire.Frame{Call: call, UpstreamLoads: d.loads.news(now, to, false), PieceAnswer: &wire.PieceAnswer{
 		Handles: handles, Zone: out.Zone, Reason: string(out.Reason), RetryAfterMs: int(out.RetryAfter / time.Millisecond),
 		WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond), CallMs: int(w.Call / time.Millisecond),
 		OtherZone: other.zone, OtherWaitMs: int(other.wait / time.Millisecond),
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -278,6 +278,9 @@
 	})
 	if answer.Load != nil {
 		t.Reported(time.Now(), *answer.Load)
+		if len(q.route.Stages) > 0 {
+			q.server.Dispatcher.Reported(t.ID, *answer.Load)
+		}
 	}
 	out, complete := q.handleAnswer(c, t, res, answer)
 	if !complete || answer.ID == "" {
--- a/plantainlane/forward/harness_test.go
+++ b/plantainlane/forward/harness_test.go
@@ -102,6 +102,8 @@
 	d.released = append(d.released, handles...)
 }
 
+func (d *fakeDispatcher) Reported(string, wire.UpstreamLoad) {}
+
 func (d *fakeDispatcher) WaitTimes(string, string) batch.WaitTimes { return batch.WaitTimes{} }
 
 // harness is a Server behind a test listener, with fake upstreams in its roster and balancer.
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -11,6 +11,7 @@
 
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
 )
 
 // Dispatcher queues the pieces of stages and runs them in batches. It is safe for concurrent use.
@@ -21,6 +22,8 @@
 	Release(service, zone string, handles []string)
 	// WaitTimes returns the last published wait times of a service's queue for a zone; zero if none are known.
 	WaitTimes(service, zone string) batch.WaitTimes
+	// Reported records the load that an upstream reported to this instance, for the other instances.
+	Reported(upstream string, load wire.UpstreamLoad)
 }
 
 // stageError reports a stage that was not completed.
--- a/plantainlane/forward/stages_test.go
+++ b/plantainlane/forward/stages_test.go
@@ -9,6 +9,7 @@
 
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
 )
 
 // lateReader is a dispatcher that keeps OnInputsRead of all jobs, as an owner does that calls it after a job's end.
@@ -41,6 +42,8 @@
 }
 
 // WaitTimes returns those of a long queue, so that results are released as soon as they were read.
+func (d *lateReader) Reported(string, wire.UpstreamLoad) {}
+
 func (d *lateReader) WaitTimes(string, string) batch.WaitTimes {
 	return batch.WaitTimes{All: time.Second}
 }
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -225,6 +225,7 @@
 	pool := exchange.NewPool(upstreamIdleTimeout)
 	client := quota.NewClient(pool, x.gate, x.proxy.ReadNotice)
 	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, x.self.Zone, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
+	x.dispatcher.OnLoad = x.services.ObserveLoad
 	x.proxy.Retries.Instances = x.activeCount
 	handler := &forward.Server{
 		Codec: x.proxy.Codec, Views: x.sites, Picker: x.services, Client: client, Dispatcher: x.dispatcher,
--- a/plantainlane/promptcache/weigh.go
+++ b/plantainlane/promptcache/weigh.go
@@ -16,6 +16,9 @@
 	lastPrior = 0.3
 	// maxPresence bounds the probability that a part is cached which this instance didn't send itself.
 	maxPresence = 0.95
+	// loadWeight is the weight of an engine's known load above the mean: each call there is delayed by the reading of this
+	// prompt, and delays it by reading a prompt of its own.
+	loadWeight = 0.25
 	// othersWeight is the weight of a delay of the other requests at an engine, against the same delay of this one.
 	othersWeight = 1
 	// toleratedSlowdown is the slowdown of an upstream's answers up to which it counts as normal.
@@ -96,7 +99,8 @@
 	perToken := s.speed.perToken() * slow
 	x.reading = x.read * perToken
 	x.wait = slow*s.slotWait(u.Load, u.Capacity) + unread*perToken
-	x.others = x.reading * s.load
+	// The mean load counts in full for reading, since the known load of one engine is late and lacks what others send there now.
+	x.others = x.reading*s.load + loadWeight*(min(u.Load, u.Capacity)-s.load)*(x.reading+s.readTokens*perToken)
 	return x
 }
 
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -165,10 +165,12 @@
 // same models, in nanoseconds; 0 if unknown.
 func (u *upstream) review(now int64, median float64) {
 	u.dropOldPace(now)
+	u.decayShared(now)
 	u.endWarmup(now)
 	u.medianLatency.Store(math.Float32bits(float32(median)))
 	inFlight := u.inFlight.Load()
-	u.averageInFlight += inFlightWeight * (float64(inFlight) - u.averageInFlight)
+	average := math.Float32frombits(u.averageInFlight.Load())
+	u.averageInFlight.Store(math.Float32bits(average + inFlightWeight*(float32(inFlight)-average)))
 	p := u.service.currentPolicy()
 	if until := u.ejectedUntil.Load(); until != 0 {
 		if until <= now {
--- a/plantainlane/route/outcome.go
+++ b/plantainlane/route/outcome.go
@@ -113,3 +113,10 @@
 func (t Target) Reported(now time.Time, load wire.UpstreamLoad) {
 	t.upstream.observeLoad(t.balancer.since(now), load)
 }
+
+// ObserveLoad records the load that an upstream reported to another instance at a time.
+func (b *Balancer) ObserveLoad(id string, load wire.UpstreamLoad, at time.Time) {
+	if u := b.index.get(id); u != nil {
+		u.observeShared(b.since(at), load)
+	}
+}
--- a/plantainlane/route/pick_test.go
+++ b/plantainlane/route/pick_test.go
@@ -372,3 +372,20 @@
 	is.True(ok)
 	is.True(target.ID != "a-002")
 }
+
+// TestSharedLoadDecays guards against an upstream that is avoided for good for a load of which no instance hears any more, since
+// none sends it requests.
+func TestSharedLoadDecays(t *testing.T) {
+	is := is.New(t)
+	list := announcements(2, "a", 8)
+	b := newBalancer(list...)
+	now := afterSlowStart
+	b.ObserveLoad(list[0].ID, wire.UpstreamLoad{InFlight: 20, Pace: 100}, now)
+	u := b.index.get(list[0].ID)
+	is.True(u.load() > 5)
+	for range 40 {
+		now = now.Add(ReviewInterval)
+		b.Review(now)
+	}
+	is.True(u.load() < 0.5)
+}
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -15,6 +15,11 @@
 	latencyRiseWeight = 0.25
 	// latencyFallWeight is the weight of a latency sample that is not above the moving average.
 	latencyFallWeight = 0.1
+	// sharedLoadWeight is the weight of a report that another instance passed on. There are many of these.
+	sharedLoadWeight = 0.4
+	// sharedLoadValid is the age of the newest of these from which the other load decays at each Review, by sharedLoadDecay.
+	sharedLoadValid = time.Second
+	sharedLoadDecay = 0.1
 	// otherLoadWeight is the weight of a new load report in the moving average of the other load.
 	otherLoadWeight = 0.2
 )
@@ -81,8 +86,8 @@
 	samples atomic.Int32
 	// ejections is the number of ejections that still lengthen the next one, see decayEjections.
 	ejections atomic.Int32
-	// averageInFlight is the moving average of inFlight. Review writes this field, observeLoad reads it.
-	averageInFlight float64
+	// averageInFlight is the moving average of inFlight, as float32 bits. Only Review writes it.
+	averageInFlight atomic.Uint32
 	// healthySince is when the last ejection ended or when ejections was last lowered, whichever is later. Only Review
 	// uses this field.
 	healthySince int64
@@ -92,9 +97,8 @@
 	samplesAtReview int32
 	// coldUntil is when the upstream's warm-up ends; 0 while it is warm. Review resets this field.
 	coldUntil atomic.Int64
-	// The padding makes the size a multiple of 64 bytes, so that the first 64 bytes of each upstream are one cache
-	// line.
-	_ [8]byte
+	// sharedAt is when the newest load that another instance passed on was reported; 0 if there was none.
+	sharedAt atomic.Int64
 }
 
 // newUpstream returns an upstream in slow start whose other load is the whole reported load.
@@ -126,7 +130,7 @@
 // observeLoad adds a reported load, without the calls of this instance, to the moving average otherLoad, and records the
 // reported pace.
 func (u *upstream) observeLoad(now int64, load wire.UpstreamLoad) {
-	sample := float64(load.InFlight+load.Queued) - u.averageInFlight
+	sample := float64(load.InFlight+load.Queued) - float64(math.Float32frombits(u.averageInFlight.Load()))
 	old := float64(math.Float32frombits(u.otherLoad.Load()))
 	u.otherLoad.Store(math.Float32bits(float32(old + otherLoadWeight*(sample-old))))
 	if load.Pace > 0 {
@@ -134,6 +138,28 @@
 	}
 }
 
+// observeShared records a load that another instance received from the upstream at a time.
+func (u *upstream) observeShared(at int64, load wire.UpstreamLoad) {
+	sample := float64(load.InFlight+load.Queued) - float64(math.Float32frombits(u.averageInFlight.Load()))
+	old := float64(math.Float32frombits(u.otherLoad.Load()))
+	u.otherLoad.Store(math.Float32bits(float32(old + sharedLoadWeight*(sample-old))))
+	u.sharedAt.Store(at)
+	if load.Pace > 0 {
+		u.pace.Store(newPaceReport(at, load.Pace))
+	}
+}
+
+// decayShared lowers an other load of which no instance has heard for sharedLoadValid, since an upstream that isn't chosen reports
+// nothing.
+func (u *upstream) decayShared(now int64) {
+	at := u.sharedAt.Load()
+	if at == 0 || now-at < int64(sharedLoadValid) {
+		return
+	}
+	old := math.Float32frombits(u.otherLoad.Load())
+	u.otherLoad.Store(math.Float32bits(old * (1 - sharedLoadDecay)))
+}
+
 // load returns the upstream's load in calls: the calls in flight of this instance plus the other load if above 0.
 func (u *upstream) load() float64 {
 	return float64(u.inFlight.Load()) + max(float64(math.Float32frombits(u.otherLoad.Load())), 0)
--- a/wire/types.go
+++ b/wire/types.go
@@ -887,6 +887,10 @@
 	// Query for the trial of a suspect request, answered by the leader.
 	TrialQuery *TrialQuery `json:"trialQuery,omitempty,omitzero" cbor:"trialQuery,omitempty"`
 
+	// Load reports of upstreams that the receiver may not know, beside another
+	// member.
+	UpstreamLoads *UpstreamLoads `json:"upstreamLoads,omitempty,omitzero" cbor:"upstreamLoads,omitempty"`
+
 	// Changes of upstreams.
 	Upstreams *UpstreamDelta `json:"upstreams,omitempty,omitzero" cbor:"upstreams,omitempty"`
 }
@@ -2106,6 +2110,21 @@
 	Queued int `json:"queued" cbor:"queued"`
 }
 
+// UpstreamLoads holds load reports of upstreams. All lists have the same length.
+type UpstreamLoads struct {
+	// Age of each report in milliseconds.
+	AgoMs []int `json:"agoMs" cbor:"agoMs"`
+
+	// Number of calls in progress or waiting at each.
+	Calls []int `json:"calls" cbor:"calls"`
+
+	// How long work takes at each, in percent of the normal time.
+	Paces []int `json:"paces" cbor:"paces"`
+
+	// IDs of the upstreams.
+	Upstreams []string `json:"upstreams" cbor:"upstreams"`
+}
+
 // UpstreamPolicy configures retries, hedges, ejection and queueing for the
 // upstreams of a service.
 type UpstreamPolicy struct {
