--- a/plantainlane/route/eject_test.go
+++ b/plantainlane/route/eject_test.go
@@ -172,9 +172,11 @@
 type workload struct {
 	balancer *Balancer
 	latency  func(id string) time.Duration
-	random   *rand.Rand
-	now      time.Time
-	pending  callHeap
+	// report returns the load that an upstream reports at the end of a call; nil if it reports none.
+	report  func(id string, now time.Time) wire.UpstreamLoad
+	random  *rand.Rand
+	now     time.Time
+	pending callHeap
 }
 
 // run sends calls for the period, one per interval of length every. It returns the number of calls to each upstream by
@@ -186,6 +188,9 @@
 	for w.now.Before(end) {
 		for len(w.pending) > 0 && !w.pending[0].ends.After(w.now) {
 			c := heap.Pop(&w.pending).(call)
+			if w.report != nil {
+				c.target.Reported(c.ends, w.report(c.target.ID, c.ends))
+			}
 			c.target.Done(c.ends, Outcome{Latency: c.ends.Sub(c.sent)})
 		}
 		if !nextReview.After(w.now) {
