--- a/plantainlane/route/pace.go
+++ b/plantainlane/route/pace.go
@@ -43,4 +43,9 @@
 func (u *upstream) pacedLoad(now int64) float64 { return u.load() * u.paceAt(now) }
 
 // atNormalPace returns how many nanoseconds something that took some time up to now would have taken at the normal pace.
-func atNormalPace(took time.Duration, p float64) float64 { return float64(pace.Normal(took, p)) }
+func atNormalPace(took time.Duration, p float64) float64 {
+	if p == 1 {
+		return float64(took)
+	}
+	return float64(pace.Normal(took, p))
+}
