--- a/plantainlane/route/balancer.go
+++ b/plantainlane/route/balancer.go
@@ -11,8 +11,8 @@
 	"plantainlane/wire"
 )
 
-// Balancer chooses upstreams. Apply, Remove, SetPolicies and Review must be called by one goroutine only. Pick,
-// ServiceCapacity, Ejected, Target.Done and Target.Progressed may be called concurrently by any goroutine.
+// Balancer chooses upstreams. Apply, Remove, SetPolicies, SetEvacuated and Review must be called by one goroutine
+// only. Pick, ServiceCapacity, Ejected, IsEvacuated, Target.Done and Target.Progressed may be called concurrently by any goroutine.
 type Balancer struct {
 	region string
 	zone   string
@@ -24,6 +24,8 @@
 	services atomic.Pointer[map[string]*service]
 	// index holds the known upstreams of all services, including those that are leaving.
 	index *shardedIndex
+	// evacuated holds the availability zones whose upstreams are not chosen, as a set.
+	evacuated map[string]bool
 }
 
 // Option changes how a Balancer is built.
@@ -137,16 +139,18 @@
 		b.drop(u, batch)
 		b.insert(now, a, batch)
 	case a.Incarnation == old.Incarnation && a.Sequence > old.Sequence:
-		b.update(u, old, a, batch)
+		b.update(now, u, old, a, batch)
 	}
 }
 
-// insert adds an upstream whose ID is unknown. One that is leaving is only indexed, not made a member of its service.
+// insert adds an upstream whose ID is unknown. One that is leaving or in an evacuated zone is only indexed, not made a member of
+// its service.
 func (b *Balancer) insert(now int64, a wire.Announcement, batch edits) {
 	s := b.ensureService(a.Service)
 	u := newUpstream(s, a, now)
+	u.evacuated.Store(b.evacuated[a.Zone])
 	b.index.set(a.ID, u)
-	if a.Leaving {
+	if a.Leaving || u.evacuated.Load() {
 		return
 	}
 	s.members[a.ID] = u
@@ -155,7 +159,7 @@
 
 // update updates an upstream by a newer announcement of the same incarnation. A leaving upstream stays leaving. If the
 // pools change, update records both those of the old announcement and those of the new one in batch.
-func (b *Balancer) update(u *upstream, old, a wire.Announcement, batch edits) {
+func (b *Balancer) update(now int64, u *upstream, old, a wire.Announcement, batch edits) {
 	u.observeLoad(a.Load)
 	a.Leaving = a.Leaving || old.Leaving
 	if old.Leaving || samePools(old, a) {
@@ -168,6 +172,7 @@
 		b.markLeaving(u)
 		return
 	}
+	b.updateEvacuated(now, u, batch)
 	batch.of(u.service).add(u)
 }
 
@@ -208,6 +213,9 @@
 func (b *Balancer) publish(batch edits) {
 	for s, e := range batch {
 		s.publish(e, b.tierOf)
+		if len(s.members) > 0 {
+			s.isEvacuated.Store(false)
+		}
 	}
 }
 
--- a/plantainlane/route/eject.go
+++ b/plantainlane/route/eject.go
@@ -78,9 +78,9 @@
 }
 
 // eject ejects the upstream for the policy's period, doubled for each earlier ejection that still counts. It does
-// nothing if the upstream is ejected or leaving, or if too many upstreams of the service are ejected.
+// nothing if the upstream is ejected, leaving or in an evacuated zone, or if too many upstreams of the service are ejected.
 func (u *upstream) eject(now int64, p *wire.UpstreamPolicy) {
-	if u.ejectedUntil.Load() != 0 || u.state.Load() == leaving || !u.service.acquireEjectionSlot(p) {
+	if u.ejectedUntil.Load() != 0 || u.state.Load() == leaving || u.evacuated.Load() || !u.service.acquireEjectionSlot(p) {
 		return
 	}
 	doublings := min(u.ejections.Add(1)-1, maxPeriodDoublings)
@@ -91,7 +91,7 @@
 	}
 	klog.InfoS("upstream ejected", "upstream", u.info.Load().id, "service", u.service.name, "failures", u.failureRun.Load(),
 		"slowness", u.slowdown(now), "inFlight", u.inFlight.Load(), "forMs", period.Milliseconds())
-	if u.state.Load() == leaving {
+	if u.state.Load() == leaving || u.evacuated.Load() {
 		u.endEjection()
 	}
 }
@@ -137,6 +137,9 @@
 		capacity := s.measureCapacity()
 		s.capacity.Store(&capacity)
 	}
+	if len(b.evacuated) > 0 {
+		b.markEvacuatedServices()
+	}
 }
 
 // medians returns the median latency, in nanoseconds, of the upstreams that serve the same models, by info.modelKey.
--- a/plantainlane/route/pick.go
+++ b/plantainlane/route/pick.go
@@ -153,10 +153,10 @@
 }
 
 // usableByID returns the upstream with the ID h.Upstream; nil if it is unknown, belongs to another service, does not
-// serve the model, or is not usable.
+// serve the model, is in an evacuated zone, or is not usable.
 func (b *Balancer) usableByID(now int64, h Hint, q *Query) *upstream {
 	u := b.index.get(h.Upstream)
-	if u == nil || u.service.name != q.Service || !u.serves(q.Model) || !u.usable(now, q) {
+	if u == nil || u.service.name != q.Service || u.evacuated.Load() || !u.serves(q.Model) || !u.usable(now, q) {
 		return nil
 	}
 	return u
--- a/plantainlane/route/pool.go
+++ b/plantainlane/route/pool.go
@@ -54,7 +54,9 @@
 	// recentCalls counts the recent calls to all members, recentFailures those that failed. Older calls count for less,
 	// see recentCallsRetained. Only Review uses these fields.
 	recentCalls, recentFailures float64
-	// members holds the upstreams that are not leaving, by ID. Only the goroutine that applies announcements uses it.
+	// isEvacuated is set if the service has upstreams, and all are in evacuated zones.
+	isEvacuated atomic.Bool
+	// members holds the upstreams that are neither leaving nor in an evacuated zone, by ID. Only the goroutine that applies announcements uses it.
 	members map[string]*upstream
 }
 
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -88,9 +88,11 @@
 	failuresSinceReview atomic.Int32
 	// samplesAtReview is the value of samples at the previous Review. Only Review uses it.
 	samplesAtReview int32
+	// evacuated is set while the upstream's availability zone is evacuated. It is then in no pool.
+	evacuated atomic.Bool
 	// The padding makes the size a multiple of 64 bytes, so that the first 64 bytes of each upstream are one cache
 	// line.
-	_ [16]byte
+	_ [12]byte
 }
 
 // newUpstream returns an upstream in slow start whose other load is the whole reported load.
