--- a/plantainlane/quota/gate.go
+++ b/plantainlane/quota/gate.go
@@ -23,6 +23,8 @@
 	Until time.Time
 	// Leaving is set if the upstream has said that it is leaving, Paused if it has asked for a pause.
 	Leaving, Paused bool
+	// Evacuated is set if the upstream's availability zone is evacuated.
+	Evacuated bool
 }
 
 // Error returns a text with the remaining time.
@@ -30,6 +32,9 @@
 	if r.Leaving {
 		return "quota: upstream is leaving"
 	}
+	if r.Evacuated {
+		return "quota: the zone of the upstream is evacuated"
+	}
 	return "quota: upstream takes no request for " + time.Until(r.Until).Round(time.Millisecond).String()
 }
 
@@ -49,6 +54,9 @@
 	unansweredPause = time.Second
 	// forgetAfter is how long a statement is kept after it was heard. It bounds the memory for upstreams that are gone.
 	forgetAfter = 5 * time.Minute
+	// evacuatedPause is the pause after a request was refused because the upstream's zone is evacuated. It only bridges the time
+	// until the choice of upstreams follows the evacuation too.
+	evacuatedPause = 100 * time.Millisecond
 	// forgetInterval is the period at which old statements are searched for.
 	forgetInterval = 10 * time.Second
 )
@@ -57,6 +65,8 @@
 // leaving, and which have asked for a pause. It obtains permits. It is safe for concurrent use.
 type Gate struct {
 	asker Asker
+	// isEvacuated reports whether a peer's availability zone is evacuated; nil if none ever is.
+	isEvacuated func(Peer) bool
 	// standings is replaced under mu, and read without a lock.
 	standings atomic.Pointer[standings]
 	// known holds the statements. It is replaced under mu, and read without a lock.
@@ -77,6 +87,21 @@
 	return g
 }
 
+// WithEvacuations has the gate refuse requests to the peers for which isEvacuated returns true. It returns the gate, and must
+// be called before the gate is used.
+func (g *Gate) WithEvacuations(isEvacuated func(Peer) bool) *Gate {
+	g.isEvacuated = isEvacuated
+	return g
+}
+
+// refuse returns a *Refusal if no request may be sent to a peer now, whatever its limit.
+func (g *Gate) refuse(now time.Time, p Peer) error {
+	if g.isEvacuated != nil && g.isEvacuated(p) {
+		return &Refusal{Until: now.Add(evacuatedPause), Evacuated: true}
+	}
+	return g.standings.Load().refuse(now, p)
+}
+
 // Permit allows one request. The zero Permit allows any.
 type Permit struct {
 	gate *Gate
@@ -86,10 +111,10 @@
 }
 
 // Acquire obtains a permit for one request to an upstream. It returns a *Refusal if the upstream's limit allows no request
-// now, if it has asked for a pause, or if it is leaving.
+// now, if it has asked for a pause, if it is leaving, or if its zone is evacuated.
 func (g *Gate) Acquire(ctx context.Context, peer Peer) (Permit, error) {
 	p := Permit{gate: g, peer: peer}
-	if err := g.standings.Load().refuse(time.Now(), peer); err != nil {
+	if err := g.refuse(time.Now(), peer); err != nil {
 		return p, err
 	}
 	s, ok := g.known.Load().Get(peer.Address)
@@ -118,7 +143,7 @@
 		return nil
 	}
 	now := time.Now()
-	if err := p.gate.standings.Load().refuse(now, p.peer); err != nil {
+	if err := p.gate.refuse(now, p.peer); err != nil {
 		return err
 	}
 	if !expiry.IsPast(now, p.until) {
--- a/plantainlane/quota/gate_test.go
+++ b/plantainlane/quota/gate_test.go
@@ -140,3 +140,21 @@
 		is.Equal(len(g.All(time.Now())), 0)
 	})
 }
+
+// TestZoneIsEvacuatedWhileRequestWaits guards against a request that is sent to an upstream whose zone was evacuated after it was
+// chosen, also if the request needs no permit.
+func TestZoneIsEvacuatedWhileRequestWaits(t *testing.T) {
+	is := is.New(t)
+	evacuated := map[string]bool{}
+	g := NewGate(&slowAsker{}).WithEvacuations(func(p Peer) bool { return evacuated[p.ID] })
+	p, err := g.Acquire(t.Context(), Peer{Address: "u", ID: "u"})
+	is.NoErr(err)
+	evacuated["u"] = true
+	var refusal *Refusal
+	is.True(errors.As(p.Check(), &refusal))
+	is.True(refusal.Evacuated && !refusal.Leaving)
+	_, err = g.Acquire(t.Context(), Peer{Address: "u", ID: "u"})
+	is.True(errors.Is(err, ErrNoPermit))
+	evacuated["u"] = false
+	is.NoErr(p.Check())
+}
