--- a/plantainlane/control/config.go
+++ b/plantainlane/control/config.go
@@ -47,12 +47,13 @@
 // otherwise the whole configuration.
 func (c *Core) updateSince(revision int) wire.ConfigUpdate {
 	newest := c.state.Config.Revision
+	evacuations := c.state.Config.EvacuationList()
 	sets, isKept := c.changes.between(revision, newest)
 	if revision == 0 || !isKept {
-		return wire.ConfigUpdate{Revision: newest, Set: c.state.Config.Declarations()}
+		return wire.ConfigUpdate{Revision: newest, Set: c.state.Config.Declarations(), Evacuations: evacuations}
 	}
 	set, remove := state.MergeChanges(sets)
-	return wire.ConfigUpdate{FromRevision: revision, Revision: newest, Set: set, Remove: remove}
+	return wire.ConfigUpdate{FromRevision: revision, Revision: newest, Set: set, Remove: remove, Evacuations: evacuations}
 }
 
 // handleConfigUpdate applies an update, or a whole configuration if FromRevision is 0. An update also applies to a
@@ -71,5 +72,5 @@
 	if u.FromRevision == 0 {
 		base = state.Config{}
 	}
-	c.applyConfig(base.With(u.Set, u.Remove, u.Revision))
+	c.applyConfig(base.With(u.Set, u.Remove, u.Revision).WithEvacuations(u.Evacuations))
 }
--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -54,6 +54,8 @@
 	// config is the configuration applied on this instance.
 	config    state.Config
 	freshness freshness
+	// evacuations is what was last learned of evacuated zones.
+	evacuations evacuations
 	// leader is the instance ID of the leader, empty while unknown; term is the leader's term.
 	leader       string
 	term         int
@@ -159,6 +161,7 @@
 	c.now = now
 	c.out = nil
 	c.noteSuspension(previous)
+	c.learnEvacuations()
 	c.recordStall(previous)
 	for _, in := range inputs {
 		c.handleInput(in)
@@ -240,6 +243,8 @@
 	}
 	c.dirty = false
 	behindSince := c.freshness.behindSince()
+	upstreams := c.roster.View()
+	upstreams.Evacuations = c.config.Evacuations
 	c.view = &View{
 		Self:         c.self,
 		Config:       c.config,
@@ -250,8 +255,10 @@
 		Draining:     c.draining,
 		Instances:    c.instances.rows,
 		Connected:    c.connected,
-		Upstreams:    c.roster.View(),
+		Upstreams:    upstreams,
 		Leader:       c.leader,
+
+		EvacuationEnds: c.evacuations.ended,
 	}
 	return c.view, true
 }
@@ -283,7 +290,7 @@
 		c.record(wire.Event{Kind: "peerLost", Detail: &in.ID})
 		c.forgetPush(in.ID)
 	case Proposed:
-		c.propose(in.Command, in.Until, func(a wire.ProposeAnswer) { in.Reply <- a })
+		c.propose(in.Command, in.Until, func(a wire.ProposeAnswer) { in.Reply <- a }).cancelled = in.Cancelled
 	case UpstreamAnnounced:
 		c.announce(in)
 	case UpstreamLeft:
@@ -331,6 +338,8 @@
 		c.handleDigest(f.From, *f.Digest)
 	case f.Quarantine != nil:
 		c.handleQuarantine(f.From, f.Quarantine)
+	case f.Evacuations != nil:
+		c.handleEvacuations(f.Evacuations.Evacuations)
 	case f.Drain != nil:
 		c.startDrain()
 	default:
--- a/plantainlane/control/input.go
+++ b/plantainlane/control/input.go
@@ -31,7 +31,9 @@
 	Command wire.Command
 	// Until is when the proposer stops waiting.
 	Until time.Time
-	Reply chan<- wire.ProposeAnswer
+	// Cancelled is closed when the command is no longer to be sent to a leader. It may be nil.
+	Cancelled <-chan struct{}
+	Reply     chan<- wire.ProposeAnswer
 }
 
 // UpstreamAnnounced is an upstream's announcement. Reply receives nil, or the reason why the announcement was
--- a/plantainlane/control/lease.go
+++ b/plantainlane/control/lease.go
@@ -175,6 +175,7 @@
 	c.quotas.confirm(a.Sequence)
 	c.quarantining.guard.Confirm(a.Sequence)
 	c.learnQuarantine(a.Quarantine)
+	c.handleEvacuations(a.Evacuations)
 	c.learnRevision(a.Revision)
 	c.learnPushed(a.PushedRevision)
 	sent, ok := c.lease.sent[a.Sequence]
@@ -233,6 +234,9 @@
 		a.Granted = true
 		row.leaseUntil = c.now.Add(c.timing.Lease)
 	}
+	if r.AppliedRevision < c.state.Config.Revision {
+		a.Evacuations = c.state.Config.EvacuationList()
+	}
 	c.send(from, wire.Frame{LeaseAnswer: &a})
 	c.pushConfig(row)
 }
--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantainlane/plantainlane/route"
+	"plantainlane/plantainlane/state"
 	"plantainlane/wire"
 )
 
@@ -35,6 +36,8 @@
 	Remove(ids ...string)
 	// SetPolicies replaces the upstream policies of all services.
 	SetPolicies(policies []wire.UpstreamPolicy)
+	// SetEvacuated replaces the set of availability zones whose upstreams get no work.
+	SetEvacuated(now time.Time, zones map[string]bool)
 	// Review recomputes what depends on recent calls, such as ejections. It is called every
 	// route.ReviewInterval.
 	Review(now time.Time)
@@ -149,6 +152,9 @@
 	if old.Config.Revision != v.Config.Revision {
 		l.balancer.SetPolicies(v.Config.Shared().UpstreamPolicies)
 	}
+	if old.Config.Evacuations != v.Config.Evacuations {
+		l.balancer.SetEvacuated(time.Now(), state.EvacuatedZones(v.Config.Evacuations))
+	}
 	if old.Instances == v.Instances {
 		return
 	}
--- a/plantainlane/control/orders.go
+++ b/plantainlane/control/orders.go
@@ -103,11 +103,12 @@
 	o.actions.Reads = append(o.actions.Reads, a.Reads...)
 }
 
-// engines returns the announcements of the engines that accept work. An upstream with a role is an engine.
+// engines returns the announcements of the engines that accept work, outside evacuated zones. An upstream with a role is an engine.
 func (c *Core) engines() iter.Seq[*wire.Announcement] {
 	return func(yield func(*wire.Announcement) bool) {
 		for _, row := range c.roster.View().Rows.All() {
-			if row.Usable() && row.Announcement.Role != "" && !yield(&row.Announcement) {
+			isEngine := row.Usable() && row.Announcement.Role != "" && !c.config.IsEvacuated(row.Announcement.Zone)
+			if isEngine && !yield(&row.Announcement) {
 				return
 			}
 		}
--- a/plantainlane/control/proposal.go
+++ b/plantainlane/control/proposal.go
@@ -30,6 +30,8 @@
 	retryAt time.Time
 	// sent is set once the command was sent to a leader. From then on the command may be committed.
 	sent bool
+	// cancelled is closed when the command is no longer to be sent; nil if it always is.
+	cancelled <-chan struct{}
 	// done receives the outcome.
 	done func(wire.ProposeAnswer)
 }
@@ -52,17 +54,30 @@
 }
 
 // propose adds a command from this instance's own traffic or operators to the waiting proposals. Every command can
-// safely be sent more than once: changes, claims and resolutions of claims carry IDs, cost totals and departures carry sequences.
-func (c *Core) propose(command wire.Command, until time.Time, done func(wire.ProposeAnswer)) {
+// safely be sent more than once: changes, claims and resolutions of claims carry IDs, cost totals and departures carry sequences,
+// orders to evacuate carry the version of what they change.
+func (c *Core) propose(command wire.Command, until time.Time, done func(wire.ProposeAnswer)) *proposal {
 	c.proposals.call++
-	c.proposals.rows[c.proposals.call] = &proposal{command: command, until: until, done: done}
+	p := &proposal{command: command, until: until, done: done}
+	c.proposals.rows[c.proposals.call] = p
+	return p
+}
+
+// isCancelled reports whether the command is no longer to be sent.
+func (p *proposal) isCancelled() bool {
+	select {
+	case <-p.cancelled:
+		return true
+	default:
+		return false
+	}
 }
 
 // runProposals sends waiting proposals to the leader, retries unanswered ones every ProposalRetry, and finishes those
 // whose wait has ended.
 func (c *Core) runProposals() {
 	for call, p := range c.proposals.rows {
-		if c.now.After(p.until) {
+		if c.now.After(p.until) || p.isCancelled() {
 			a := wire.ProposeAnswer{}
 			if !p.sent {
 				a.Refusal = RefusedNoLeader
@@ -86,7 +101,7 @@
 	if p == nil {
 		return
 	}
-	if a.Refusal == RefusedNoLeader && c.now.Before(p.until) {
+	if a.Refusal == RefusedNoLeader && c.now.Before(p.until) && !p.isCancelled() {
 		return
 	}
 	delete(c.proposals.rows, call)
@@ -164,7 +179,7 @@
 		c.finishChange(from, *out.Change)
 		return
 	}
-	c.answerProposal(from, wire.ProposeAnswer{Committed: true, Claim: out.Claim, Fencing: out.Fencing})
+	c.answerProposal(from, wire.ProposeAnswer{Committed: true, Claim: out.Claim, Fencing: out.Fencing, Evacuation: out.Evacuation})
 }
 
 // finishChange answers a change. The answer to a pending change waits until the change is in force everywhere, for up
--- a/plantainlane/control/quarantine.go
+++ b/plantainlane/control/quarantine.go
@@ -216,10 +216,14 @@
 	return row.Until.Add(-time.Duration(row.Announcement.TTLMs) * time.Millisecond)
 }
 
-// IsLeaving reports whether an upstream has announced, in this incarnation, that it is leaving.
+// IsLeaving reports whether an upstream has announced, in this incarnation, that it is leaving, or is in an evacuated zone,
+// whose processes are stopped by operators.
 func (u rosterUpstreams) IsLeaving(upstream string, incarnation int) bool {
 	row, ok := u.core.roster.View().Rows.Get(upstream)
-	return ok && row.Announcement.Incarnation == incarnation && row.Announcement.Leaving
+	if !ok || row.Announcement.Incarnation != incarnation {
+		return false
+	}
+	return row.Announcement.Leaving || u.core.config.IsEvacuated(row.Announcement.Zone)
 }
 
 // newBlaming returns the state of a new leader.
--- a/plantainlane/control/query.go
+++ b/plantainlane/control/query.go
@@ -119,7 +119,7 @@
 
 // localStatus returns the status as this instance knows it. It is complete only on the leader.
 func (c *Core) localStatus() wire.StatusAnswer {
-	s := wire.StatusAnswer{Revision: c.config.Revision, Leader: c.leader, Term: c.term}
+	s := wire.StatusAnswer{Revision: c.config.Revision, Leader: c.leader, Term: c.term, Evacuations: c.config.EvacuationList()}
 	for _, row := range c.roster.View().Rows.All() {
 		if !row.Expired {
 			s.Upstreams = append(s.Upstreams, wire.UpstreamStatus{Announcement: row.Announcement})
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -6,6 +6,7 @@
 	"plantainlane/plantainlane/consensus"
 	"plantainlane/plantainlane/state"
 	"plantainlane/wire"
+	"plantainlane/wire/declaration"
 )
 
 // runReplication advances the log to the current time, sends the log's messages to the other replicas, and applies the
@@ -88,9 +89,11 @@
 		panic(errors.Wrapf(err, "apply log entry %d", e.Index))
 	}
 	if revision := c.state.Config.Revision; revision != oldRevision {
-		c.changes.add(revision, cmd.Change, len(e.Data))
+		c.recordChange(revision, cmd, len(e.Data))
 		c.applyConfig(c.state.Config)
-		c.record(wire.Event{Kind: "changeCommitted", Revision: &revision, Detail: &cmd.Change.ChangeID})
+		if cmd.Evacuate != nil {
+			c.tellEvacuations()
+		}
 	}
 	if cmd.Quarantine != nil {
 		c.recordQuarantine(cmd.Quarantine)
@@ -101,12 +104,29 @@
 	c.answerApplied(e.Index, out)
 }
 
-// applyConfig applies a configuration to this instance. An older or equal revision is ignored.
+// recordChange keeps the change set of a command that created a revision, for updates of instances. An order to evacuate
+// counts as an empty one, since updates contain the state of all zones.
+func (c *Core) recordChange(revision int, cmd wire.Command, bytes int) {
+	set, detail := cmd.Change, ""
+	switch {
+	case set != nil:
+		detail = set.ChangeID
+	default:
+		set = &wire.ChangeSet{Set: declaration.Empty(), Remove: []wire.DeclarationName{}}
+		detail = "evacuation of " + cmd.Evacuate.Zone
+	}
+	c.changes.add(revision, set, bytes)
+	c.record(wire.Event{Kind: "changeCommitted", Revision: &revision, Detail: &detail})
+}
+
+// applyConfig applies a configuration to this instance. An older or equal revision is ignored. States of evacuated zones that
+// are newer than those of the configuration are kept.
 func (c *Core) applyConfig(config state.Config) {
 	if config.Revision <= c.config.Revision {
 		return
 	}
-	c.config = config
+	c.config = config.WithEvacuations(c.config.EvacuationList())
+	c.learnEvacuations()
 	c.freshness.update(c.now, config.Revision)
 	c.dirty = true
 	c.lease.requestNow()
--- a/plantainlane/control/view.go
+++ b/plantainlane/control/view.go
@@ -37,6 +37,18 @@
 	Upstreams roster.View
 	// Leader is the leader's instance ID; empty while unknown.
 	Leader string
+	// EvacuationEnds holds when this instance learned that the last evacuation of an availability zone ended, by zone.
+	EvacuationEnds table.Table[time.Time]
+}
+
+// IsEvacuated reports whether the upstreams of an availability zone get no work.
+func (v *View) IsEvacuated(zone string) bool { return v.Config.IsEvacuated(zone) }
+
+// EvacuationEnded returns the local time at which this instance learned that the last evacuation of a zone ended; the zero
+// time if none is known to have ended.
+func (v *View) EvacuationEnded(zone string) time.Time {
+	at, _ := v.EvacuationEnds.Get(zone)
+	return at
 }
 
 // LeaseHeld reports whether the configuration lease is valid at the time now and the configuration isn't outdated.
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -52,8 +52,22 @@
 type View struct {
 	// Rows holds the rows by upstream ID. Upstreams that are leaving or recently expired are included.
 	Rows table.Table[*Row]
+	// Evacuations holds the state of availability zones, by zone. A Roster leaves it empty.
+	Evacuations table.Table[wire.Evacuation]
 }
 
+// IsEvacuated reports whether the upstreams of an availability zone get no work.
+func (v *View) IsEvacuated(zone string) bool {
+	if v.Evacuations.Len() == 0 {
+		return false
+	}
+	e, ok := v.Evacuations.Get(zone)
+	return ok && e.Active
+}
+
+// Usable reports whether the upstream of a row may be given new work: it accepts some, and its zone isn't evacuated.
+func (v *View) Usable(r *Row) bool { return r.Usable() && !v.IsEvacuated(r.Announcement.Zone) }
+
 // Roster holds the upstreams that one instance knows. It must be used by one goroutine only. Its Views may be shared.
 type Roster struct {
 	view View
--- a/plantainlane/state/config.go
+++ b/plantainlane/state/config.go
@@ -20,6 +20,9 @@
 	Models table.Table[*wire.Model]
 	// Site is the site in force; nil while there is none. Its version never decreases.
 	Site *wire.Site
+	// Evacuations holds the state of each availability zone for which there was an order, by zone. The version of a zone's
+	// state never decreases.
+	Evacuations table.Table[wire.Evacuation]
 }
 
 // With returns the configuration after a change set, at the given revision: remove is applied before set, and a site is
--- a/plantainlane/state/snapshot.go
+++ b/plantainlane/state/snapshot.go
@@ -22,6 +22,9 @@
 	Quarantine        []wire.QuarantineEntry `cbor:"quarantine"`
 	QuarantineVersion int                    `cbor:"quarantineVersion"`
 	Departures        []wire.Departure       `cbor:"departures"`
+
+	// Evacuations is left out without an entry, so that earlier versions can read the snapshot.
+	Evacuations []wire.Evacuation `cbor:"evacuations,omitempty"`
 }
 
 // timedKey is a row of State.Expired (a key hash and when its claim ended) or of State.Released (an attempt and when it
@@ -62,6 +65,7 @@
 
 		QuarantineVersion: s.QuarantineVersion,
 		Departures:        s.departuresInOrder(),
+		Evacuations:       s.Config.EvacuationList(),
 	}
 	for _, id := range s.changeIDs {
 		c, _ := s.Changes.Get(id)
@@ -98,7 +102,7 @@
 		return nil, err
 	}
 	s := &State{ForgottenMs: encoded.ForgottenMs, Fencing: encoded.Fencing, QuarantineVersion: encoded.QuarantineVersion}
-	s.Config = Config{}.With(encoded.Declarations, nil, encoded.Revision)
+	s.Config = Config{}.With(encoded.Declarations, nil, encoded.Revision).WithEvacuations(encoded.Evacuations)
 	for _, c := range encoded.Changes {
 		s.recordOutcome(c)
 	}
--- a/plantainlane/state/state.go
+++ b/plantainlane/state/state.go
@@ -76,6 +76,8 @@
 	Claim *wire.ClaimState
 	// Fencing is the fencing number issued by a fencing advance.
 	Fencing *int
+	// Evacuation is the state of the availability zone after an order.
+	Evacuation *wire.Evacuation
 }
 
 // Apply changes the tables by one committed command. It returns ErrEmptyCommand if the command sets no member known to
@@ -107,6 +109,9 @@
 		s.changeQuarantine(*c.Quarantine)
 	case c.Depart != nil:
 		s.depart(*c.Depart)
+	case c.Evacuate != nil:
+		e := s.orderEvacuation(*c.Evacuate)
+		return Outcome{Evacuation: &e}, nil
 	default:
 		return Outcome{}, ErrEmptyCommand
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -259,6 +259,9 @@
 	// Departure of an upstream.
 	Depart *Departure `json:"depart,omitempty,omitzero" cbor:"depart,omitempty"`
 
+	// Order to evacuate an availability zone, or to end its evacuation.
+	Evacuate *EvacuationOrder `json:"evacuate,omitempty,omitzero" cbor:"evacuate,omitempty"`
+
 	// Time before which ended claims are deleted.
 	Expire *ExpireClaims `json:"expire,omitempty,omitzero" cbor:"expire,omitempty"`
 
@@ -283,6 +286,10 @@
 
 // ConfigUpdate sends a new configuration revision to an instance.
 type ConfigUpdate struct {
+	// State of all availability zones for which there was an order; absent if there
+	// was none.
+	Evacuations []Evacuation `json:"evacuations,omitempty,omitzero" cbor:"evacuations,omitempty"`
+
 	// Revision that the update is based on; 0 for a complete configuration.
 	FromRevision int `json:"fromRevision" cbor:"fromRevision"`
 
@@ -638,6 +645,53 @@
 	Revision int `json:"revision" cbor:"revision"`
 }
 
+// Evacuation is the state of an availability zone for which operators have ordered
+// that its upstreams get work or get none.
+type Evacuation struct {
+	// Whether the zone is evacuated: its upstreams get no work.
+	Active bool `json:"active" cbor:"active"`
+
+	// Version at which the last evacuation of the zone ended; 0 if none has.
+	Ended int `json:"ended" cbor:"ended"`
+
+	// Number of orders for the zone that were applied.
+	Version int `json:"version" cbor:"version"`
+
+	// Availability zone.
+	Zone string `json:"zone" cbor:"zone"`
+}
+
+// EvacuationAnswer confirms an order for an availability zone.
+type EvacuationAnswer struct {
+	// Whether the zone is evacuated.
+	Active bool `json:"active" cbor:"active"`
+
+	// Availability zone.
+	Zone string `json:"zone" cbor:"zone"`
+}
+
+// EvacuationOrder is an operator's order to evacuate an availability zone, or to
+// end its evacuation.
+type EvacuationOrder struct {
+	// Whether the zone is to be evacuated.
+	Active bool `json:"active" cbor:"active"`
+
+	// Version of the zone's state known to the instance that received the order; 0 if
+	// it knew none. An order that changes the state of another version is stale and
+	// has no effect.
+	BaseVersion int `json:"baseVersion" cbor:"baseVersion"`
+
+	// Availability zone.
+	Zone string `json:"zone" cbor:"zone"`
+}
+
+// EvacuationUpdate tells an instance the state of all availability zones for which
+// there was an order.
+type EvacuationUpdate struct {
+	// States, one for each zone.
+	Evacuations []Evacuation `json:"evacuations" cbor:"evacuations"`
+}
+
 // Event is one decision on the time line. It contains no credentials and no
 // content of callers.
 type Event struct {
@@ -790,6 +844,9 @@
 	// Command to drain.
 	Drain *DrainOrder `json:"drain,omitempty,omitzero" cbor:"drain,omitempty"`
 
+	// State of evacuated availability zones after an order.
+	Evacuations *EvacuationUpdate `json:"evacuations,omitempty,omitzero" cbor:"evacuations,omitempty"`
+
 	// ID of the sending instance.
 	From string `json:"from" cbor:"from"`
 
@@ -1132,6 +1189,10 @@
 	// newest when the request was sent.
 	DurationMs int `json:"durationMs" cbor:"durationMs"`
 
+	// State of all availability zones for which there was an order, if the request
+	// names an older revision than the newest; absent otherwise.
+	Evacuations []Evacuation `json:"evacuations,omitempty,omitzero" cbor:"evacuations,omitempty"`
+
 	// Whether the lease was granted.
 	Granted bool `json:"granted" cbor:"granted"`
 
@@ -1622,6 +1683,9 @@
 	// Whether the command was committed and applied.
 	Committed bool `json:"committed" cbor:"committed"`
 
+	// State of the availability zone after an order.
+	Evacuation *Evacuation `json:"evacuation,omitempty,omitzero" cbor:"evacuation,omitempty"`
+
 	// Allocated fencing number.
 	Fencing *int `json:"fencing,omitempty,omitzero" cbor:"fencing,omitempty"`
 
@@ -1883,6 +1947,10 @@
 	// Newest revision that is in force at all instances.
 	AcceptedRevision int `json:"acceptedRevision" cbor:"acceptedRevision"`
 
+	// State of all availability zones for which there was an order; absent if there
+	// was none.
+	Evacuations []Evacuation `json:"evacuations,omitempty,omitzero" cbor:"evacuations,omitempty"`
+
 	// Instances.
 	Instances []InstanceStatus `json:"instances" cbor:"instances"`
 
