--- a/plantainlane/batch/upstream.go
+++ b/plantainlane/batch/upstream.go
@@ -10,7 +10,7 @@
 type Upstream struct {
 	quota.Peer
 	Zone string
-	// Leaving is set while the upstream drains; it gets no new calls.
+	// Leaving is set while the upstream drains or its zone is evacuated; it gets no new calls.
 	Leaving bool
 
 	// calls is the number of calls in flight. The last one is expected to end at endsAt.
--- a/plantainlane/forward/affinity.go
+++ b/plantainlane/forward/affinity.go
@@ -70,7 +70,7 @@
 	}
 	var all []scored
 	for id, row := range v.Rows.All() {
-		if row.Announcement.Service == service && row.Usable() {
+		if row.Announcement.Service == service && v.Usable(row) {
 			zone := row.Announcement.Zone
 			all = append(all, scored{id, zone, rendezvous(key, id, weights.weight(zone))})
 		}
@@ -107,7 +107,7 @@
 	counts := make(zoneWeights)
 	for _, row := range v.Rows.All() {
 		a := &row.Announcement
-		if row.Usable() && slices.ContainsFunc(stages, func(s site.Stage) bool { return s.Service == a.Service }) {
+		if v.Usable(row) && slices.ContainsFunc(stages, func(s site.Stage) bool { return s.Service == a.Service }) {
 			counts[a.Zone]++
 		}
 	}
--- a/plantainlane/forward/call.go
+++ b/plantainlane/forward/call.go
@@ -119,4 +119,6 @@
 	// RestsUntil returns the earliest time at which the limit of an upstream that matches the query allows a request
 	// again. It returns false unless the limits of all such upstreams allow none now.
 	RestsUntil(now time.Time, q route.Query) (time.Time, bool)
+	// IsEvacuated reports whether a service has upstreams, and all are in evacuated zones.
+	IsEvacuated(service string) bool
 }
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -70,6 +70,9 @@
 	shortRetryAfter = 150 * time.Millisecond
 	// longRetryAfter is the time after which callers may retry while the instance has no configuration.
 	longRetryAfter = 600 * time.Millisecond
+	// evacuatedRetryAfter is the time after which callers may retry a service whose upstreams are all in evacuated zones. An
+	// evacuation usually lasts much longer.
+	evacuatedRetryAfter = 2 * time.Second
 )
 
 // request is the state of one caller's request.
@@ -156,7 +159,7 @@
 // run runs the stages, sends the request and forwards the answer. If results of the stages are gone before the request
 // could use them, run starts again with the stages, at most maxRestarts times.
 func (q *request) run(ctx context.Context) {
-	if q.refuseUnservable() {
+	if q.refuseEvacuated() || q.refuseUnservable() {
 		return
 	}
 	for restart := 0; ; restart++ {
--- a/plantainlane/instance/engines.go
+++ b/plantainlane/instance/engines.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"plantainlane/plantainlane/engine"
+	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/wire"
 )
@@ -66,14 +68,14 @@
 }
 
 // syncEngines applies the announcements of engines to the prefix index, and removes the engines that are leaving,
-// expired or no longer announced. known is the set of engine IDs in the index; syncEngines updates the set.
+// expired, no longer announced or in an evacuated zone. known is the set of engine IDs in the index; syncEngines updates the set.
 func (x *Instance) syncEngines(now time.Time, known map[string]bool, v roster.View) {
 	for id, row := range v.Rows.All() {
 		if row.Announcement.Role == "" {
 			continue
 		}
 		switch {
-		case row.Usable():
+		case v.Usable(row):
 			known[id] = true
 			x.fleet.Index.Announced(now, &row.Announcement)
 		case known[id]:
@@ -106,6 +108,16 @@
 
 // Leaving reports whether an engine accepts no new work.
 func (e engines) Leaving(id string) bool {
-	row, ok := e.instance.View().Upstreams.Rows.Get(id)
-	return ok && row.Announcement.Leaving
+	v := e.instance.View().Upstreams
+	row, ok := v.Rows.Get(id)
+	return ok && (row.Announcement.Leaving || v.IsEvacuated(row.Announcement.Zone))
+}
+
+// Export stops an attempt and returns a handle of its KV cache. An engine in an evacuated zone isn't asked, so that the
+// stream is generated again.
+func (e engines) Export(ctx context.Context, address, attempt string) (*wire.KVHandle, error) {
+	if e.instance.isEvacuated(quota.Peer{Address: address}) {
+		return nil, errors.Newf("engine at %s is in an evacuated zone", address)
+	}
+	return e.Fleet.Export(ctx, address, attempt)
 }
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -137,7 +137,7 @@
 	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.activeCount)
 	x.limiter = limit.New(now)
-	x.gate = quota.NewGate(x)
+	x.gate = quota.NewGate(x).WithEvacuations(x.isEvacuated)
 	x.guard = quarantine.NewGuard(ctx, &quarantine.Dialer{IsReplaced: x.isReplaced}, func() {
 		go x.loop.Deliver(ctx, control.QuarantineObserved{})
 	}).WithAsker(x)
@@ -237,9 +237,10 @@
 }
 
 // PublishMetrics publishes the instance's metrics by expvar under name, and the statistics of the prefix index under
-// "prefixIndex" and of the quarantine under "quarantine". It panics if one of the names is in use.
+// "prefixIndex", of the quarantine under "quarantine", and the number of evacuated zones under "evacuatedZones". It panics if one of the names is in use.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
+	x.publishEvacuations()
 	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
 	expvar.Publish("quarantine", expvar.Func(func() any { return x.guard.Stats(time.Now()) }))
 }
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -199,11 +199,13 @@
 			return site.Batch{}, nil, false
 		}
 		var upstreams []batch.Upstream
-		for id, row := range x.View().Upstreams.Rows.All() {
+		known := x.View().Upstreams
+		for id, row := range known.Rows.All() {
 			a := row.Announcement
 			if a.Service == service && !row.Expired {
 				peer := quota.Peer{Address: a.Address, ID: id, Incarnation: a.Incarnation}
-				upstreams = append(upstreams, batch.Upstream{Peer: peer, Zone: a.Zone, Leaving: a.Leaving || x.gate.IsLeaving(peer)})
+				isLeaving := a.Leaving || known.IsEvacuated(a.Zone) || x.gate.IsLeaving(peer)
+				upstreams = append(upstreams, batch.Upstream{Peer: peer, Zone: a.Zone, Leaving: isLeaving})
 			}
 		}
 		return *v.Batch, upstreams, true
--- a/plantainlane/pipeline/runner.go
+++ b/plantainlane/pipeline/runner.go
@@ -25,6 +25,8 @@
 	// RestsUntil returns the earliest time at which the limit of an upstream that matches the query allows a call again.
 	// It returns false unless the limits of all such upstreams allow none now.
 	RestsUntil(now time.Time, q route.Query) (time.Time, bool)
+	// IsEvacuated reports whether a service has upstreams, and all are in evacuated zones.
+	IsEvacuated(service string) bool
 }
 
 // UpstreamClient calls upstreams. Stream calls the function token for each received token.
@@ -128,7 +130,7 @@
 }
 
 // admit admits the request within the contract's limits. It refuses a request that is not expected to finish before its
-// deadline.
+// deadline, or that can't because all upstreams of a stage are in evacuated zones.
 func (x *execution) admit(ctx context.Context) (limit.Ticket, error) {
 	request := limit.Request{
 		Workspace: x.Contract.Workspace, Deadline: x.Deadline,
@@ -136,6 +138,9 @@
 	}
 	for _, s := range x.Pipeline.Stages {
 		request.Units += s.CostUnits
+		if x.Picker.IsEvacuated(s.Service) {
+			return limit.Ticket{}, errors.Wrapf(ErrNoUpstream, "stage %q: all upstreams of service %q are in evacuated zones", s.Name, s.Service)
+		}
 	}
 	now := time.Now()
 	if now.Add(request.Needs).After(x.Deadline) {
