--- a/plantainctl/command/status.go
+++ b/plantainctl/command/status.go
@@ -20,7 +20,7 @@
 		Name:      "status",
 		Usage:     "show the instances with their revisions, and the upstreams",
 		ArgsUsage: "no arguments",
-		Description: withExamples("Shows the leader, every instance with its lease and revision, every upstream and every model engine.",
+		Description: withExamples("Shows the leader, the evacuated zones, every instance with its lease and revision, every upstream and every model engine.",
 			"plantainctl -i 127.0.0.1:7003 status",
 			"plantainctl -i 127.0.0.1:7003 status --json",
 		),
@@ -53,6 +53,9 @@
 		return strings.Compare(a.Announcement.ID, b.Announcement.ID)
 	})
 	fmt.Fprintf(w, "revision %d, in force everywhere %d, leader %s, term %d\n\n", s.Revision, s.AcceptedRevision, orDash(s.Leader), s.Term)
+	if zones := evacuatedZones(s.Evacuations); len(zones) > 0 {
+		fmt.Fprintf(w, "evacuated zones: %s\n\n", strings.Join(zones, ", "))
+	}
 	t := newTable(w, "INSTANCE", "ZONE", "REGION", "LEASE", "REVISION", "REPLICA", "STATE")
 	for _, i := range s.Instances {
 		state := "serving"
@@ -68,7 +71,7 @@
 	t = newTable(w, "UPSTREAM", "SERVICE", "ZONE", "ADDRESS", "IN FLIGHT", "QUEUED", "STATE")
 	for _, u := range s.Upstreams {
 		a := u.Announcement
-		t.addRow(a.ID, a.Service, a.Zone, a.Address, strconv.Itoa(a.Load.InFlight), strconv.Itoa(a.Load.Queued), upstreamState(u))
+		t.addRow(a.ID, a.Service, a.Zone, a.Address, strconv.Itoa(a.Load.InFlight), strconv.Itoa(a.Load.Queued), upstreamState(u, s.Evacuations))
 	}
 	if err := t.flush(); err != nil {
 		return err
@@ -76,10 +79,24 @@
 	return printEngines(w, s.Upstreams)
 }
 
-func upstreamState(u wire.UpstreamStatus) string {
+// evacuatedZones returns the names of the evacuated zones, sorted.
+func evacuatedZones(list []wire.Evacuation) []string {
+	var zones []string
+	for _, e := range list {
+		if e.Active {
+			zones = append(zones, e.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+func upstreamState(u wire.UpstreamStatus, evacuations []wire.Evacuation) string {
 	switch {
 	case u.Announcement.Leaving:
 		return "leaving"
+	case slices.Contains(evacuatedZones(evacuations), u.Announcement.Zone):
+		return "evacuated"
 	case u.Ejected:
 		return "ejected"
 	}
--- a/plantainctl/operator/client.go
+++ b/plantainctl/operator/client.go
@@ -91,6 +91,18 @@
 	return c.call(ctx, http.MethodPost, "/v1/instances/"+url.PathEscape(instance)+"/drain", nil, nil)
 }
 
+// Evacuate orders that the upstreams of an availability zone get no work, or some again if isActive is false, and returns once that
+// is committed. It returns ErrNotFound if the zone isn't known.
+func (c *Client) Evacuate(ctx context.Context, zone string, isActive bool) (wire.EvacuationAnswer, error) {
+	method := http.MethodPost
+	if !isActive {
+		method = http.MethodDelete
+	}
+	var out wire.EvacuationAnswer
+	err := c.call(ctx, method, "/v1/zones/"+url.PathEscape(zone)+"/evacuation", nil, &out)
+	return out, err
+}
+
 // Quarantine returns the quarantine as the instance that answers knows it.
 func (c *Client) Quarantine(ctx context.Context) (wire.QuarantineUpdate, error) {
 	var out wire.QuarantineUpdate
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -278,7 +278,7 @@
 		MayTake:      x.mayTake,
 	}
 	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
-	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Quarantine: x.guard, Credentials: x.settings.Credentials.Operators}
+	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Quarantine: x.guard, Evacuator: x, Credentials: x.settings.Credentials.Operators}
 	listeners := []struct {
 		address string
 		routes  Registrar
--- a/plantainlane/operator/server.go
+++ b/plantainlane/operator/server.go
@@ -1,5 +1,5 @@
-// Package operator serves the HTTP endpoints for operators: changes, declarations, status, drain, cost, time line and
-// metrics.
+// Package operator serves the HTTP endpoints for operators: changes, declarations, status, drain, evacuation of availability
+// zones, quarantine, cost, time line and metrics.
 package operator
 
 import (
@@ -64,6 +64,8 @@
 	Gatherer Gatherer
 	// Quarantine supplies the quarantine.
 	Quarantine Quarantine
+	// Evacuator orders evacuations of availability zones.
+	Evacuator Evacuator
 	// Credentials holds the credentials of operators.
 	Credentials []settings.OperatorCredential
 }
@@ -78,6 +80,8 @@
 	g.POST("/v1/instances/:id/drain", s.drain)
 	g.GET("/v1/cost", s.cost)
 	g.GET("/v1/timeline", s.timeline)
+	g.POST("/v1/zones/:zone/evacuation", s.evacuate)
+	g.DELETE("/v1/zones/:zone/evacuation", s.endEvacuation)
 	s.RegisterQuarantine(g)
 	g.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 }
