--- a/plantainlane/control/core.go
+++ b/plantainlane/control/core.go
@@ -88,6 +88,8 @@
 
 	// resumedAt is the time of the first step after the machine was last suspended; zero if it wasn't.
 	resumedAt time.Time
+	// standstillEnded is the time of the first step after the last standstill, see noteStandstill; zero if there was none.
+	standstillEnded time.Time
 	// now is the time of the current step, and out the frames that it sends to other instances.
 	now time.Time
 	out []Outbound
@@ -161,6 +163,7 @@
 	c.now = now
 	c.out = nil
 	c.noteSuspension(previous)
+	c.noteStandstill(previous)
 	c.learnEvacuations()
 	c.recordStall(previous)
 	for _, in := range inputs {
@@ -259,6 +262,7 @@
 		Leader:       c.leader,
 
 		EvacuationEnds: c.evacuations.ended,
+		HeldUntil:      c.heldUntil(),
 	}
 	return c.view, true
 }
--- a/plantainlane/control/evacuation_test.go
+++ b/plantainlane/control/evacuation_test.go
@@ -151,3 +151,37 @@
 		is.Equal(rosterUpstreams{leader}.IsLeaving("u", 7), isActive)
 	}
 }
+
+// TestFrozenInstanceSendsByOldView guards against an instance that stood still while a zone was evacuated and sends by what it knew
+// before, and against one that sends nothing for long because no leader answers.
+func TestFrozenInstanceSendsByOldView(t *testing.T) {
+	is := is.New(t)
+	d := newDepartures(t)
+	frozen := d.cores["c"]
+	frozen.timing.ObeyWithin = 5 * time.Second
+	heldUntil := func() time.Time {
+		v, _ := frozen.View()
+		return v.HeldUntil
+	}
+	freeze := func(period time.Duration) {
+		delete(d.cores, "c")
+		d.run(period)
+		d.cores["c"] = frozen
+	}
+	freeze(2 * time.Second)
+	d.step("c")
+	is.True(heldUntil().IsZero())
+	freeze(3 * time.Second)
+	d.isLost = func(from string, _ Outbound) bool { return from == "c" }
+	d.step("c")
+	is.Equal(heldUntil(), d.now.Add(maxHold))
+	d.isLost = nil
+	d.run(1200 * time.Millisecond)
+	is.True(heldUntil().IsZero())
+	l := NewLoop(frozen, nil, nil, nil)
+	before, now := time.Now().Add(-3*time.Second), time.Now()
+	l.steppedAt.Store(&before)
+	is.True(l.IsHeld()) // no step has run since it was frozen
+	l.steppedAt.Store(&now)
+	is.True(!l.IsHeld())
+}
--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"plantainlane/plantainlane/route"
@@ -53,6 +54,8 @@
 	// done is closed when Run ends.
 	done       chan struct{}
 	nextReview time.Time
+	// steppedAt is the time of the newest step.
+	steppedAt atomic.Pointer[time.Time]
 	// Publisher holds the newest View.
 	Publisher Publisher
 	// OrderSender sends the planned orders to engines and reads the engines' states; if nil, neither is done.
@@ -115,6 +118,7 @@
 	now := time.Now()
 	out := l.core.Step(now, inputs...)
 	l.publish()
+	l.steppedAt.Store(&now)
 	l.updateBalancer(now)
 	for _, o := range out {
 		if o.Reconnect {
--- a/plantainlane/control/timing.go
+++ b/plantainlane/control/timing.go
@@ -31,6 +31,10 @@
 	// ServeBehind is how long an instance serves under its configuration while it knows of a newer revision that it
 	// lacks. It applies only with AcceptCommitted: otherwise no change is accepted before the instance has it.
 	ServeBehind time.Duration
+	// ObeyWithin is the time within which an acknowledged order for an availability zone must be obeyed. After a standstill
+	// of half of it, an instance sends upstreams nothing until a leader has confirmed what it knows, for up to maxHold. 0 for
+	// none of this.
+	ObeyWithin time.Duration
 	// GrantInterval is the period of requests for shares of the contracts.
 	GrantInterval time.Duration
 	// ReplaceAfter is how long a voter may be unresponsive before a replica that has caught up replaces it. A voter that
--- a/plantainlane/control/view.go
+++ b/plantainlane/control/view.go
@@ -39,6 +39,8 @@
 	Leader string
 	// EvacuationEnds holds when this instance learned that the last evacuation of an availability zone ended, by zone.
 	EvacuationEnds table.Table[time.Time]
+	// HeldUntil is until when this instance sends upstreams nothing after a standstill; zero if it may.
+	HeldUntil time.Time
 }
 
 // IsEvacuated reports whether the upstreams of an availability zone get no work.
--- a/plantainlane/instance/evacuation.go
+++ b/plantainlane/instance/evacuation.go
@@ -13,9 +13,12 @@
 	return x.loop.Evacuate(ctx, zone, isActive)
 }
 
-// isEvacuated reports whether the availability zone of an upstream is evacuated. An upstream of which only the address is
-// known is looked up among all.
+// isEvacuated reports whether the availability zone of an upstream is evacuated, or may be after a standstill. An upstream of
+// which only the address is known is looked up among all.
 func (x *Instance) isEvacuated(p quota.Peer) bool {
+	if x.loop.IsHeld() {
+		return true
+	}
 	v := x.View()
 	if v.Config.Evacuations.Len() == 0 {
 		return false
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -224,6 +224,7 @@
 	t.ReplaceAfter = replaceTimeouts * time.Duration(x.settings.Control.ElectionTimeout)
 	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout) / 2
 	t.ServeBehind = time.Duration(x.settings.Control.ServeBehind)
+	t.ObeyWithin = time.Duration(x.settings.Control.EvacuateWithin)
 	t.AcceptCommitted = x.settings.Control.Acceptance == settings.AcceptCommitted
 	w := x.settings.WeightStore
 	opts := []control.Option{control.WithOrders(func() *order.Planner {
--- a/plantainlane/quota/gate.go
+++ b/plantainlane/quota/gate.go
@@ -23,7 +23,7 @@
 	Until time.Time
 	// Leaving is set if the upstream has said that it is leaving, Paused if it has asked for a pause.
 	Leaving, Paused bool
-	// Evacuated is set if the upstream's availability zone is evacuated.
+	// Evacuated is set if the upstream's availability zone is evacuated, or may be.
 	Evacuated bool
 }
 
@@ -33,7 +33,7 @@
 		return "quota: upstream is leaving"
 	}
 	if r.Evacuated {
-		return "quota: the zone of the upstream is evacuated"
+		return "quota: the zone of the upstream is evacuated, or may be"
 	}
 	return "quota: upstream takes no request for " + time.Until(r.Until).Round(time.Millisecond).String()
 }
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -210,6 +210,7 @@
 		c.fail("control.acceptance", `"everywhere" or "committed"`, strconv.Quote(t.Acceptance))
 	}
 	c.duration("control.serveBehind", t.ServeBehind, time.Millisecond, maxLease)
+	c.duration("control.evacuateWithin", t.EvacuateWithin, 0, maxLease)
 	if t.ElectionTimeout < 2*t.Tick {
 		c.fail("control.electionTimeout", "at least twice control.tick", t.ElectionTimeout.String())
 	}
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -137,6 +137,10 @@
 	// ServeBehind is how long an instance serves under its configuration while it knows of a newer one that hasn't
 	// arrived, if Acceptance is "committed". Default 1s.
 	ServeBehind Duration `json:"serveBehind"`
+	// EvacuateWithin is the time within which connected instances must obey an order for an availability zone. An instance
+	// whose process stood still for half of it sends upstreams nothing until the leader has confirmed what it knows, for up to
+	// a second. Default 0: this isn't done.
+	EvacuateWithin Duration `json:"evacuateWithin"`
 }
 
 // Values of Control.Acceptance.
