--- a/plantainlane/instance/site_test.go
+++ b/plantainlane/instance/site_test.go
@@ -18,15 +18,16 @@
 // silence is a control.FrameSender that sends nothing, and a control.Balancer that ignores all calls.
 type silence struct{}
 
-func (silence) Send(string, wire.Frame)                 {}
-func (silence) Reconnect(string)                        {}
-func (silence) SetAddress(wire.InstanceInfo)            {}
-func (silence) SetNeighbors([]wire.InstanceInfo)        {}
-func (silence) Apply(time.Time, ...wire.Announcement)   {}
-func (silence) Remove(...string)                        {}
-func (silence) SetPolicies([]wire.UpstreamPolicy)       {}
+func (silence) Send(string, wire.Frame)               {}
+func (silence) Reconnect(string)                      {}
+func (silence) SetAddress(wire.InstanceInfo)          {}
+func (silence) SetNeighbors([]wire.InstanceInfo)      {}
+func (silence) Apply(time.Time, ...wire.Announcement) {}
+func (silence) Remove(...string)                      {}
+func (silence) SetPolicies([]wire.UpstreamPolicy)     {}
+func (silence) Review(time.Time)                      {}
+
 func (silence) SetEvacuated(time.Time, map[string]bool) {}
-func (silence) Review(time.Time)                        {}
 
 // inForceWithin is the time within which an accepted change is in force at an instance in contact.
 const inForceWithin = 2 * time.Second
--- a/plantainlane/replica/cluster_test.go
+++ b/plantainlane/replica/cluster_test.go
@@ -368,11 +368,12 @@
 // noBalancer is a balancer that ignores all calls.
 type noBalancer struct{}
 
-func (noBalancer) Apply(time.Time, ...wire.Announcement)   {}
-func (noBalancer) Remove(...string)                        {}
-func (noBalancer) SetPolicies([]wire.UpstreamPolicy)       {}
+func (noBalancer) Apply(time.Time, ...wire.Announcement) {}
+func (noBalancer) Remove(...string)                      {}
+func (noBalancer) SetPolicies([]wire.UpstreamPolicy)     {}
+func (noBalancer) Review(time.Time)                      {}
+
 func (noBalancer) SetEvacuated(time.Time, map[string]bool) {}
-func (noBalancer) Review(time.Time)                        {}
 
 // leader returns the member whose replica leads in the highest term and has committed an entry of that term, or nil.
 func (c *cluster) leader() *member {
