--- a/plantainlane/control/loop.go
+++ b/plantainlane/control/loop.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/route"
+	"plantainlane/plantainlane/state"
 	"plantainlane/wire"
 )
 
@@ -36,6 +38,8 @@
 	Remove(ids ...string)
 	// SetPolicies replaces the upstream policies of all services.
 	SetPolicies(policies []wire.UpstreamPolicy)
+	// SetEvacuated replaces the set of availability zones whose upstreams get no work.
+	SetEvacuated(now time.Time, zones map[string]bool)
 	// Review recomputes what depends on recent calls, such as ejections. It is called every
 	// route.ReviewInterval.
 	Review(now time.Time)
@@ -58,6 +62,8 @@
 	// done is closed when Run ends.
 	done       chan struct{}
 	nextReview time.Time
+	// steppedAt is the time of the newest step.
+	steppedAt atomic.Pointer[time.Time]
 	// Publisher holds the newest View.
 	Publisher Publisher
 	// OrderSender sends the planned orders to engines and reads the engines' states; if nil, neither is done.
@@ -123,6 +129,7 @@
 	now := time.Now()
 	out := l.core.Step(now, inputs...)
 	l.publish()
+	l.steppedAt.Store(&now)
 	l.updateBalancer(now)
 	for _, o := range out {
 		if o.Reconnect {
@@ -163,6 +170,9 @@
 	if old.Config.Revision != v.Config.Revision {
 		l.balancer.SetPolicies(v.Config.Shared().UpstreamPolicies)
 	}
+	if old.Config.Evacuations != v.Config.Evacuations {
+		l.balancer.SetEvacuated(time.Now(), state.EvacuatedZones(v.Config.Evacuations))
+	}
 	if old.Instances == v.Instances {
 		return
 	}
--- a/plantainlane/forward/affinity.go
+++ b/plantainlane/forward/affinity.go
@@ -132,7 +132,7 @@
 	counts := make(zoneWeights)
 	for _, row := range v.Rows.All() {
 		a := &row.Announcement
-		if row.Usable() && slices.ContainsFunc(stages, func(s site.Stage) bool { return s.Service == a.Service }) {
+		if v.Usable(row) && slices.ContainsFunc(stages, func(s site.Stage) bool { return s.Service == a.Service }) {
 			counts[a.Zone]++
 		}
 	}
--- a/plantainlane/forward/placement.go
+++ b/plantainlane/forward/placement.go
@@ -8,6 +8,7 @@
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/site"
 	"plantainlane/plantainlane/table"
+	"plantainlane/wire"
 )
 
 // listsFor is how long a list of upstreams is used although an upstream has announced itself since. Announcements with
@@ -30,10 +31,12 @@
 // upstreamList is the usable upstreams of a service, with the weights that the stages of a route give their zones. It is
 // immutable.
 type upstreamList struct {
-	rows      table.Table[*roster.Row]
-	builtAt   time.Time
-	all       []listedUpstream
-	placement *promptcache.Placement
+	rows table.Table[*roster.Row]
+	// evacuations are the states of availability zones that the list respects.
+	evacuations table.Table[wire.Evacuation]
+	builtAt     time.Time
+	all         []listedUpstream
+	placement   *promptcache.Placement
 }
 
 // listedUpstream is a usable upstream.
@@ -51,7 +54,7 @@
 	}
 	key := placementKey{r, service}
 	l := p.lists[key]
-	if l == nil || l.rows != v.Rows && (len(l.all) == 0 || now.Sub(l.builtAt) >= listsFor) {
+	if l == nil || l.evacuations != v.Evacuations || l.rows != v.Rows && (len(l.all) == 0 || now.Sub(l.builtAt) >= listsFor) {
 		l = newUpstreamList(v, service, r.Stages)
 		l.builtAt = now
 		p.lists[key] = l
@@ -60,10 +63,10 @@
 }
 
 func newUpstreamList(v roster.View, service string, stages []site.Stage) *upstreamList {
-	l := &upstreamList{rows: v.Rows, placement: &promptcache.Placement{}}
+	l := &upstreamList{rows: v.Rows, evacuations: v.Evacuations, placement: &promptcache.Placement{}}
 	weights := weightZones(v, stages)
 	for id, row := range v.Rows.All() {
-		if row.Announcement.Service == service && row.Usable() {
+		if row.Announcement.Service == service && v.Usable(row) {
 			u := listedUpstream{id: id, zone: row.Announcement.Zone, weight: weights.weight(row.Announcement.Zone)}
 			l.all = append(l.all, u)
 			l.placement.Add(u.id, u.zone, u.weight)
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -145,8 +145,8 @@
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.activeCount)
 	x.prompts = &promptcache.Estimator{Share: x.requestShare}
 	x.limiter = limit.New(now)
-	x.warmups = warmup.New(now, x.services.Balancer, nil)
-	x.gate = quota.NewGate(x).WithWarmups(x.warmups)
+	x.warmups = warmup.New(now, x.services.Balancer, x.evacuationEnded)
+	x.gate = quota.NewGate(x).WithWarmups(x.warmups).WithEvacuations(x.isEvacuated)
 	x.guard = quarantine.NewGuard(ctx, &quarantine.Dialer{IsReplaced: x.isReplaced}, func() {
 		go x.loop.Deliver(ctx, control.QuarantineObserved{})
 	}).WithAsker(x)
@@ -234,6 +234,7 @@
 	t.ReplaceAfter = replaceTimeouts * time.Duration(x.settings.Control.ElectionTimeout)
 	t.QuorumFresh = time.Duration(x.settings.Control.ElectionTimeout) / 2
 	t.ServeBehind = time.Duration(x.settings.Control.ServeBehind)
+	t.ObeyWithin = time.Duration(x.settings.Control.EvacuateWithin)
 	t.AcceptCommitted = x.settings.Control.Acceptance == settings.AcceptCommitted
 	w := x.settings.WeightStore
 	opts := []control.Option{control.WithOrders(func() *order.Planner {
@@ -247,10 +248,11 @@
 }
 
 // PublishMetrics publishes the instance's metrics by expvar under name, and the statistics of the prefix index under
-// "prefixIndex", of the weighing of kept prompts under "promptCache", of the quarantine under "quarantine" and of warm-ups under
-// "warmups". It panics if one of the names is in use.
+// "prefixIndex", of the weighing of kept prompts under "promptCache", of the quarantine under "quarantine", of warm-ups under
+// "warmups", and the number of evacuated zones under "evacuatedZones". It panics if one of the names is in use.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
+	x.publishEvacuations()
 	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
 	expvar.Publish("promptCache", expvar.Func(func() any { return x.prompts.Stats() }))
 	expvar.Publish("warmups", expvar.Func(func() any { return x.warmups.Stats() }))
@@ -290,7 +292,7 @@
 		MayTake:      x.mayTake,
 	}
 	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
-	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Quarantine: x.guard, Credentials: x.settings.Credentials.Operators}
+	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Quarantine: x.guard, Evacuator: x, Credentials: x.settings.Credentials.Operators}
 	listeners := []struct {
 		address string
 		routes  Registrar
--- a/plantainlane/instance/site_test.go
+++ b/plantainlane/instance/site_test.go
@@ -28,6 +28,8 @@
 func (silence) SetPolicies([]wire.UpstreamPolicy)     {}
 func (silence) Review(time.Time)                      {}
 
+func (silence) SetEvacuated(time.Time, map[string]bool) {}
+
 // inForceWithin is the time within which an accepted change is in force at an instance in contact.
 const inForceWithin = 2 * time.Second
 
--- a/plantainlane/replica/cluster_test.go
+++ b/plantainlane/replica/cluster_test.go
@@ -373,6 +373,8 @@
 func (noBalancer) SetPolicies([]wire.UpstreamPolicy)     {}
 func (noBalancer) Review(time.Time)                      {}
 
+func (noBalancer) SetEvacuated(time.Time, map[string]bool) {}
+
 // leader returns the member whose replica leads in the highest term and has committed an entry of that term, or nil.
 func (c *cluster) leader() *member {
 	var newest *member
--- a/plantainlane/route/balancer.go
+++ b/plantainlane/route/balancer.go
@@ -11,8 +11,8 @@
 	"plantainlane/wire"
 )
 
-// Balancer chooses upstreams. Apply, Remove, SetPolicies and Review must be called by one goroutine only. Pick,
-// ServiceCapacity, Ejected, Target.Done and Target.Progressed may be called concurrently by any goroutine.
+// Balancer chooses upstreams. Apply, Remove, SetPolicies, SetEvacuated and Review must be called by one goroutine
+// only. Pick, ServiceCapacity, Ejected, IsEvacuated, Target.Done and Target.Progressed may be called concurrently by any goroutine.
 type Balancer struct {
 	region string
 	zone   string
@@ -24,6 +24,8 @@
 	services atomic.Pointer[map[string]*service]
 	// index holds the known upstreams of all services, including those that are leaving.
 	index *shardedIndex
+	// evacuated holds the availability zones whose upstreams are not chosen, as a set.
+	evacuated map[string]bool
 }
 
 // Option changes how a Balancer is built.
@@ -141,12 +143,14 @@
 	}
 }
 
-// insert adds an upstream whose ID is unknown. One that is leaving is only indexed, not made a member of its service.
+// insert adds an upstream whose ID is unknown. One that is leaving or in an evacuated zone is only indexed, not made a member of
+// its service.
 func (b *Balancer) insert(now int64, a wire.Announcement, batch edits) {
 	s := b.ensureService(a.Service)
 	u := newUpstream(s, a, now)
+	u.evacuated.Store(b.evacuated[a.Zone])
 	b.index.set(a.ID, u)
-	if a.Leaving {
+	if a.Leaving || u.evacuated.Load() {
 		return
 	}
 	s.members[a.ID] = u
@@ -168,6 +172,7 @@
 		b.markLeaving(u)
 		return
 	}
+	b.updateEvacuated(now, u, batch)
 	batch.of(u.service).add(u)
 }
 
@@ -208,6 +213,9 @@
 func (b *Balancer) publish(batch edits) {
 	for s, e := range batch {
 		s.publish(e, b.tierOf)
+		if len(s.members) > 0 {
+			s.isEvacuated.Store(false)
+		}
 	}
 }
 
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -88,6 +88,8 @@
 	ejections atomic.Int32
 	// averageInFlight is the moving average of inFlight, as float32 bits. Only Review writes it.
 	averageInFlight atomic.Uint32
+	// evacuated is set while the upstream's availability zone is evacuated. It is then in no pool.
+	evacuated atomic.Bool
 	// healthySince is when the last ejection ended or when ejections was last lowered, whichever is later. Only Review
 	// uses this field.
 	healthySince int64
