--- a/plantainctl/command/command.go
+++ b/plantainctl/command/command.go
@@ -25,15 +25,16 @@
 variable PLANTAINCTL_CREDENTIAL if that flag is not given.
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 revision conflict, 4 invalid declarations, 5 outcome pending
-or unknown, 6 credential refused, 7 not found, 8 differences found (diff --exit-code).`
+or unknown, 6 credential refused, 7 not found, 8 differences found (diff --exit-code), 9 warnings and no
+errors found (lint).`
 
 // Run executes the command line args, whose first element is the program's name, and returns the exit code. Errors are
-// printed to errOut, except ErrDiffers, which only sets the exit code.
+// printed to errOut, except ErrDiffers and ErrWarnings, which only set the exit code.
 func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
 	root := newRoot()
 	root.Reader, root.Writer, root.ErrWriter = in, out, errOut
 	err := root.Run(ctx, args)
-	if err != nil && !errors.Is(err, ErrDiffers) {
+	if err != nil && !errors.IsAny(err, ErrDiffers, ErrWarnings) {
 		fmt.Fprintln(errOut, "plantainctl: "+err.Error())
 	}
 	return exitCode(err)
--- a/plantainctl/command/exit.go
+++ b/plantainctl/command/exit.go
@@ -20,6 +20,8 @@
 	ErrPending = errors.New("outcome not known")
 	// ErrDiffers reports that diff found differences.
 	ErrDiffers = errors.New("differences found")
+	// ErrWarnings reports that lint found warnings and no errors.
+	ErrWarnings = errors.New("warnings found")
 )
 
 const (
@@ -43,6 +45,7 @@
 	{operator.ErrCredential, 6},
 	{operator.ErrNotFound, 7},
 	{ErrDiffers, 8},
+	{ErrWarnings, 9},
 }
 
 func exitCode(err error) int {
--- a/plantainlane/limit/allocator_test.go
+++ b/plantainlane/limit/allocator_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"plantainlane/wire"
+	"plantainlane/wire/declaration"
 )
 
 // testInstance is an instance with its traffic and the answers that have not arrived yet.
@@ -282,3 +283,18 @@
 	is.True(completed <= 40*4) // 40 units are left, each request costs a quarter unit
 	is.True(completed >= 36*4) // only the units held by the killed instance are lost, at most
 }
+
+// TestGrantNeverExceedsTheBudgetStep guards against a plantainctl lint that reports requests as too expensive although
+// an instance would be granted enough units for them.
+func TestGrantNeverExceedsTheBudgetStep(t *testing.T) {
+	is := is.New(t)
+	c := contract("w")
+	for n := 1; n <= 5; n++ {
+		demands := make([]Demand, n)
+		demands[0].RequestsPerSecond = 100
+		for i := range demands {
+			units := divide(epoch, &c, demands, i, wire.Grant{}, c.Budget.Units).UnitsLeft
+			is.True(units <= c.Budget.Units*declaration.BudgetStepFraction)
+		}
+	}
+}
--- a/plantainlane/limit/share.go
+++ b/plantainlane/limit/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantainlane/wire"
+	"plantainlane/wire/declaration"
 )
 
 const (
@@ -14,7 +15,7 @@
 	// instances.
 	rotationPeriod = 2 * time.Second
 	// budgetStepFraction is the largest fraction of a budget that is granted to an instance at a time.
-	budgetStepFraction = 0.02
+	budgetStepFraction = declaration.BudgetStepFraction
 )
 
 // Demand is the demand of one instance for one contract, and the grant that the instance may be using.
--- a/wire/declaration/page_test.go
+++ b/wire/declaration/page_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -49,3 +50,17 @@
 		}
 	}
 }
+
+// The manual page must describe each rule of findings, since scripts filter by them.
+func TestPageNamesEveryRule(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/declarations.5.md")
+	is.NoErr(err)
+	rules, err := os.ReadFile("lint.go")
+	is.NoErr(err)
+	names := regexp.MustCompile(`\bRule\w+ += "([a-z-]+)"`).FindAllStringSubmatch(string(rules), -1)
+	is.True(len(names) > 10)
+	for _, n := range names {
+		is.True(strings.Contains(string(page), "`"+n[1]+"`")) // a rule that the page describes
+	}
+}
--- a/wire/declaration/source.go
+++ b/wire/declaration/source.go
@@ -31,14 +31,18 @@
 	set wire.Declarations
 }
 
-// Read reads a file, or all .json and .jsonc files in a folder and its subfolders, in the order of their paths. Files
+// Read reads files, or all .json and .jsonc files in folders and their subfolders, in the order of their paths. Files
 // and subfolders whose names start with a dot are skipped. It returns ErrNoFile for a folder without such files, an
 // error of package os if a file can't be read, or a *jsonc.Error. It doesn't check the declarations: the caller should
 // pass Set to Check and the result to Locate.
-func Read(path string) (*Source, error) {
-	files, err := findFiles(path)
-	if err != nil {
-		return nil, err
+func Read(paths ...string) (*Source, error) {
+	var files []string
+	for _, path := range paths {
+		found, err := findFiles(path)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, found...)
 	}
 	s := &Source{Set: Empty()}
 	var problems []jsonc.Problem
@@ -69,6 +73,15 @@
 	return jsonc.NewError(located)
 }
 
+// LocateFinding returns the file and line of a finding in s.Set. A finding about a declaration that isn't in s.Set has
+// neither.
+func (s *Source) LocateFinding(f Finding) jsonc.Problem {
+	if f.Index < count(s.Set, f.Kind) {
+		return s.locate(f.Problem)
+	}
+	return jsonc.Problem{Field: f.Field, Expected: f.Expected, Found: f.Found}
+}
+
 // add parses a file and appends its declarations to the set.
 func (s *Source) add(file string, text []byte) error {
 	doc, err := jsonc.Parse(file, text)
