--- a/plantainlane/consensus/append.go
+++ b/plantainlane/consensus/append.go
@@ -158,4 +158,5 @@
 	if m.From != n.cfg.ID {
 		n.recordRoundAnswer(p, m.Round)
 	}
+	n.endChange(now)
 }
--- a/plantainlane/consensus/commit.go
+++ b/plantainlane/consensus/commit.go
@@ -4,27 +4,34 @@
 	"slices"
 )
 
-// quorum returns the number of voters that make a majority.
-func (n *Node) quorum() int { return len(n.replicas().Voters)/2 + 1 }
-
-func (n *Node) countVoters(hasProperty func(id string) bool) int {
+// isMajority reports whether the replicas with a property are a majority of voters.
+func isMajority(voters []string, hasProperty func(id string) bool) bool {
 	count := 0
-	for _, id := range n.replicas().Voters {
+	for _, id := range voters {
 		if hasProperty(id) {
 			count++
 		}
 	}
-	return count
+	return count > len(voters)/2
+}
+
+// isQuorum reports whether the replicas with a property are a quorum: a majority of one of the voterSets.
+func (n *Node) isQuorum(hasProperty func(id string) bool) bool {
+	return slices.ContainsFunc(n.voterSets(), func(voters []string) bool { return isMajority(voters, hasProperty) })
 }
 
-// quorumValue returns the largest value that at least a quorum of voters has reached.
+// quorumValue returns the largest value that at least a quorum has reached.
 func (n *Node) quorumValue(value func(*progress) int) int {
-	var values []int
-	for _, id := range n.replicas().Voters {
-		values = append(values, value(n.leadership.progress[id]))
+	largest := 0
+	for _, voters := range n.voterSets() {
+		var values []int
+		for _, id := range voters {
+			values = append(values, value(n.leadership.progress[id]))
+		}
+		slices.Sort(values)
+		largest = max(largest, values[(len(values)-1)/2])
 	}
-	slices.Sort(values)
-	return values[len(values)-n.quorum()]
+	return largest
 }
 
 // commitByQuorum raises the commit index to the newest entry that is durable on a quorum, if that entry has the
--- a/plantainlane/consensus/election.go
+++ b/plantainlane/consensus/election.go
@@ -47,7 +47,7 @@
 		term++
 	}
 	n.lostElection = &Election{
-		Term: term, Granted: slices.Sorted(maps.Keys(n.votes)), Voters: slices.Sorted(slices.Values(n.replicas().Voters)),
+		Term: term, Granted: slices.Sorted(maps.Keys(n.votes)), Voters: slices.Sorted(slices.Values(n.allVoters())),
 	}
 }
 
@@ -83,7 +83,7 @@
 		n.campaign(false, now)
 		return
 	}
-	for _, id := range n.replicas().Voters {
+	for _, id := range n.allVoters() {
 		if id == n.cfg.ID {
 			continue
 		}
@@ -103,7 +103,7 @@
 	n.hardState.Vote = n.cfg.ID
 	n.ready.hardStateChanged = true
 	n.resetElection(now)
-	for _, id := range n.replicas().Voters {
+	for _, id := range n.allVoters() {
 		if id == n.cfg.ID {
 			own := n.message(kindVoteAnswer, id)
 			own.Granted = true
@@ -191,7 +191,7 @@
 	}
 }
 
-// hasWon reports whether a quorum of voters granted the vote or pre-vote.
+// hasWon reports whether a quorum granted the vote or pre-vote.
 func (n *Node) hasWon() bool {
-	return n.countVoters(func(id string) bool { return n.votes[id] }) >= n.quorum()
+	return n.isQuorum(func(id string) bool { return n.votes[id] })
 }
--- a/plantainlane/consensus/leader.go
+++ b/plantainlane/consensus/leader.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"plantainlane/wire"
@@ -19,6 +20,9 @@
 	rounds []round
 	// confirmedRound is the newest round that a quorum answered. Number 0 stands for the leader's election.
 	confirmedRound round
+	// changeRound is the round that this leader began when it first knew the pending change of the voters to be committed;
+	// zero without one.
+	changeRound round
 	// resumedAt is when this replica last continued after a standstill; zero if it never stood still.
 	resumedAt time.Time
 
@@ -56,9 +60,8 @@
 
 // syncProgress makes the progress table match the newest membership. Replicas that stay keep their progress.
 func (n *Node) syncProgress() {
-	set := n.replicas()
 	current := map[string]*progress{}
-	for _, ids := range [][]string{set.Voters, set.Learners} {
+	for _, ids := range [][]string{n.allVoters(), n.replicas().Learners} {
 		for _, id := range ids {
 			p := n.leadership.progress[id]
 			if p == nil {
@@ -75,11 +78,11 @@
 
 // others returns the IDs of all replicas except this one, in the order of the membership.
 func (n *Node) others() []string {
-	set := n.replicas()
-	ids := make([]string, 0, len(set.Voters)+len(set.Learners))
-	for _, group := range [][]string{set.Voters, set.Learners} {
+	voters, learners := n.allVoters(), n.replicas().Learners
+	ids := make([]string, 0, len(voters)+len(learners))
+	for _, group := range [][]string{voters, learners} {
 		for _, id := range group {
-			if id != n.cfg.ID {
+			if id != n.cfg.ID && !slices.Contains(ids, id) {
 				ids = append(ids, id)
 			}
 		}
@@ -103,6 +106,7 @@
 	if now.Sub(n.newestRound().startedAt) >= n.cfg.HeartbeatInterval {
 		n.startRound(now)
 	}
+	n.endChange(now)
 }
 
 // quorumAwaitedUntil returns until when the leader stays leader if no quorum answers another round: an election timeout
@@ -229,7 +233,7 @@
 		out = append(out, ReplicaStatus{
 			ID: id, Voter: voter, Match: p.match, CaughtUp: id == n.cfg.ID || n.isCaughtUp(id, now),
 			SilentSince: silentSince,
-			Answered:    id == n.cfg.ID || p.answeredRound > 0 && now.Sub(n.roundStartedAt(p.answeredRound)) < n.cfg.ElectionTimeout,
+			Answered:    n.hasAnswered(id, now),
 		})
 	}
 	for _, id := range set.Voters {
@@ -241,6 +245,13 @@
 	return out
 }
 
+// hasAnswered reports whether a replica answered a round that began within the last election timeout. The leader itself
+// always did.
+func (n *Node) hasAnswered(id string, now time.Time) bool {
+	p := n.leadership.progress[id]
+	return id == n.cfg.ID || p != nil && p.answeredRound > 0 && now.Sub(n.roundStartedAt(p.answeredRound)) < n.cfg.ElectionTimeout
+}
+
 // roundStartedAt returns when a round began, or the zero time if the round is no longer in rounds.
 func (n *Node) roundStartedAt(number int) time.Time {
 	for _, r := range n.leadership.rounds {
--- a/plantainlane/consensus/membership.go
+++ b/plantainlane/consensus/membership.go
@@ -19,10 +19,29 @@
 // it is committed.
 func (n *Node) replicas() wire.ReplicaSet { return n.memberships[len(n.memberships)-1].set }
 
-func (n *Node) isVoter(id string) bool { return slices.Contains(n.replicas().Voters, id) }
+// isChanging reports whether the newest membership is a change of the voters that isn't complete.
+func (n *Node) isChanging() bool { return len(n.replicas().PreviousVoters) > 0 }
+
+// voterSets returns the sets of voters of which a majority is a quorum: the voters and, while a change of them isn't
+// complete, also the previous voters. The sets differ by one voter, so that any two quorums have a voter in common.
+func (n *Node) voterSets() [][]string {
+	set := n.replicas()
+	if len(set.PreviousVoters) == 0 {
+		return [][]string{set.Voters}
+	}
+	return [][]string{set.Voters, set.PreviousVoters}
+}
+
+// allVoters returns the members of all voterSets.
+func (n *Node) allVoters() []string {
+	set := n.replicas()
+	return slices.Concat(set.Voters, difference(set.PreviousVoters, set.Voters))
+}
+
+func (n *Node) isVoter(id string) bool { return slices.Contains(n.allVoters(), id) }
 
 func (n *Node) isSoleVoter() bool {
-	return len(n.replicas().Voters) == 1 && n.isVoter(n.cfg.ID)
+	return len(n.allVoters()) == 1 && n.isVoter(n.cfg.ID)
 }
 
 // addMembership activates the membership in an entry. It ignores entries of other kinds, and returns ErrCorrupt
@@ -51,21 +70,30 @@
 }
 
 // ProposeReplicas appends a membership and returns its index. Compared with the newest membership, it may add or
-// remove at most one voter and any number of learners. A new voter must be a learner that has caught up. Errors
-// are ErrNotLeader, ErrTransferring, ErrMembershipPending, ErrMembership and ErrNotCaughtUp; nothing was then
-// appended.
+// remove at most one voter and any number of learners. A new voter must be a learner that has caught up. PreviousVoters
+// of the given set are ignored: a change of the voters keeps the previous ones until endChange. Errors are
+// ErrNotLeader, ErrTransferring, ErrMembershipPending, ErrMembership and ErrNotCaughtUp; nothing was then appended.
 func (n *Node) ProposeReplicas(set wire.ReplicaSet, now time.Time) (int, error) {
 	switch {
 	case n.role != Leader:
 		return 0, ErrNotLeader
 	case n.leadership.transferTo != "":
 		return 0, ErrTransferring
-	case !n.isLeaderReady() || n.memberships[len(n.memberships)-1].index > n.commit:
+	case !n.isLeaderReady() || n.memberships[len(n.memberships)-1].index > n.commit || n.isChanging():
 		return 0, ErrMembershipPending
 	}
 	if err := n.checkMembershipChange(set, now); err != nil {
 		return 0, err
 	}
+	set.PreviousVoters = nil
+	if old := n.replicas().Voters; len(difference(set.Voters, old))+len(difference(old, set.Voters)) > 0 {
+		set.PreviousVoters = old
+	}
+	return n.appendMembership(set)
+}
+
+// appendMembership appends a membership as the leader and returns its index.
+func (n *Node) appendMembership(set wire.ReplicaSet) (int, error) {
 	data, err := wire.Encode(cloneSet(set))
 	if err != nil {
 		return 0, err
@@ -74,11 +102,46 @@
 	if err := n.addMembership(n.log.entries[len(n.log.entries)-1]); err != nil {
 		return 0, err
 	}
+	n.leadership.changeRound = round{}
 	n.syncProgress()
 	n.commitByQuorum()
 	return index, nil
 }
 
+// endChange ends a change of the voters that is known to be committed: with the new voters once a majority of them has
+// it and answers a round that began after that, otherwise with the previous ones after an election timeout. Until then a
+// majority of either is a quorum, so that the change needs no majority of the new voters before it is known to be
+// committed. Answers to earlier rounds may be from voters that were lost before.
+func (n *Node) endChange(now time.Time) {
+	newest := n.memberships[len(n.memberships)-1]
+	if n.role != Leader || !n.isChanging() || newest.index > n.commit || !n.isLeaderReady() || n.leadership.transferTo != "" {
+		return
+	}
+	if n.leadership.changeRound.number == 0 {
+		n.startRound(now)
+		n.leadership.changeRound = n.newestRound()
+	}
+	follows := func(id string) bool {
+		p := n.leadership.progress[id]
+		return p.match >= newest.index && p.answeredRound >= n.leadership.changeRound.number && n.hasAnswered(id, now)
+	}
+	set := newest.set
+	previous := set.PreviousVoters
+	set.PreviousVoters = nil
+	switch {
+	case isMajority(set.Voters, follows):
+	case now.Sub(n.leadership.changeRound.startedAt) >= n.cfg.ElectionTimeout && isMajority(previous, follows):
+		// A voter that was to be added stays a learner.
+		set.Learners = difference(slices.Concat(set.Learners, difference(set.Voters, previous)), previous)
+		set.Voters = previous
+	default:
+		return
+	}
+	if _, err := n.appendMembership(set); err != nil {
+		panic(err)
+	}
+}
+
 // checkMembershipChange returns ErrMembership or ErrNotCaughtUp unless set is a valid next membership.
 func (n *Node) checkMembershipChange(set wire.ReplicaSet, now time.Time) error {
 	old := n.replicas()
--- a/plantainlane/consensus/node.go
+++ b/plantainlane/consensus/node.go
@@ -256,7 +256,9 @@
 }
 
 func cloneSet(s wire.ReplicaSet) wire.ReplicaSet {
-	return wire.ReplicaSet{Voters: slices.Clone(s.Voters), Learners: slices.Clone(s.Learners)}
+	return wire.ReplicaSet{
+		Voters: slices.Clone(s.Voters), Learners: slices.Clone(s.Learners), PreviousVoters: slices.Clone(s.PreviousVoters),
+	}
 }
 
 // message returns a message to a replica with the header fields set. The caller sets the fields of its kind.
--- a/plantainlane/consensus/ready.go
+++ b/plantainlane/consensus/ready.go
@@ -173,7 +173,7 @@
 	return es
 }
 
-// stepDownIfRemoved makes a leader step down once its removal from the voters is committed.
+// stepDownIfRemoved makes a leader step down once its removal from the voters is complete and committed.
 func (n *Node) stepDownIfRemoved() {
 	newest := n.memberships[len(n.memberships)-1]
 	if n.role == Leader && newest.index <= n.commit && !n.isVoter(n.cfg.ID) {
--- a/plantainlane/consensus/transfer.go
+++ b/plantainlane/consensus/transfer.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"plantainlane/wire"
@@ -29,7 +30,7 @@
 		return ErrNotLeader
 	case n.leadership.transferTo != "":
 		return ErrTransferring
-	case to == n.cfg.ID || !n.isVoter(to):
+	case to == n.cfg.ID || !slices.Contains(n.replicas().Voters, to):
 		return errors.Wrapf(ErrMembership, "transfer target %q is not another voter", to)
 	}
 	n.leadership.transferTo, n.leadership.transferStartedAt, n.leadership.timeoutNowSent = to, now, false
--- a/plantainlane/control/membership.go
+++ b/plantainlane/control/membership.go
@@ -115,7 +115,11 @@
 
 // membershipText returns the voters and learners of a membership as a text for the time line.
 func membershipText(set wire.ReplicaSet) string {
-	return "voters " + strings.Join(set.Voters, ", ") + "; learners " + strings.Join(set.Learners, ", ")
+	text := "voters " + strings.Join(set.Voters, ", ") + "; learners " + strings.Join(set.Learners, ", ")
+	if len(set.PreviousVoters) > 0 {
+		text += "; voters before, in use beside the new ones: " + strings.Join(set.PreviousVoters, ", ")
+	}
+	return text
 }
 
 // recordMembership adds a proposed membership to the time line.
--- a/wire/types.go
+++ b/wire/types.go
@@ -1732,6 +1732,11 @@
 	// IDs of the replicas that receive the log but don't vote.
 	Learners []string `json:"learners" cbor:"learners"`
 
+	// IDs of the replicas that voted before a change of the voters that isn't
+	// complete: a majority of these or of voters is a quorum. Absent if voters alone
+	// are in use.
+	PreviousVoters []string `json:"previousVoters,omitempty,omitzero" cbor:"previousVoters,omitempty"`
+
 	// IDs of the replicas that vote.
 	Voters []string `json:"voters" cbor:"voters"`
 }
