--- a/plantainlane/limit/grant.go
+++ b/plantainlane/limit/grant.go
@@ -195,6 +195,7 @@
 		generated += w.cells[i].generated.Load()
 	}
 	w.meter.update(now, arrivals, generated)
+	w.requestedRate.Store(math.Float64bits(w.meter.requests))
 	return wire.GrantDemand{
 		Workspace: w.name, RequestsPerSecond: w.meter.requests, TokensPerSecond: w.meter.tokens,
 		InFlight: int(w.concurrency - w.permits.total()), UnitsUsed: float64(w.unitsUsed()) / milli,
--- a/plantainlane/limit/limiter.go
+++ b/plantainlane/limit/limiter.go
@@ -122,7 +122,9 @@
 	// concurrency is the number of permits granted.
 	concurrency int64
 	meter       meter
-	waitQueue   waitQueue
+	// requestedRate is the rate of requests in the newest grant request, as the bits of a float64.
+	requestedRate atomic.Uint64
+	waitQueue     waitQueue
 	// isRequested is set while the workspace is in Limiter.requested or Limiter.added because of its traffic.
 	isRequested atomic.Bool
 	// lastTraffic is the time of the last grant request at which the workspace had traffic.
--- a/plantainlane/limit/limiter_test.go
+++ b/plantainlane/limit/limiter_test.go
@@ -405,3 +405,57 @@
 		is.NoErr(<-admitted)
 	})
 }
+
+// TestBacklogOfSmallShareRefusesNoRequest guards against a request that is refused since the rate of an instance without
+// traffic would serve those that wait for the next grant too slowly. It finds no permit free, and another one has begun to
+// wait meanwhile.
+func TestBacklogOfSmallShareRefusesNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		c := contract("w")
+		l := New(start)
+		l.SetContracts(start, tableOf(c))
+		grant := func(perSecond float64, concurrency int) {
+			g := wholeGrant(c)
+			g.Requests.PerSecond, g.Concurrency = perSecond, concurrency
+			r := l.GrantRequest(time.Now(), "leader", "i", 1)
+			l.ApplyGrant(time.Now(), wire.GrantAnswer{Sequence: r.Sequence, DurationMs: 9000, Grants: []wire.Grant{g}})
+		}
+		grant(0.05, 1)
+		request := Request{Workspace: "w", Deadline: start.Add(3 * time.Second), Needs: 100 * time.Millisecond}
+		admitted := make(chan error, 2)
+		for _, reason := range []error{ErrRate, ErrConcurrency} {
+			go func() {
+				_, err := l.workspace("w").waitQueue.wait(t.Context(), start, request, reason)
+				admitted <- err
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(100 * time.Millisecond)
+		grant(100, 10)
+		is.NoErr(<-admitted)
+		is.NoErr(<-admitted)
+	})
+}
+
+// TestBacklogOfOverloadIsRefused guards against requests that wait in vain: the share is small because other instances
+// use theirs, and the instance has requested more than it got.
+func TestBacklogOfOverloadIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := contract("w")
+	l := New(epoch)
+	l.SetContracts(epoch, tableOf(c))
+	l.GrantRequest(epoch, "leader", "i", 1)
+	w := l.workspace("w")
+	w.cells[0].arrivals.Add(30)
+	r := l.GrantRequest(epoch.Add(time.Second), "leader", "i", 1)
+	g := wholeGrant(c)
+	g.Requests = wire.Rate{PerSecond: 2, Burst: 1}
+	l.ApplyGrant(epoch, wire.GrantAnswer{Sequence: r.Sequence, DurationMs: 9000, Grants: []wire.Grant{g}})
+	for range 20 {
+		is.True(w.waitQueue.enqueue(&queuedRequest{request: Request{Deadline: epoch.Add(time.Minute)}}))
+	}
+	_, err := w.waitQueue.wait(t.Context(), epoch, Request{Workspace: "w", Deadline: epoch.Add(6 * time.Second)}, ErrConcurrency)
+	is.True(errors.Is(err, ErrConcurrency))
+}
--- a/plantainlane/limit/waitqueue.go
+++ b/plantainlane/limit/waitqueue.go
@@ -101,13 +101,21 @@
 // isBelowFairShare reports whether the next grant is likely to admit the request sooner than the current grant: the
 // rate of the current grant is low, like that of an instance without traffic, and the contract allows more.
 func (w *workspace) isBelowFairShare(reason error) bool {
-	if !errors.Is(reason, ErrRate) || w.retryAfter(reason) <= grantWait {
-		return false
-	}
+	return errors.Is(reason, ErrRate) && w.retryAfter(reason) > grantWait && w.hasSmallRate()
+}
+
+// hasSmallRate reports whether the rate of the current grant is low, so that the next grant is likely to raise it.
+func (w *workspace) hasSmallRate() bool {
 	heldRate := math.Float64frombits(w.requests.rate.Load()) / milli
 	return heldRate < fairShareFraction*w.contract.Load().Rate.PerSecond
 }
 
+// isGrowing reports whether the rate of requests with which the instance last requested a share is below that of its grant:
+// the grant doesn't answer to the requests that wait now.
+func (w *workspace) isGrowing() bool {
+	return math.Float64frombits(w.requestedRate.Load()) < math.Float64frombits(w.requests.rate.Load())/milli
+}
+
 // wait queues the request until it is admitted, its latest start has passed, or the context is done. reason is why
 // the request was not admitted immediately; it becomes the reason of the Refusal.
 func (q *waitQueue) wait(ctx context.Context, now time.Time, r Request, reason error) (Ticket, error) {
@@ -145,13 +153,17 @@
 }
 
 // backlogTime returns the time until the request rate allows the requests that wait already and one more; 0 if none
-// waits.
+// waits. The rate of a small grant that was given for less traffic counts until the next grants only.
 func (q *waitQueue) backlogTime() time.Duration {
 	n := int64(q.waiting.Load())
 	if n == 0 {
 		return 0
 	}
-	return q.workspace.requests.waitTime((n + 1) * milli)
+	t := q.workspace.requests.waitTime((n + 1) * milli)
+	if q.workspace.hasSmallRate() && q.workspace.isGrowing() {
+		t = min(t, grantWait)
+	}
+	return t
 }
 
 // enqueue adds the request and reports whether it did; it doesn't if maxWaiting requests wait.
