--- a/plantainlane/forward/admit.go
+++ b/plantainlane/forward/admit.go
@@ -75,7 +75,7 @@
 		return refusal
 	}
 	s.Budget.RecordRequest(q.service, q.received)
-	q.affinity = affinityOf(s.Views.Upstreams(), q.service, q.route.Stages, q.call.Parts)
+	q.setAffinity(time.Now())
 	return nil
 }
 
--- a/plantainlane/forward/affinity.go
+++ b/plantainlane/forward/affinity.go
@@ -3,9 +3,11 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/site"
 )
@@ -31,6 +33,8 @@
 	// slack is the number of calls by which the load of a preferred upstream may exceed that of the upstream chosen
 	// otherwise.
 	slack float64
+	// plan replaces the slack if the site describes the engines of the service; nil otherwise.
+	plan *promptcache.Plan
 }
 
 // first returns the ID of the most preferred upstream; empty without affinity.
@@ -51,8 +55,10 @@
 //
 // The more usable upstreams of the stages a zone has, the more prompts prefer the upstreams in that zone, because the
 // results of the stages are transferred to where the request runs.
-func affinityOf(v roster.View, service string, stages []site.Stage, parts []PromptPart) affinity {
-	if len(parts) < 2 {
+//
+// It is used for services whose engines aren't described by the site, see planOf for the others.
+func affinityOf(upstreams []listedUpstream, parts []PromptPart) affinity {
+	if len(parts) < 2 || len(upstreams) == 0 {
 		return affinity{}
 	}
 	shared := 0
@@ -63,39 +69,66 @@
 	if shared < minAffinityTokens {
 		key = parts[len(parts)-1].ID
 	}
-	weights := weightZones(v, stages)
-	type scored struct {
-		id, zone string
-		score    float64
-	}
-	var all []scored
-	for id, row := range v.Rows.All() {
-		if row.Announcement.Service == service && row.Usable() {
-			zone := row.Announcement.Zone
-			all = append(all, scored{id, zone, rendezvous(key, id, weights.weight(zone))})
+	var best [maxPreferred]*listedUpstream
+	var scores [maxPreferred]float64
+	text := append([]byte(key), 0)
+	for i := range upstreams {
+		u := &upstreams[i]
+		text = append(text[:len(key)+1], u.id...)
+		score := rendezvous(text, u.weight)
+		// One insertion into the best so far takes the place of sorting all upstreams.
+		for j := range best {
+			if best[j] == nil || score > scores[j] {
+				copy(best[j+1:], best[j:])
+				copy(scores[j+1:], scores[j:])
+				best[j], scores[j] = u, score
+				break
+			}
 		}
 	}
-	if len(all) == 0 {
-		return affinity{}
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
-	})
-	out := affinity{zone: all[0].zone, slack: baseSlack + float64(shared)/tokensPerSlackCall}
-	for _, s := range all[:min(len(all), maxPreferred)] {
-		out.ids = append(out.ids, s.id)
+	out := affinity{zone: best[0].zone, slack: baseSlack + float64(shared)/tokensPerSlackCall}
+	for _, u := range best[:min(len(upstreams), maxPreferred)] {
+		out.ids = append(out.ids, u.id)
 	}
 	return out
 }
 
+// planOf returns the affinity of a prompt by a plan, if the site describes the engines of the request's service and the
+// prompt's size is known.
+func (q *request) planOf(now time.Time, upstreams *upstreamList) (affinity, bool) {
+	service := q.site.Services[q.service]
+	if q.server.Prompts == nil || service == nil || service.Engine == nil {
+		return affinity{}, false
+	}
+	engine := promptcache.Engine{Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens}
+	if !engine.IsKnown() {
+		return affinity{}, false
+	}
+	plan := q.server.Prompts.Plan(now, q.service, engine, promptcache.NewPrompt(q.call.Parts), upstreams.placement)
+	if plan == nil {
+		return affinity{}, false
+	}
+	return affinity{ids: plan.Preferred, zone: plan.Zone, plan: plan}, true
+}
+
+// setAffinity sets the preferred upstreams of the request.
+func (q *request) setAffinity(now time.Time) {
+	if len(q.call.Parts) == 0 {
+		return
+	}
+	upstreams := q.server.placements.of(now, q.server.Views.Upstreams(), q.site, q.route, q.service)
+	if a, ok := q.planOf(now, upstreams); ok {
+		q.affinity = a
+		return
+	}
+	q.affinity = affinityOf(upstreams.all, q.call.Parts)
+}
+
 // rendezvous returns the score of an upstream for a key by weighted rendezvous hashing: the fraction of keys for which
-// an upstream has the highest score is proportional to its weight.
-func rendezvous(key, id string, weight float64) float64 {
+// an upstream has the highest score is proportional to its weight. The text is the key, a zero byte and the upstream's ID.
+func rendezvous(text []byte, weight float64) float64 {
 	const bits = 53 // precision of a float64
-	hash := xxhash.Sum64String(key+"\x00"+id) >> (64 - bits)
+	hash := xxhash.Sum64(text) >> (64 - bits)
 	return -weight / math.Log((float64(hash)+0.5)/(1<<bits))
 }
 
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -166,7 +166,12 @@
 	if q.sends == 1 {
 		q.firstSentAt = start
 	}
+	q.sending = q.server.Prompts.Sent(start, q.affinity.plan, t.ID, t.Incarnation)
 	out := q.connectAndSend(ctx, t, permit)
+	if out.result == notRun || out.result == inputsGone {
+		q.sending.NotRun()
+	}
+	q.sending.End(time.Now(), out.result == delivered)
 	result := route.Failure
 	switch {
 	case errors.Is(out.err, quota.ErrNoPermit), errors.Is(out.err, errTrialOver):
--- a/plantainlane/forward/call.go
+++ b/plantainlane/forward/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/route"
 	"plantainlane/wire"
@@ -51,10 +52,7 @@
 }
 
 // PromptPart is a part of a prompt that requests may share.
-type PromptPart struct {
-	ID     string
-	Tokens int
-}
+type PromptPart = promptcache.Part
 
 // Send holds the values that the instance adds to the caller's headers when it sends a request to an upstream.
 type Send struct {
--- /dev/null
+++ b/plantainlane/forward/placement_test.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"plantainlane/plantainlane/promptcache"
+	"plantainlane/plantainlane/site"
+)
+
+// TestPreferredHaveHighestScores guards against preferred upstreams that other instances, which run earlier versions, don't
+// prefer.
+func TestPreferredHaveHighestScores(t *testing.T) {
+	is := is.New(t)
+	var list []listedUpstream
+	for i := range 40 {
+		list = append(list, listedUpstream{fmt.Sprint("e", i), "z", float64(1 + i%3)})
+	}
+	got := affinityOf(list, []PromptPart{part("topic", 3000), part("own", 10)})
+	slices.SortFunc(list, func(a, b listedUpstream) int {
+		if rendezvous([]byte("topic\x00"+a.id), a.weight) > rendezvous([]byte("topic\x00"+b.id), b.weight) {
+			return -1
+		}
+		return 1
+	})
+	is.Equal(got.ids, []string{list[0].id, list[1].id, list[2].id})
+	is.Equal(got.slack, 4.0)
+}
+
+// TestSendsAreKnownToEstimator guards against requests that are placed by a plan without counting where they were read, and
+// against counting those that were refused.
+func TestSendsAreKnownToEstimator(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, &site.Route{Stream: true, RetryMode: site.Resumable, MaxAttempts: 2})
+	h.site.Services["s"].Engine = &site.Engine{Slots: 24, CacheTokens: 1000}
+	h.server.Prompts = &promptcache.Estimator{}
+	h.upstream("a", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	_, _, err := h.post("X-Id", "one", "X-Key", "key", "X-Parts", "first,own")
+	is.NoErr(err)
+	is.Equal(h.server.Prompts.Stats().Decisions, int64(1))
+	is.Equal(h.server.Prompts.Stats().ReadTokens, int64(0))
+	h.site.Services["s"].Engine.CacheTokens = 0 // not known
+	_, _, err = h.post("X-Id", "two", "X-Key", "key", "X-Parts", "first,own")
+	is.NoErr(err)
+	is.Equal(h.server.Prompts.Stats().Decisions, int64(1))
+}
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -73,6 +73,9 @@
 		}
 		now := time.Now()
 		t.Progressed(now)
+		if !e.isComment {
+			q.sending.FirstEvent(now)
+		}
 		c.SetDeadline(q.nextEventDeadline(now))
 	}
 }
--- a/plantainlane/forward/rest.go
+++ b/plantainlane/forward/rest.go
@@ -68,7 +68,11 @@
 
 // query returns the query for the upstream of the next send.
 func (q *request) query() route.Query {
-	return route.Query{Service: q.service, Avoid: q.tried, Preferred: q.affinity.ids, PreferredSlack: q.affinity.slack}
+	out := route.Query{Service: q.service, Avoid: q.tried, Preferred: q.affinity.ids, PreferredSlack: q.affinity.slack}
+	if plan := q.affinity.plan; plan != nil {
+		out.Weigh = func(list []route.State) int { return q.server.Prompts.Weigh(time.Now(), plan, list) }
+	}
+	return out
 }
 
 // refuseUnservable refuses a request before its stages run if all upstreams rest and too many requests wait for them. It
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -11,6 +11,7 @@
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/logs"
+	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/roster"
@@ -46,6 +47,8 @@
 	Guard *quarantine.Guard
 	// Observer may be nil.
 	Observer Observer
+	// Prompts weighs kept prompts against waiting; nil for a fixed slack.
+	Prompts *promptcache.Estimator
 	// Zone is the availability zone of the instance.
 	Zone string
 	// Drain returns the zero value unless the instance drains. It may be nil.
@@ -53,6 +56,7 @@
 	// durations are the times of requests from their receipt on, sendDurations those from their first send on.
 	durations, sendDurations durations
 	backlogs                 backlogs
+	placements               placements
 	// OnTimeLines samples the log lines on requests that were answered on time by their first send; nil logs all.
 	OnTimeLines *logs.Sampler
 }
@@ -107,6 +111,8 @@
 	inputs []string
 
 	affinity affinity
+	// sending is what Server.Prompts knows of the last send; nil without a plan.
+	sending *promptcache.Sending
 	// stagesMs is when each stage was completed, in milliseconds since the request was received.
 	stagesMs []int64
 	// tried lists the IDs of the upstreams of all sends, which are not chosen again.
@@ -284,9 +290,11 @@
 	if q.site != nil {
 		version = q.site.Version
 	}
+	choice := q.affinity.plan.Choice()
 	// "home" is the most preferred upstream, "leftOut" the number of lines left out by sampling since the last one.
 	klog.InfoS("request ended", "request", q.call.ID, "outcome", outcome, "status", status, "reason", reason,
-		"route", name, "workspace", q.workspace, "upstream", q.upstream, "home", q.affinity.first(), "sends", q.sends, "runs", q.runs,
+		"route", name, "workspace", q.workspace, "upstream", q.upstream, "home", q.affinity.first(),
+		"savedTokens", choice.SavedTokens, "readTokens", choice.ReadTokens, "extraWaitMs", choice.ExtraWait.Milliseconds(), "sends", q.sends, "runs", q.runs,
 		"events", q.events, "firstMs", q.firstEventAfter.Milliseconds(), "gapMs", q.longestGap.Milliseconds(),
 		"stagesMs", q.stagesMs, "waitedMs", q.waited.Milliseconds(), "ms", took.Milliseconds(), "version", version, "leftOut", leftOut)
 }
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -30,6 +30,7 @@
 	"plantainlane/plantainlane/order"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/pipeline"
+	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/replica"
@@ -95,9 +96,11 @@
 	// callerServers holds the servers that serve callers. A drain waits for their requests in flight.
 	callerServers []*server
 	// proxy, sites and dispatcher are nil unless the instance serves opaque requests.
-	proxy          *Proxy
-	sites          *sites
-	dispatcher     *batch.Dispatcher
+	proxy      *Proxy
+	sites      *sites
+	dispatcher *batch.Dispatcher
+	// prompts weighs kept prompts of opaque requests against waiting.
+	prompts        *promptcache.Estimator
 	extraListeners []extraListener
 	// drain is nil unless the instance drains.
 	drain atomic.Pointer[forward.Drain]
@@ -136,6 +139,7 @@
 	}
 	x.ring = timeline.New(x.clock, x.self.ID, x.self.Incarnation, s.Timeline.Events)
 	x.services = pipeline.NewServices(route.New(now, x.self.Region, x.self.Zone), x.activeCount)
+	x.prompts = &promptcache.Estimator{Share: x.requestShare}
 	x.limiter = limit.New(now)
 	x.gate = quota.NewGate(x)
 	x.guard = quarantine.NewGuard(ctx, &quarantine.Dialer{IsReplaced: x.isReplaced}, func() {
@@ -237,10 +241,12 @@
 }
 
 // PublishMetrics publishes the instance's metrics by expvar under name, and the statistics of the prefix index under
-// "prefixIndex" and of the quarantine under "quarantine". It panics if one of the names is in use.
+// "prefixIndex", of the weighing of kept prompts under "promptCache" and of the quarantine under "quarantine". It panics if
+// one of the names is in use.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
 	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
+	expvar.Publish("promptCache", expvar.Func(func() any { return x.prompts.Stats() }))
 	expvar.Publish("quarantine", expvar.Func(func() any { return x.guard.Stats(time.Now()) }))
 }
 
@@ -249,6 +255,18 @@
 	return x.loop.Publisher.View()
 }
 
+// requestShare returns the fraction of all callers' requests that this instance probably handles: that of the instances for
+// callers which are neither silent nor draining.
+func (x *Instance) requestShare() float64 {
+	v, n := x.View(), 1
+	for id, i := range v.Instances.All() {
+		if id != v.Self.ID && !i.ControlOnly && !i.Silent && !i.Draining {
+			n++
+		}
+	}
+	return 1 / float64(n)
+}
+
 // activeCount returns the number of instances that are neither silent nor draining. It also counts control-only ones.
 func (x *Instance) activeCount() int {
 	n := 0
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -226,6 +226,7 @@
 		Codec: x.proxy.Codec, Views: x.sites, Picker: x.services, Client: client, Dispatcher: x.dispatcher,
 		Budget: x.proxy.Retries, Observer: x.metrics, Zone: x.self.Zone, Drain: x.drainOfRequests, Guard: x.guard,
 		Bodies:      exchange.NewMemory(forward.RequestBytes),
+		Prompts:     x.prompts,
 		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
 	}
 	s, err := listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes)
