--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -17,6 +17,8 @@
 	Zone string
 	// Cores is the number of processor cores that the instance may use.
 	Cores float64
+	// Capacity is the work that the instance can do compared with others; 0 if not known.
+	Capacity float64
 	// Owns holds the queues that the instance claims, as text of Peers.Claim; empty for none.
 	Owns string
 	// BesideLeader is set if the instance runs on the machine of the leader of the control log.
--- a/plantainlane/batch/ownership.go
+++ b/plantainlane/batch/ownership.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"plantainlane/plantainlane/placement"
 )
 
 // claimAfter is how long an instance must have run without a stall before it claims queues. It is longer than another
@@ -50,7 +52,7 @@
 
 // Owner returns the ID of the member that owns the queue of a service for a zone, or, without a zone, that for all zones that
 // have no queue of their own: the one that claims it with the highest number, or if none does,
-// one of the candidates by rendezvous hashing. It returns "" if there are no members.
+// one of the candidates by rendezvous hashing, weighted by their capacities. It returns "" if there are no members.
 func Owner(service, zone string, members []Member) string {
 	q := queueID{service, zone}
 	best, bestNumber := "", 0
@@ -63,31 +65,55 @@
 	if best != "" {
 		return best
 	}
-	highest := uint64(0)
-	for _, m := range candidates(q, members) {
-		weight := xxhash.Sum64String(q.String() + "\x00" + m.ID)
-		if best == "" || weight > highest || weight == highest && m.ID < best {
-			best, highest = m.ID, weight
+	list := candidates(q, members)
+	highest := 0.0
+	for i, capacity := range relativeCapacities(list) {
+		id := list[i].ID
+		score := placement.Score(xxhash.Sum64String(q.String()+"\x00"+id), capacity)
+		if best == "" || score > highest || score == highest && id < best {
+			best, highest = id, score
 		}
 	}
 	return best
 }
 
+// relativeCapacities returns the capacities of members as multiples of their mean.
+func relativeCapacities(members []Member) []float64 {
+	capacities := make([]float64, len(members))
+	for i := range members {
+		capacities[i] = members[i].Capacity
+	}
+	return placement.Relative(capacities)
+}
+
 // candidates returns the eligible owners of a queue that nobody claims: those with enough processor cores, of these the ones not
-// on the leader's machine, of these the ones in the queue's zone, of these the ones that own the fewest queues, of these the ones
-// on machines that serve no control; each only if there are any. What an owner does takes its calls' time from the upstreams, and
-// takes the longer the smaller its share of a core is.
+// on the leader's machine, of these the ones in the queue's zone, of these the ones that own the fewest queues for their capacity,
+// of these the ones on machines that serve no control; each only if there are any. What an owner does takes its calls' time from
+// the upstreams, and takes the longer the smaller its share of a core is.
 func candidates(q queueID, members []Member) []Member {
 	list := preferred(eligibleOwners(members), func(m Member) bool { return !m.BesideLeader })
 	list = preferred(list, func(m Member) bool { return q.zone == "" || m.Zone == q.zone })
-	fewest := math.MaxInt
-	for _, m := range list {
-		fewest = min(fewest, ownedCount(m))
-	}
-	list = preferred(list, func(m Member) bool { return ownedCount(m) == fewest })
+	list = fewestQueues(list)
 	return preferred(list, func(m Member) bool { return !m.BesideControl })
 }
 
+// fewestQueues returns the members that own the fewest queues, counted in whole queues for each smallest capacity: one with
+// four times the smallest capacity may own three queues before it counts as owner of one.
+func fewestQueues(members []Member) []Member {
+	if len(members) == 0 {
+		return members
+	}
+	capacities := relativeCapacities(members)
+	smallest, fewest := slices.Min(capacities), math.MaxInt
+	counts := make(map[string]int, len(members))
+	for i, m := range members {
+		// The tolerance allows for rounding of the quotient.
+		counts[m.ID] = int(float64(ownedCount(m))*smallest/capacities[i] + 1e-9)
+		fewest = min(fewest, counts[m.ID])
+	}
+	return preferred(members, func(m Member) bool { return counts[m.ID] == fewest })
+}
+
 // preferred returns the members that meet a condition, or all if there are none.
 func preferred(members []Member, meets func(Member) bool) []Member {
 	list := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !meets(m) })
--- a/plantainlane/batch/ownership_test.go
+++ b/plantainlane/batch/ownership_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 )
 
@@ -113,3 +116,34 @@
 	is.Equal(Owner("other", "", members), "a")
 	is.Equal(Owner("other", "", []Member{{ID: "b", BesideLeader: true}}), "b")
 }
+
+// TestQueuesGoToInstancesByCapacity guards against owners that get more queues than their share of the capacity, and against
+// another owner than before where the capacities are equal or not known.
+func TestQueuesGoToInstancesByCapacity(t *testing.T) {
+	is := is.New(t)
+	members := []Member{{ID: "a", Capacity: 1}, {ID: "b", Capacity: 4}, {ID: "c", Capacity: 2}, {ID: "d", Capacity: 1}}
+	counts := make(map[string]float64)
+	const queues = 8000
+	for i := range queues {
+		counts[Owner(fmt.Sprint("s", i), "", members)]++
+	}
+	for _, m := range members {
+		is.True(math.Abs(counts[m.ID]/queues-m.Capacity/8) < 0.02)
+	}
+	members[1].Owns = ownerships{"x": 1, "y": 2, "z": 3}.String() // still fewer for its capacity than one queue of a
+	is.Equal(len(fewestQueues(members)), 4)
+	members[1].Owns = ownerships{"w": 1, "x": 1, "y": 2, "z": 3}.String()
+	is.Equal(len(fewestQueues(members)), 3)
+	for i := range members {
+		members[i].Capacity, members[i].Owns = 0, ""
+	}
+	for i := range 100 {
+		service, best := fmt.Sprint("s", i), members[0].ID
+		for _, m := range members {
+			if xxhash.Sum64String(service+"\x00"+m.ID) > xxhash.Sum64String(service+"\x00"+best) {
+				best = m.ID
+			}
+		}
+		is.Equal(Owner(service, "", members), best)
+	}
+}
--- a/plantainlane/caller/entries.go
+++ b/plantainlane/caller/entries.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v5"
 
 	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/placement"
 	"plantainlane/wire"
 )
 
@@ -27,28 +28,36 @@
 
 // Entries returns the instances that callers may use. Instances that are draining, silent, only run control or have no
 // address for callers are left out. Without a lease at now, this instance leaves itself out, and also the instances
-// that it has no connection to, since the state that the leader reported for them may be out of date. Weights fall with
-// load and are higher for instances in the given zone; an empty zone prefers none.
+// that it has no connection to, since the state that the leader reported for them may be out of date. Weights rise with
+// capacity, fall with load and are higher for instances in the given zone; an empty zone prefers none.
 func Entries(v *control.View, zone string, now time.Time) wire.EntryAnswer {
 	leaseHeld := v.LeaseHeld(now)
-	a := wire.EntryAnswer{Revision: v.Config.Revision, Entries: []wire.EntryAddress{}}
+	var instances []wire.InstanceInfo
 	for id, instance := range v.Instances.All() {
 		if id == v.Self.ID || (!leaseHeld && !v.Connected[id]) {
 			continue
 		}
 		if instance.CallerAddress != "" && !instance.ControlOnly && !instance.Draining && !instance.Silent {
-			a.Entries = append(a.Entries, entryAddress(instance, zone))
+			instances = append(instances, instance)
 		}
 	}
 	if leaseHeld && !v.Draining && !v.Self.ControlOnly {
-		a.Entries = append(a.Entries, entryAddress(v.Self, zone))
+		instances = append(instances, v.Self)
+	}
+	capacities := make([]float64, len(instances))
+	for i := range instances {
+		capacities[i] = instances[i].Capacity
+	}
+	a := wire.EntryAnswer{Revision: v.Config.Revision, Entries: make([]wire.EntryAddress, 0, len(instances))}
+	for i, capacity := range placement.Relative(capacities) {
+		a.Entries = append(a.Entries, entryAddress(instances[i], capacity, zone))
 	}
 	return a
 }
 
-// entryAddress returns the entry of an instance with its weight for callers in a zone.
-func entryAddress(instance wire.InstanceInfo, zone string) wire.EntryAddress {
-	weight := max(1-instance.Load, minWeight)
+// entryAddress returns the entry of an instance, with a capacity relative to the others, and its weight for callers in a zone.
+func entryAddress(instance wire.InstanceInfo, capacity float64, zone string) wire.EntryAddress {
+	weight := capacity * max(1-instance.Load, minWeight)
 	if zone != "" && zone != instance.Zone {
 		weight *= otherZoneWeight
 	}
--- a/plantainlane/caller/server_test.go
+++ b/plantainlane/caller/server_test.go
@@ -219,6 +219,12 @@
 	for _, e := range weighted {
 		is.Equal(e.Weight, map[string]float64{"a": 1, "b": 0.125}[e.Instance])
 	}
+	b, _ := v.Instances.Get("b")
+	b.Capacity, v.Self.Capacity = 3, 1
+	capable := &control.View{Self: v.Self, LeaseUntil: v.LeaseUntil, Instances: v.Instances.With("b", b)}
+	for _, e := range Entries(capable, "z1", now).Entries {
+		is.Equal(e.Weight, map[string]float64{"a": 0.5, "b": 1.5 * 0.125}[e.Instance])
+	}
 	afterLease := now.Add(time.Hour)
 	is.Equal(len(Entries(v, "", afterLease).Entries), 0) // the instances reported by the leader may be out of date
 	v.Connected = map[string]bool{"b": true}
--- a/plantainlane/forward/affinity.go
+++ b/plantainlane/forward/affinity.go
@@ -1,12 +1,12 @@
 package forward
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"plantainlane/plantainlane/placement"
 	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/roster"
 	"plantainlane/plantainlane/site"
@@ -75,7 +75,7 @@
 	for i := range upstreams {
 		u := &upstreams[i]
 		text = append(text[:len(key)+1], u.id...)
-		score := rendezvous(text, u.weight)
+		score := placement.Score(xxhash.Sum64(text), u.weight)
 		// One insertion into the best so far takes the place of sorting all upstreams.
 		for j := range best {
 			if best[j] == nil || score > scores[j] {
@@ -124,14 +124,6 @@
 	q.affinity = affinityOf(upstreams.all, q.call.Parts)
 }
 
-// rendezvous returns the score of an upstream for a key by weighted rendezvous hashing: the fraction of keys for which
-// an upstream has the highest score is proportional to its weight. The text is the key, a zero byte and the upstream's ID.
-func rendezvous(text []byte, weight float64) float64 {
-	const bits = 53 // precision of a float64
-	hash := xxhash.Sum64(text) >> (64 - bits)
-	return -weight / math.Log((float64(hash)+0.5)/(1<<bits))
-}
-
 // weightZones counts the usable upstreams of the stages in each availability zone. It returns nil without stages.
 func weightZones(v roster.View, stages []site.Stage) zoneWeights {
 	if len(stages) == 0 {
--- a/plantainlane/forward/placement_test.go
+++ b/plantainlane/forward/placement_test.go
@@ -1,13 +1,16 @@
 package forward
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
+	"plantainlane/plantainlane/placement"
 	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/site"
 )
@@ -21,12 +24,8 @@
 		list = append(list, listedUpstream{fmt.Sprint("e", i), "z", float64(1 + i%3)})
 	}
 	got := affinityOf(list, []PromptPart{part("topic", 3000), part("own", 10)})
-	slices.SortFunc(list, func(a, b listedUpstream) int {
-		if rendezvous([]byte("topic\x00"+a.id), a.weight) > rendezvous([]byte("topic\x00"+b.id), b.weight) {
-			return -1
-		}
-		return 1
-	})
+	score := func(u listedUpstream) float64 { return placement.Score(xxhash.Sum64String("topic\x00"+u.id), u.weight) }
+	slices.SortFunc(list, func(a, b listedUpstream) int { return cmp.Compare(score(b), score(a)) })
 	is.Equal(got.ids, []string{list[0].id, list[1].id, list[2].id})
 	is.Equal(got.slack, 4.0)
 }
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -132,6 +132,7 @@
 			HasData:         s.Data != nil,
 			ControlOnly:     s.Instance.ControlOnly,
 			Cores:           s.Instance.Cores,
+			Capacity:        s.Capacity(),
 		},
 	}
 	for _, o := range opts {
@@ -255,18 +256,6 @@
 	return x.loop.Publisher.View()
 }
 
-// requestShare returns the fraction of all callers' requests that this instance probably handles: that of the instances for
-// callers which are neither silent nor draining.
-func (x *Instance) requestShare() float64 {
-	v, n := x.View(), 1
-	for id, i := range v.Instances.All() {
-		if id != v.Self.ID && !i.ControlOnly && !i.Silent && !i.Draining {
-			n++
-		}
-	}
-	return 1 / float64(n)
-}
-
 // activeCount returns the number of instances that are neither silent nor draining. It also counts control-only ones.
 func (x *Instance) activeCount() int {
 	n := 0
--- a/plantainlane/instance/members.go
+++ b/plantainlane/instance/members.go
@@ -5,6 +5,7 @@
 
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/placement"
 	"plantainlane/plantainlane/table"
 	"plantainlane/wire"
 )
@@ -44,7 +45,7 @@
 	member := func(i wire.InstanceInfo) batch.Member {
 		machine := machineOf(i)
 		return batch.Member{
-			ID: i.ID, Zone: i.Zone, Cores: i.Cores, Owns: i.Owns,
+			ID: i.ID, Zone: i.Zone, Cores: i.Cores, Capacity: i.Capacity, Owns: i.Owns,
 			BesideLeader: machine != "" && machine == leaderMachine, BesideControl: withControl[machine],
 		}
 	}
@@ -65,3 +66,16 @@
 	}
 	return host
 }
+
+// requestShare returns the fraction of all callers' requests that this instance probably handles: that of its capacity among
+// the instances for callers that are neither silent nor draining.
+func (x *Instance) requestShare() float64 {
+	v := x.View()
+	capacities := []float64{v.Self.Capacity}
+	for id, i := range v.Instances.All() {
+		if id != v.Self.ID && !i.ControlOnly && !i.Silent && !i.Draining {
+			capacities = append(capacities, i.Capacity)
+		}
+	}
+	return placement.Relative(capacities)[0] / float64(len(capacities))
+}
--- a/plantainlane/promptcache/estimator_test.go
+++ b/plantainlane/promptcache/estimator_test.go
@@ -174,3 +174,12 @@
 		})
 	}
 }
+
+// TestWaitRisesWithLoad guards against a wait that is only expected once all slots are known to be in use: reports are late.
+func TestWaitRisesWithLoad(t *testing.T) {
+	is := is.New(t)
+	s := &service{latency: 2}
+	is.True(s.slotWait(10, 24) < 0.01)
+	is.True(s.slotWait(21, 24) > 0.1 && s.slotWait(21, 24) < s.slotWait(24, 24))
+	is.True(s.slotWait(48, 24) > 2)
+}
--- a/plantainlane/promptcache/placement.go
+++ b/plantainlane/promptcache/placement.go
@@ -1,10 +1,11 @@
 package promptcache
 
 import (
-	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"plantainlane/plantainlane/placement"
 )
 
 // Placement is the usable upstreams of a service, prepared for rendezvous hashing. It is immutable.
@@ -61,7 +62,7 @@
 			highest = insert(highest, ranked{member: member{m.id, mix(key, m.hash)}, zone: z.name}, count)
 		}
 		for _, r := range highest {
-			r.score = score(r.hash, z.weight)
+			r.score = placement.Score(r.hash, z.weight)
 			out = append(out, r)
 		}
 	}
@@ -90,9 +91,3 @@
 	list[i] = r
 	return list
 }
-
-// score returns the score of an upstream whose hash with a key is known.
-func score(hash uint64, weight float64) float64 {
-	const bits = 53 // precision of a float64
-	return -weight / math.Log((float64(hash>>(64-bits))+0.5)/(1<<bits))
-}
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -24,6 +24,7 @@
 	maxVerbosity      = 9
 	minCores          = 0.01
 	maxCores          = 1024
+	maxLimit          = 1 << 30
 	minWeightRate     = 0.001
 	maxWeightRate     = 1000
 )
@@ -41,6 +42,9 @@
 	c.name("instance.zone", s.Instance.Zone)
 	c.name("instance.region", s.Instance.Region)
 	c.number("instance.cores", s.Instance.Cores, minCores, maxCores)
+	c.integer("limits.memoryMB", s.Limits.MemoryMB, 0, maxLimit)
+	c.integer("limits.descriptors", s.Limits.Descriptors, 0, maxLimit)
+	c.number("limits.linkMbps", s.Limits.LinkMbps, 0, maxLimit)
 	c.addresses(s)
 	if s.Data != nil {
 		c.data(*s.Data)
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -21,6 +21,8 @@
 	// Join lists peer addresses of other instances to connect to at the start; empty for the first instance of a
 	// region.
 	Join []string `json:"join"`
+	// Limits are the resources of the instance beside its processor cores.
+	Limits Limits `json:"limits"`
 	// Data is the durable store; nil on an instance without a disk, which never holds a replica of the control log.
 	Data *Data `json:"data,omitempty"`
 	// Credentials lists who may connect.
--- a/plantainlane/settings/settings_test.go
+++ b/plantainlane/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -99,3 +100,17 @@
 	_, err = Load(filepath.Join(t.TempDir(), "absent.json"))
 	is.True(errors.Is(err, os.ErrNotExist))
 }
+
+// TestScarcestResourceIsTheCapacity guards against instances that get work for which they lack one of their resources.
+func TestScarcestResourceIsTheCapacity(t *testing.T) {
+	is := is.New(t)
+	capacity := func(cores float64, l Limits) float64 {
+		return math.Round((&Settings{Instance: Instance{Cores: cores}, Limits: l}).Capacity()*100) / 100
+	}
+	is.Equal(capacity(0.48, Limits{MemoryMB: 424, Descriptors: 10_250, LinkMbps: 25}), 0.48)
+	is.Equal(capacity(0.512, Limits{MemoryMB: 184, LinkMbps: 100}), 0.19)
+	is.Equal(capacity(0.48, Limits{Descriptors: 3075}), 0.14)
+	is.Equal(capacity(0.48, Limits{LinkMbps: 7.5}), 0.14)
+	is.Equal(capacity(0.48, Limits{}), 0.0) // not known
+	is.True(capacity(1, Limits{MemoryMB: 1}) >= 0)
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -1025,6 +1025,10 @@
 	// Host and port for callers.
 	CallerAddress string `json:"callerAddress" cbor:"callerAddress"`
 
+	// Work that the instance can do compared with others, in processor cores; absent
+	// or 0 if not known.
+	Capacity float64 `json:"capacity,omitempty,omitzero" cbor:"capacity,omitempty"`
+
 	// Whether the instance only takes part in the control log and accepts no callers.
 	ControlOnly bool `json:"controlOnly" cbor:"controlOnly"`
 
