--- a/plantainlane/promptcache/estimator.go
+++ b/plantainlane/promptcache/estimator.go
@@ -169,6 +169,8 @@
 	defer x.estimator.mu.Unlock()
 	x.endReading()
 	x.estimator.stats.ReadTokens -= int64(x.read)
+	x.cache.filled -= x.read
+	x.service.reads.value = max(x.service.reads.value-x.read, 0)
 	for _, p := range x.prompt.prefixes {
 		// A holder that was recorded since belongs to another request.
 		if h := x.service.node(p.hash).holder(x.cache); h != nil && h.filled == x.filled {
--- a/plantainlane/promptcache/weigh.go
+++ b/plantainlane/promptcache/weigh.go
@@ -82,6 +82,9 @@
 
 // estimate estimates the cost of a request at an upstream.
 func (s *service) estimate(now time.Time, p *Plan, u *route.State) estimate {
+	if c := s.caches[u.ID]; c != nil {
+		c.restart(now, u.Incarnation, s.otherRate(now))
+	}
 	cached, _ := s.cachedTokens(now, p, u.ID, u.Load)
 	x := estimate{read: float64(p.Prompt.tokens) - cached}
 	slow := max(u.Slowdown/toleratedSlowdown, 1)
@@ -119,10 +122,10 @@
 		c.advance(now, fill)
 	}
 	rank := slices.Index(p.Preferred[:p.placed], id)
-	probability := 1.0
+	warmth, probability := c.warmth(room), 1.0
 	for i, x := range p.Prompt.prefixes {
 		n := s.node(x.hash)
-		kept, tokens := s.presence(now, p, i, rank, room), x.tokens
+		kept, tokens := s.presence(now, p, i, rank, room*warmth)*warmth, x.tokens
 		if h := n.holder(c); h != nil {
 			if own := h.kept(room); own >= kept {
 				kept, tokens = own, min(x.tokens, h.tokens)
@@ -139,7 +142,7 @@
 }
 
 // presence returns the probability that an upstream caches a part because of what other instances sent. rank is the
-// upstream's place among the preferred ones, -1 for others.
+// upstream's place among the preferred ones, -1 for others. room is the memory that was filled since.
 func (s *service) presence(now time.Time, p *Plan, part, rank int, room float64) float64 {
 	others := 1 - s.share
 	if others <= 0 {
--- a/plantainlane/route/weigh.go
+++ b/plantainlane/route/weigh.go
@@ -4,7 +4,8 @@
 
 // State is the load of an upstream that may be chosen.
 type State struct {
-	ID string
+	ID          string
+	Incarnation int
 	// Load is the number of calls there, of this instance and others.
 	Load float64
 	// Capacity is the number of calls that the upstream can run concurrently, less during slow start.
@@ -27,8 +28,10 @@
 	states := make([]State, 0, maxWeighed)
 	add := func(u *upstream) {
 		upstreams = append(upstreams, u)
+		i := u.info.Load()
 		states = append(states, State{
-			ID: u.info.Load().id, Load: u.load(), Capacity: float64(u.capacity.Load()) * u.slowStartFactor(now), Slowdown: u.slowdown(now),
+			ID: i.id, Incarnation: i.incarnation, Load: u.load(),
+			Capacity: float64(u.capacity.Load()) * u.slowStartFactor(now), Slowdown: u.slowdown(now),
 		})
 	}
 	for _, id := range q.Preferred {
