--- a/plantainlane/promptcache/cache.go
+++ b/plantainlane/promptcache/cache.go
@@ -11,7 +11,7 @@
 	// maxPrefixes bounds the prefixes known of a service, in two generations.
 	maxPrefixes = 8192
 	// maxHolders bounds the upstreams known to cache a prefix.
-	maxHolders = 32
+	maxHolders = 16
 	// maxCaches bounds the upstreams of a service of which the caches are estimated.
 	maxCaches = 16384
 	// staleCache is how long a cache is kept that nothing is sent to, once there are maxCaches.
@@ -52,6 +52,7 @@
 
 // cache is what is known of the prefix cache of one upstream.
 type cache struct {
+	id          string
 	incarnation int
 	// filled is the number of tokens that the upstream has read since the cache is known, as far as this is known at the
 	// time at. The difference of two values is what was read between them.
@@ -83,7 +84,6 @@
 
 // holder is an upstream that this instance sent a prefix to.
 type holder struct {
-	id          string
 	cache       *cache
 	incarnation int
 	// tokens is the size of the last part of the prefix as sent. That part may have grown since.
@@ -172,7 +172,7 @@
 		if len(s.caches) >= maxCaches {
 			return nil
 		}
-		c = &cache{incarnation: incarnation, at: now, startedAt: -1, slow: 1}
+		c = &cache{id: id, incarnation: incarnation, at: now, startedAt: -1, slow: 1}
 		s.caches[id] = c
 	}
 	c.restart(now, incarnation, s.otherRate(now))
--- a/plantainlane/promptcache/estimator.go
+++ b/plantainlane/promptcache/estimator.go
@@ -149,7 +149,7 @@
 	s.reads.add(now, read)
 	observe(&s.readTokens, read, averageWeight)
 	for _, x := range p.Prompt.prefixes {
-		s.ensureNode(x.hash).record(holder{id: id, cache: c, incarnation: c.incarnation, tokens: x.tokens, filled: c.filled})
+		s.ensureNode(x.hash).record(holder{cache: c, incarnation: c.incarnation, tokens: x.tokens, filled: c.filled})
 	}
 	out := &Sending{
 		estimator: e, service: s, cache: c, prompt: p.Prompt, sentAt: now, incarnation: c.incarnation, filled: c.filled,
--- a/plantainlane/promptcache/plan.go
+++ b/plantainlane/promptcache/plan.go
@@ -136,8 +136,8 @@
 				return
 			}
 			h.cache.advance(now, rate)
-			if h.kept(s.room(0)) > 0 && s.caches[h.id] == h.cache && !slices.Contains(p.Preferred, h.id) {
-				p.Preferred = append(p.Preferred, h.id)
+			if h.kept(s.room(0)) > 0 && s.caches[h.cache.id] == h.cache && !slices.Contains(p.Preferred, h.cache.id) {
+				p.Preferred = append(p.Preferred, h.cache.id)
 			}
 		}
 	}
