--- a/plantainlane/forward/prompt_replay_test.go
+++ b/plantainlane/forward/prompt_replay_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,8 +27,6 @@
 	replayMemory    = 400_000
 	// replayReport is the period of engines' reports of load.
 	replayReport = 300 * time.Millisecond
-	// replayLatency is the time for the first event of a request on time, replayGap the longest gap.
-	replayLatency, replayGap = 1500 * time.Millisecond, 500 * time.Millisecond
 )
 
 // replayCall is a request in the replay. work is the time that the engine takes for its tokens, while it reads no prompt.
@@ -43,38 +42,32 @@
 }
 
 // replayEngine reads prompts before it goes on with the requests that it runs. Its memory keeps the newest parts: parts
-// holds their sizes, used when they were last used.
+// holds their sizes, order their IDs, the newest last.
 type replayEngine struct {
 	tokensPerMs      float64
 	waiting, running []*replayCall
-	parts, used      map[string]int
-	memory, uses     int
+	parts            map[string]int
+	order            []string
+	memory           int
 }
 
 // unreadOf returns the tokens of a prompt that aren't in memory, and puts them there.
 func (e *replayEngine) unreadOf(parts []PromptPart) (unread float64) {
-	e.uses++
 	isKept := true
 	for _, p := range parts {
-		kept := 0
-		if isKept {
-			kept = min(e.parts[p.ID], p.Tokens)
+		kept := min(e.parts[p.ID], p.Tokens)
+		if !isKept {
+			kept = 0
 		}
 		isKept = kept == p.Tokens
 		unread += float64(p.Tokens - kept)
 		e.memory += p.Tokens - e.parts[p.ID]
-		e.parts[p.ID], e.used[p.ID] = p.Tokens, e.uses
+		e.parts[p.ID] = p.Tokens
+		e.order = append(slices.DeleteFunc(e.order, func(id string) bool { return id == p.ID }), p.ID)
 	}
-	for e.memory > replayMemory {
-		oldest := parts[0].ID
-		for id, used := range e.used {
-			if used < e.used[oldest] || used == e.used[oldest] && id < oldest {
-				oldest = id
-			}
-		}
-		e.memory -= e.parts[oldest]
-		delete(e.parts, oldest)
-		delete(e.used, oldest)
+	for ; e.memory > replayMemory; e.order = e.order[1:] {
+		e.memory -= e.parts[e.order[0]]
+		delete(e.parts, e.order[0])
 	}
 	return unread
 }
@@ -93,8 +86,7 @@
 		c.unread -= read
 		left -= read / e.tokensPerMs
 	}
-	running := e.running[:0]
-	for _, c := range e.running {
+	e.running = slices.DeleteFunc(e.running, func(c *replayCall) bool {
 		if c.unread == 0 && left > 0 {
 			if c.firstAfter == 0 {
 				c.firstAfter, c.eventAt = now-c.sentAt, now
@@ -104,11 +96,10 @@
 		}
 		if c.unread == 0 && c.work <= 0 {
 			ended = append(ended, c)
-			continue
+			return true
 		}
-		running = append(running, c)
-	}
-	e.running = running
+		return false
+	})
 	return ended, unread
 }
 
@@ -163,7 +154,7 @@
 func newReplay(c replayCase, isOld bool) *replay {
 	r := &replay{isOld: isOld, engines: make(map[string]*replayEngine), upstreams: &upstreamList{placement: &promptcache.Placement{}}}
 	for i := range replayEngines {
-		e := &replayEngine{tokensPerMs: 48, parts: make(map[string]int), used: make(map[string]int)}
+		e := &replayEngine{tokensPerMs: 48, parts: make(map[string]int)}
 		if i == 3 {
 			e.tokensPerMs /= max(c.slow, 1)
 		}
@@ -233,7 +224,7 @@
 				c.sending.FirstEvent(moment(c.sentAt + c.firstAfter))
 				c.sending.End(moment(now), true)
 				c.target.Done(moment(now), route.Outcome{Result: route.Success, Latency: now - c.sentAt})
-				if c.firstAfter <= replayLatency && c.gap <= replayGap {
+				if c.firstAfter <= 1500*time.Millisecond && c.gap <= 500*time.Millisecond {
 					r.onTime++
 				}
 				if c.next != nil {
--- a/plantainlane/promptcache/estimator_test.go
+++ b/plantainlane/promptcache/estimator_test.go
@@ -38,14 +38,11 @@
 	is := is.New(t)
 	e := &Estimator{}
 	parts := []Part{{"first", 1000}, {"own", 30_000}}
-	p := plan(e, epoch, 8, parts...)
 	home := "home"
-	x := e.Sent(epoch, p, home, 1)
-	x.FirstEvent(epoch.Add(400 * time.Millisecond))
-	x.End(epoch.Add(2*time.Second), true)
+	e.Sent(epoch, plan(e, epoch, 8, parts...), home, 1).End(epoch.Add(2*time.Second), true)
 	now := epoch.Add(3 * time.Second)
 	parts[1].Tokens += 500 // the session has grown
-	p = plan(e, now, 8, parts...)
+	p := plan(e, now, 8, parts...)
 	is.True(p.Preferred[len(p.Preferred)-1] == home) // known, though not placed there
 	loaded := idle(home)
 	loaded.Load = 12
@@ -158,18 +155,15 @@
 	for _, n := range []int{60, 1500, 12_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			e, upstreams := &Estimator{Share: func() float64 { return 0.01 }}, placementOf(n)
-			list := make([]route.State, 0, 7)
 			for i := range b.N {
 				now := epoch.Add(time.Duration(i) * 5 * time.Millisecond)
 				parts := []Part{{"first", 1000}, {fmt.Sprint("topic", i%500), 4000}, {fmt.Sprint("own", i%5000), 2000}}
 				p := e.Plan(now, "s", testEngine, NewPrompt(parts), upstreams)
-				list = list[:0]
+				list := []route.State{idle("e7")}
 				for _, id := range p.Preferred {
 					list = append(list, idle(id))
 				}
-				list = append(list, idle("e7"))
-				i := e.Weigh(now, p, list)
-				e.Sent(now, p, list[i].ID, 1).End(now, true)
+				e.Sent(now, p, list[e.Weigh(now, p, list)].ID, 1).End(now, true)
 			}
 		})
 	}
