--- a/plantainlane/forward/affinity.go
+++ b/plantainlane/forward/affinity.go
@@ -108,6 +108,7 @@
 	if plan == nil {
 		return affinity{}, false
 	}
+	plan.HasEvents = q.route.Stream
 	return affinity{ids: plan.Preferred, zone: plan.Zone, plan: plan}, true
 }
 
--- a/plantainlane/forward/prompt_replay_test.go
+++ b/plantainlane/forward/prompt_replay_test.go
@@ -195,7 +195,7 @@
 	} else {
 		engine := promptcache.Engine{Slots: replaySlots, CacheTokens: replayMemory}
 		plan = estimator.Plan(moment(now), "s", engine, promptcache.NewPrompt(c.parts), r.upstreams.placement)
-		q.Preferred = plan.Preferred
+		plan.HasEvents, q.Preferred = true, plan.Preferred
 		q.Weigh = func(list []route.State) int { return estimator.Weigh(moment(now), plan, list) }
 	}
 	c.target, _ = r.balancers[c.instance].Pick(moment(now), q)
--- a/plantainlane/promptcache/estimator.go
+++ b/plantainlane/promptcache/estimator.go
@@ -153,9 +153,12 @@
 	}
 	out := &Sending{
 		estimator: e, service: s, cache: c, prompt: p.Prompt, sentAt: now, incarnation: c.incarnation, filled: c.filled,
-		read: read, unread: read, isSample: doubtful <= max(maxDoubt*read, maxDoubtTokens), expected: seconds((read + c.unread) * s.speed.perToken()),
+		read: read, isSample: doubtful <= max(maxDoubt*read, maxDoubtTokens), expected: seconds((read + c.unread) * s.speed.perToken()),
+	}
+	if p.HasEvents {
+		out.unread = read
+		c.unread += read
 	}
-	c.unread += read
 	e.stats.ReadTokens += int64(read)
 	return out
 }
--- a/plantainlane/promptcache/estimator_test.go
+++ b/plantainlane/promptcache/estimator_test.go
@@ -176,4 +176,11 @@
 	is.True(s.slotWait(10, 24) < 0.01)
 	is.True(s.slotWait(21, 24) > 0.1 && s.slotWait(21, 24) < s.slotWait(24, 24))
 	is.True(s.slotWait(48, 24) > 2)
+	for _, hasEvents := range []bool{false, true} { // without events, the prompt would count as unread until the answer
+		e := &Estimator{}
+		p := plan(e, epoch, 8, Part{"first", 1000}, Part{"own", 50_000})
+		p.HasEvents = hasEvents
+		e.Sent(epoch, p, "e0", 1)
+		is.Equal(e.services["s"].caches["e0"].unread > 0, hasEvents)
+	}
 }
--- a/plantainlane/promptcache/plan.go
+++ b/plantainlane/promptcache/plan.go
@@ -31,6 +31,9 @@
 	Preferred []string
 	// Zone is the availability zone of the most preferred upstream.
 	Zone string
+	// HasEvents is set if the answer is a stream, whose first event shows that the prompt was read. Other requests don't
+	// count as still being read, as their answers come much later.
+	HasEvents bool
 
 	service string
 	engine  Engine
