--- a/plantainlane/promptcache/estimator_test.go
+++ b/plantainlane/promptcache/estimator_test.go
@@ -38,20 +38,22 @@
 	is := is.New(t)
 	e := &Estimator{}
 	parts := []Part{{"first", 1000}, {"own", 30_000}}
-	p := plan(e, epoch, 8, parts...)
 	home := "home"
-	x := e.Sent(epoch, p, home, 1)
-	x.FirstEvent(epoch.Add(400 * time.Millisecond))
-	x.End(epoch.Add(2*time.Second), true)
+	e.Sent(epoch, plan(e, epoch, 8, parts...), home, 1).End(epoch.Add(2*time.Second), true)
 	now := epoch.Add(3 * time.Second)
 	parts[1].Tokens += 500 // the session has grown
-	p = plan(e, now, 8, parts...)
+	p := plan(e, now, 8, parts...)
 	is.True(p.Preferred[len(p.Preferred)-1] == home) // known, though not placed there
 	loaded := idle(home)
 	loaded.Load = 12
 	is.Equal(e.Weigh(now, p, []route.State{loaded, idle("other")}), 0)
 	is.Equal(p.Choice().ReadTokens, 500)
 	is.Equal(p.Choice().SavedTokens, 31_000)
+	loaded.Load = 20
+	is.Equal(e.Weigh(now, p, []route.State{loaded, idle("other")}), 0)
+	loaded.Pace = 8 // contention on its machine
+	is.Equal(e.Weigh(now, p, []route.State{loaded, idle("other")}), 1)
+	loaded.Pace = 1
 	loaded.Load = 40
 	is.Equal(e.Weigh(now, p, []route.State{loaded, idle("other")}), 1)
 }
@@ -158,18 +160,15 @@
 	for _, n := range []int{60, 1500, 12_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			e, upstreams := &Estimator{Share: func() float64 { return 0.01 }}, placementOf(n)
-			list := make([]route.State, 0, 7)
 			for i := range b.N {
 				now := epoch.Add(time.Duration(i) * 5 * time.Millisecond)
 				parts := []Part{{"first", 1000}, {fmt.Sprint("topic", i%500), 4000}, {fmt.Sprint("own", i%5000), 2000}}
 				p := e.Plan(now, "s", testEngine, NewPrompt(parts), upstreams)
-				list = list[:0]
+				list := []route.State{idle("e7")}
 				for _, id := range p.Preferred {
 					list = append(list, idle(id))
 				}
-				list = append(list, idle("e7"))
-				i := e.Weigh(now, p, list)
-				e.Sent(now, p, list[i].ID, 1).End(now, true)
+				e.Sent(now, p, list[e.Weigh(now, p, list)].ID, 1).End(now, true)
 			}
 		})
 	}
@@ -182,4 +181,11 @@
 	is.True(s.slotWait(10, 24) < 0.01)
 	is.True(s.slotWait(21, 24) > 0.1 && s.slotWait(21, 24) < s.slotWait(24, 24))
 	is.True(s.slotWait(48, 24) > 2)
+	for _, hasEvents := range []bool{false, true} { // without events, the prompt would count as unread until the answer
+		e := &Estimator{}
+		p := plan(e, epoch, 8, Part{"first", 1000}, Part{"own", 50_000})
+		p.HasEvents = hasEvents
+		e.Sent(epoch, p, "e0", 1)
+		is.Equal(e.services["s"].caches["e0"].unread > 0, hasEvents)
+	}
 }
--- a/plantainlane/promptcache/plan.go
+++ b/plantainlane/promptcache/plan.go
@@ -31,6 +31,9 @@
 	Preferred []string
 	// Zone is the availability zone of the most preferred upstream.
 	Zone string
+	// HasEvents is set if the answer is a stream, whose first event shows that the prompt was read. Other requests don't
+	// count as still being read, as their answers come much later.
+	HasEvents bool
 
 	service string
 	engine  Engine
@@ -136,8 +139,8 @@
 				return
 			}
 			h.cache.advance(now, rate)
-			if h.kept(s.room(0)) > 0 && s.caches[h.id] == h.cache && !slices.Contains(p.Preferred, h.id) {
-				p.Preferred = append(p.Preferred, h.id)
+			if h.kept(s.room(0)) > 0 && s.caches[h.cache.id] == h.cache && !slices.Contains(p.Preferred, h.cache.id) {
+				p.Preferred = append(p.Preferred, h.cache.id)
 			}
 		}
 	}
--- a/plantainlane/promptcache/weigh.go
+++ b/plantainlane/promptcache/weigh.go
@@ -96,6 +96,9 @@
 		slow = max(slow, c.slow)
 		unread = max(unread, c.unread)
 	}
+	if u.Pace > 0 {
+		slow *= u.Pace
+	}
 	perToken := s.speed.perToken() * slow
 	x.reading = x.read * perToken
 	x.wait = slow*s.slotWait(u.Load, u.Capacity) + unread*perToken
--- a/plantainlane/route/weigh.go
+++ b/plantainlane/route/weigh.go
@@ -12,6 +12,8 @@
 	Capacity float64
 	// Slowdown is the ratio of the upstream's latency to the median.
 	Slowdown float64
+	// Pace is how long work takes there now, relative to the normal time; 0 if it isn't known.
+	Pace float64
 }
 
 // Weigher chooses one of several usable upstreams and returns its index. The last one is the best by load alone. Weigher
@@ -31,7 +33,7 @@
 		i := u.info.Load()
 		states = append(states, State{
 			ID: i.id, Incarnation: i.incarnation, Load: u.load(),
-			Capacity: float64(u.capacity.Load()) * u.slowStartFactor(now), Slowdown: u.slowdown(now),
+			Capacity: float64(u.capacity.Load()) * u.slowStartFactor(now), Slowdown: u.slowdown(now), Pace: u.paceAt(now),
 		})
 	}
 	for _, id := range q.Preferred {
