--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -29,6 +29,9 @@
 // ErrHeadTooLarge reports an answer with more than maxHeadBytes before its body.
 var ErrHeadTooLarge = errors.New("exchange: head of the answer too large")
 
+// ErrNoStatus reports an answer whose status is none of HTTP's.
+var ErrNoStatus = errors.New("exchange: answer with a status outside 100 to 599")
+
 // IsBroken reports whether an error says that a connection ended after a request was written on it and before its answer was
 // whole: it was closed or reset by the upstream, not by a timeout or this instance.
 func IsBroken(err error) bool {
@@ -58,6 +61,8 @@
 	// maxHeadBytes is the maximum size of the status lines and headers of one answer, informational ones included, up to
 	// one buffer.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 	// maxInformational is the number of informational (1xx) answers to one request at which Read fails.
 	maxInformational = 5
 )
@@ -90,6 +95,9 @@
 	// unserved holds the hashes of the IDs of the requests that the connection has carried and that were answered, but not served. They may be
 	// sent again, but not on this connection: a late copy of the answer couldn't be told from that to the second send.
 	unserved []uint64
+	// writeFailed is set once a request couldn't be written whole. The failed write has taken the error of the connection, so that its
+	// end looks like a clean one.
+	writeFailed bool
 }
 
 // MarkUnserved records that the request with an ID was answered on the connection, but not served.
@@ -235,6 +243,7 @@
 	}
 	n, err := buffers.WriteTo(c.raw)
 	if err != nil {
+		c.writeFailed = true
 		err = errors.Wrap(err, "write")
 		if n == 0 {
 			err = errors.Mark(err, ErrNotSent)
@@ -269,6 +278,18 @@
 	return append(b, "\r\n"...)
 }
 
+// endlessBody is a body whose end can't be told from a break of its connection.
+type endlessBody struct{ io.Reader }
+
+// Read reads from the body. It returns io.ErrUnexpectedEOF at its end.
+func (b endlessBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // unreadBody is a body whose Close leaves the rest unread, which may have no end.
 type unreadBody struct{ io.Reader }
 
@@ -277,8 +298,9 @@
 
 // Read reads the status and headers of the next final answer, and skips the informational (1xx) answers before it. The
 // caller must read the whole body from the answer, or close the connection; closing the body does nothing. method is the
-// method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes, and ErrJoinedAnswers if the head is not that of one
-// answer.
+// method of the request. Read returns ErrHeadTooLarge for more than maxHeadBytes, ErrJoinedAnswers if the head is not that of one
+// answer, and ErrNoStatus for a status outside 100 to 599. After a failed Write, the end of a body without a length or a last chunk is
+// an error.
 func (c *Conn) Read(method string) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	defer c.head.release()
@@ -290,7 +312,13 @@
 		if IsJoined(res) {
 			return nil, ErrJoinedAnswers
 		}
+		if res.StatusCode < http.StatusContinue || res.StatusCode > maxStatus {
+			return nil, errors.Wrapf(ErrNoStatus, "status %s", res.Status)
+		}
 		res.Body = unreadBody{res.Body}
+		if c.writeFailed && !HasEnd(res) {
+			res.Body = unreadBody{endlessBody{res.Body}}
+		}
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
 		}
--- a/plantainlane/upstream/client.go
+++ b/plantainlane/upstream/client.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotRun)
 	}
-	tracker := &writeTracker{check: permit.Check}
+	tracker := &writeTracker{check: permit.Check, written: make(chan error, 1)}
 	req, err := call.request(httptrace.WithClientTrace(ctx, tracker.trace()))
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotRun)
@@ -113,6 +113,9 @@
 		_ = res.Body.Close()
 		return nil, err
 	}
+	if !exchange.HasEnd(res) {
+		res.Body = &unendedBody{res.Body, tracker}
+	}
 	return res, nil
 }
 
--- a/plantainlane/upstream/transport.go
+++ b/plantainlane/upstream/transport.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -16,6 +19,8 @@
 	dialTimeout = time.Second
 	// maxHeadBytes is the maximum size of the headers of an answer.
 	maxHeadBytes = 64 << 10
+	// writtenTimeout is how long the end of an answer waits for that of its call's write, which another goroutine reports.
+	writtenTimeout = time.Second
 )
 
 // newTransport returns a transport whose connections count the bytes that they write.
@@ -65,13 +70,21 @@
 	refusal atomic.Pointer[error]
 	// conn is the connection of the call; nil if it has none yet.
 	conn atomic.Pointer[countingConn]
+	// written receives the result of writing the whole call.
+	written chan error
 	// before is the number of bytes written to conn before the call.
 	before atomic.Int64
 }
 
 // trace returns the hooks that record the connection of the call.
 func (t *writeTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	wrote := func(info httptrace.WroteRequestInfo) {
+		select {
+		case t.written <- info.Err:
+		default:
+		}
+	}
+	return &httptrace.ClientTrace{WroteRequest: wrote, GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*countingConn); ok {
 			t.before.Store(c.written.Load())
 			t.conn.Store(c)
@@ -80,6 +93,33 @@
 	}}
 }
 
+// isWhole reports whether the call was written whole. It waits for the end of a write for at most writtenTimeout.
+func (t *writeTracker) isWhole() bool {
+	select {
+	case err := <-t.written:
+		t.written <- err
+		return err == nil
+	case <-time.After(writtenTimeout):
+		return false
+	}
+}
+
+// unendedBody is the body of an answer that ends with its connection. That is a clean end only if the call was written whole: a failed
+// write takes the error of a connection that is reset.
+type unendedBody struct {
+	io.ReadCloser
+	tracker *writeTracker
+}
+
+// Read reads from the body. At the end of the connection, it returns io.ErrUnexpectedEOF unless the call was written whole.
+func (b *unendedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.tracker.isWhole() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // begin records that the call is about to be written. It returns the error of check.
 func (t *writeTracker) begin() error {
 	now := time.Now()
