--- a/plantainlane/forward/admit.go
+++ b/plantainlane/forward/admit.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// MaxHeaderBytes is the size of a request's headers up to which an instance reads them, whatever the site allows.
-	MaxHeaderBytes = 1 << 20
+	// MaxHeaderBytes is the size of the head of a request up to which an instance reads it, whatever the site allows.
+	MaxHeaderBytes = 16 << 20
+	// UnlimitedHeadBytes is the size up to which an instance reads it if the site has no limit.
+	UnlimitedHeadBytes = 1 << 20
 	// RequestBytes bounds the bodies of all requests that an instance holds at the same time.
 	RequestBytes = 64 << 20
 	// discardTime is how long the rest of a body is read of a request that is refused because of it.
--- /dev/null
+++ b/plantainlane/inbound/conn.go
@@ -0,0 +1,166 @@
+package inbound
+
+import (
+	"container/list"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+var (
+	// ErrLargeHead reports a head that is larger than its listener allows.
+	ErrLargeHead = errors.New("inbound: head too large")
+	// ErrNoMemory reports a head for which there is no memory beside those of other requests.
+	ErrNoMemory = errors.New("inbound: no memory for the head")
+)
+
+const (
+	// freeHeadBytes is the size up to which a head is part of bytesPerConn. It is the size of the HTTP server's buffer.
+	freeHeadBytes = 4 << 10
+	// headCopies is the memory that a larger head takes while it is read, as a multiple of its size: lines grow by copies, and short
+	// ones need more for their entries than for their text. readHeadCopies is that of a head that was read.
+	headCopies, readHeadCopies = 6, 3
+	// unsentBytes is the number of bytes that the kernel holds of an answer beside those that are on their way to the caller.
+	unsentBytes = 128 << 10
+	// maxDiscardedBytes bounds what is read of a head that is refused.
+	maxDiscardedBytes = 64 << 10
+)
+
+// largeHeadAnswer is the answer to a request with a head over the limit.
+const largeHeadAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Conn is a connection that another party has opened.
+type Conn struct {
+	*net.TCPConn
+	raw     syscall.RawConn
+	gate    *Gate
+	options *Options
+	// stream is what the caller hasn't read of a stream; nil unless an answer is one.
+	stream atomic.Pointer[Stream]
+
+	// The gate's mu guards the following fields. list is the list that holds the connection, at its element there; nil while it has a
+	// request. largeAt is its element in the list of large heads.
+	list        *list.List
+	at, largeAt *list.Element
+	// since is when the connection was placed in list.
+	since time.Time
+	// received is the size of the head so far, headBytes the memory that it counts for.
+	received  int
+	headBytes int64
+	isRemoved bool
+}
+
+// newConn returns a connection of a gate.
+func newConn(tcp *net.TCPConn, g *Gate, o *Options) (*Conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+	})
+	return &Conn{TCPConn: tcp, raw: raw, gate: g, options: o}, errors.CombineErrors(err, optionErr)
+}
+
+// place moves the connection to the end of a list of its gate. The caller holds the gate's mu.
+func (c *Conn) place(l *list.List, now time.Time) {
+	c.leave()
+	c.list, c.at, c.since = l, l.PushBack(c), now
+}
+
+// leave removes the connection from the lists of its gate. The caller holds the gate's mu.
+func (c *Conn) leave() {
+	if c.list != nil {
+		c.list.Remove(c.at)
+		c.list, c.at = nil, nil
+	}
+	if c.largeAt != nil {
+		c.gate.large.Remove(c.largeAt)
+		c.largeAt = nil
+	}
+}
+
+// Read reads from the connection. If the head that is read is too large, Read refuses the request and returns io.EOF.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n <= 0 {
+		return n, err
+	}
+	refusal := c.gate.growHead(c, n)
+	if refusal == nil {
+		return n, err
+	}
+	c.gate.refuseHead(c)
+	switch {
+	case errors.Is(refusal, ErrLargeHead):
+		c.gate.log("head over the limit", c.options, c.TCPConn)
+		answerUnread(c.TCPConn, largeHeadAnswer)
+	default:
+		c.gate.log("no memory for a head", c.options, c.TCPConn)
+		answerUnread(c.TCPConn, busyAnswer)
+	}
+	return 0, io.EOF
+}
+
+// answerUnread writes an answer to a request that isn't read, and reads what the caller still sends for a moment, so that a reset doesn't
+// overtake the answer.
+func answerUnread(tcp *net.TCPConn, answer string) {
+	if tcp.SetDeadline(time.Now().Add(refusalTime)) != nil {
+		return
+	}
+	if _, err := io.WriteString(tcp, answer); err == nil && tcp.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(tcp, maxDiscardedBytes))
+	}
+}
+
+// SetReadDeadline sets the deadline for reads. While no request is handled, it is the HTTP server's for a head or an idle connection, and
+// is extended by the listener's patience.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() || c.options.Patience == nil {
+		return c.TCPConn.SetReadDeadline(t)
+	}
+	head, idle := c.options.Patience()
+	c.gate.mu.Lock()
+	switch c.list {
+	case nil:
+	case c.gate.idle:
+		t = t.Add(idle)
+	default:
+		t = t.Add(head)
+	}
+	c.gate.mu.Unlock()
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.gate.mu.Lock()
+	c.gate.remove(c)
+	c.gate.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext adds the connection of a request to its context, as the field of an HTTP server of this name.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOfRequest returns the connection of a request; nil if it isn't one of a gate.
+func connOfRequest(r *http.Request) *Conn {
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	if !ok {
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/plantainlane/inbound/gate.go
@@ -0,0 +1,296 @@
+package inbound
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"plantainlane/plantainlane/logs"
+)
+
+const (
+	// freshTime is the time within which an ordinary caller has sent its head. A connection that sends one for longer is closed before
+	// idle ones are, one that doesn't is never closed in favor of others.
+	freshTime = 100 * time.Millisecond
+	// minWait is the least pause between two attempts to admit a connection while there are new ones only.
+	minWait = time.Millisecond
+	// maxRefusals is the number of connections that are kept open at the same time until their callers have read a refusal, and
+	// refusalTime is how long each of them is.
+	maxRefusals = 16
+	refusalTime = 300 * time.Millisecond
+	// linesPerSecond is the number of log lines for closed and refused connections in a second.
+	linesPerSecond = 2
+)
+
+// Stats counts the connections of a process.
+type Stats struct {
+	// Open is the number of open connections, HeadBytes and StreamBytes the memory in use for heads and unread parts of streams.
+	Open        int   `json:"open"`
+	HeadBytes   int64 `json:"headBytes"`
+	StreamBytes int64 `json:"streamBytes"`
+	// Limits are the bounds of these three.
+	Limits Limits `json:"limits"`
+	// Refused is the number of connections that were refused since there were too many. ClosedIdle and ClosedSending are the numbers of
+	// those closed in favor of others while they were idle, or sending a head. LargeHeads is the number of heads over the limit of their
+	// listener, BrokenStreams that of streams broken off because their callers read too slowly.
+	Refused       int64 `json:"refused"`
+	ClosedIdle    int64 `json:"closedIdle"`
+	ClosedSending int64 `json:"closedSending"`
+	LargeHeads    int64 `json:"largeHeads"`
+	BrokenStreams int64 `json:"brokenStreams"`
+}
+
+// Gate holds the connections of all listeners of a process within its limits. It is safe for concurrent use.
+type Gate struct {
+	limits   Limits
+	lines    logs.Sampler
+	refusals chan struct{}
+	refused  atomic.Int64
+
+	mu sync.Mutex
+	// stats are the counters but for Limits and Refused.
+	stats Stats
+	// sending holds the connections without a whole head by the time since when, idle those that wait for a further request, and large
+	// those of sending that have memory for heads. The longest is in front.
+	sending, idle, large *list.List
+	// streams holds the streams with unread parts.
+	streams map[*Stream]struct{}
+}
+
+// NewGate returns a gate without connections.
+func NewGate(l Limits) *Gate {
+	return &Gate{
+		limits: l, lines: logs.Sampler{PerSecond: linesPerSecond}, refusals: make(chan struct{}, maxRefusals),
+		sending: list.New(), idle: list.New(), large: list.New(), streams: make(map[*Stream]struct{}),
+	}
+}
+
+// Stats returns the current counters.
+func (g *Gate) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.stats
+	s.Limits, s.Refused = g.limits, g.refused.Load()
+	return s
+}
+
+// Listen returns a listener whose connections count towards the limits of the gate. The server that accepts them must call ConnState.
+func (g *Gate) Listen(l *net.TCPListener, o Options) net.Listener { return &listener{l, g, o} }
+
+// listener is a listener of a gate.
+type listener struct {
+	*net.TCPListener
+	gate    *Gate
+	options Options
+}
+
+// Accept returns the next connection that the limits allow, and refuses those before it.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c, err := newConn(tcp, l.gate, &l.options)
+		if err != nil {
+			_ = tcp.Close()
+			continue
+		}
+		for {
+			var wait time.Duration
+			if wait, err = l.gate.admit(c); wait == 0 {
+				break
+			}
+			time.Sleep(wait)
+		}
+		if err == nil {
+			return c, nil
+		}
+		l.gate.refused.Add(1)
+		l.gate.log("connection refused", &l.options, tcp)
+		l.gate.refuse(tcp)
+	}
+}
+
+// errFull reports that there are too many connections, all with requests.
+var errFull = errors.New("inbound: too many connections with requests")
+
+// admit adds a connection, and closes another one if there are too many. If all others are new ones, it returns the time after which one
+// may be closed.
+func (g *Gate) admit(c *Conn) (wait time.Duration, err error) {
+	limit := g.limits.Conns
+	if !c.options.ForCallers {
+		limit += g.limits.OperatorConns
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.stats.Open >= limit {
+		if wait, err := g.evict(now); wait > 0 || err != nil {
+			return wait, err
+		}
+	}
+	g.stats.Open++
+	c.place(g.sending, now)
+	return 0, nil
+}
+
+// evict closes a connection in favor of another one: the one that has been sending a head for the longest time, or the one that has been
+// idle for the longest time if no head has taken longer than freshTime. If there are new connections only, it returns the time until one
+// isn't any more; errFull if all have requests. The caller holds mu.
+func (g *Gate) evict(now time.Time) (wait time.Duration, err error) {
+	oldest := g.sending.Front()
+	switch {
+	case oldest != nil && now.Sub(connOf(oldest).since) > freshTime:
+		g.stats.ClosedSending++
+		g.closeConn(connOf(oldest), "sending a head")
+	case g.idle.Len() > 0:
+		g.stats.ClosedIdle++
+		g.closeConn(connOf(g.idle.Front()), "idle")
+	case oldest != nil:
+		return max(freshTime-now.Sub(connOf(oldest).since), minWait), nil
+	default:
+		return 0, errFull
+	}
+	return 0, nil
+}
+
+// refuseHead moves a connection that is refused because of its head to those that are closed first.
+func (g *Gate) refuseHead(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.isRemoved {
+		return
+	}
+	g.freeHead(c, 0)
+	c.leave()
+	c.list, c.at, c.since = g.sending, g.sending.PushFront(c), time.Time{}
+}
+
+// freeHead lowers the memory that a connection's head counts for to bytes. The caller holds mu.
+func (g *Gate) freeHead(c *Conn, bytes int64) {
+	bytes = min(bytes, c.headBytes)
+	g.stats.HeadBytes -= c.headBytes - bytes
+	c.headBytes = bytes
+}
+
+// closeConn closes a connection in favor of another one. The caller holds mu.
+func (g *Gate) closeConn(c *Conn, state string) {
+	g.log("connection closed in favor of another one", c.options, c.TCPConn, "state", state, "for", time.Since(c.since).Round(time.Millisecond))
+	g.remove(c)
+	_ = c.TCPConn.Close()
+}
+
+// remove ends the accounting of a connection. The caller holds mu.
+func (g *Gate) remove(c *Conn) {
+	if c.isRemoved {
+		return
+	}
+	c.isRemoved = true
+	g.stats.Open--
+	c.leave()
+	g.freeHead(c, 0)
+}
+
+// ConnState follows the states of the connections of an HTTP server, as its field of this name.
+func (g *Gate) ConnState(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.isRemoved {
+		return
+	}
+	switch s {
+	case http.StateActive, http.StateHijacked:
+		c.leave()
+		g.freeHead(c, int64(max(c.received-freeHeadBytes, 0))*readHeadCopies)
+	case http.StateIdle:
+		g.freeHead(c, 0)
+		c.received = 0
+		c.place(g.idle, time.Now())
+	case http.StateClosed:
+		g.remove(c)
+	case http.StateNew:
+	}
+}
+
+// growHead adds n bytes to the head that a connection is sending. It returns ErrLargeHead if the head is larger than its listener allows,
+// and ErrNoMemory if there is no memory for it beside other requests.
+func (g *Gate) growHead(c *Conn, n int) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.isRemoved || c.list == nil {
+		return nil // closed, or its request is being handled
+	}
+	now := time.Now()
+	if c.list == g.idle {
+		c.place(g.sending, now)
+	}
+	c.received += n
+	more := int64(max(c.received-freeHeadBytes, 0))*headCopies - c.headBytes
+	if more <= 0 {
+		return nil
+	}
+	if limit := c.options.headLimit(); limit > 0 && c.received > limit {
+		g.stats.LargeHeads++
+		return ErrLargeHead
+	}
+	if c.largeAt == nil {
+		c.largeAt = g.large.PushBack(c)
+	}
+	for g.stats.HeadBytes+more > g.limits.HeadBytes && g.stats.HeadBytes > c.headBytes {
+		oldest := connOf(g.large.Front())
+		if oldest == c {
+			g.stats.ClosedSending++
+			return ErrNoMemory
+		}
+		g.stats.ClosedSending++
+		g.closeConn(oldest, "sending a large head")
+	}
+	c.headBytes += more
+	g.stats.HeadBytes += more
+	return nil
+}
+
+// log logs a line on a connection, unless the line is left out by sampling.
+func (g *Gate) log(message string, o *Options, tcp *net.TCPConn, keysAndValues ...any) {
+	if ok, leftOut := g.lines.Allow(time.Now()); ok {
+		klog.InfoS(message, append(keysAndValues, "listener", o.Name, "from", tcp.RemoteAddr().String(), "leftOut", leftOut)...)
+	}
+}
+
+// busyAnswer is the answer to requests that can't be read. They haven't run.
+const busyAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuse answers on a connection without reading its request, and closes it.
+func (g *Gate) refuse(tcp *net.TCPConn) {
+	select {
+	case g.refusals <- struct{}{}:
+	default:
+		_ = tcp.Close()
+		return
+	}
+	go func() {
+		defer func() { <-g.refusals }()
+		answerUnread(tcp, busyAnswer)
+		_ = tcp.Close()
+	}()
+}
+
+// connOf returns the connection of an element of a list.
+func connOf(e *list.Element) *Conn {
+	c, ok := e.Value.(*Conn)
+	if !ok {
+		panic(errors.AssertionFailedf("inbound: list holds %T", e.Value))
+	}
+	return c
+}
--- /dev/null
+++ b/plantainlane/inbound/gate_test.go
@@ -0,0 +1,166 @@
+package inbound
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// startServer starts a server with a listener of a gate, and returns its address.
+func startServer(t *testing.T, g *Gate, o Options, h http.HandlerFunc) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewUnstartedServer(h)
+	s.Listener.Close()
+	s.Listener = g.Listen(l.(*net.TCPListener), o)
+	s.Config.ConnState, s.Config.ConnContext, s.Config.MaxHeaderBytes = g.ConnState, ConnContext, 16<<20
+	s.Start()
+	t.Cleanup(s.Close)
+	return l.Addr().String()
+}
+
+// open opens a connection and sends a text.
+func open(t *testing.T, address, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// answer reads what comes on a connection for a moment; isClosed is set if the connection was closed meanwhile.
+func answer(c net.Conn) (text string, isClosed bool) {
+	_ = c.SetReadDeadline(time.Now().Add(2 * freshTime))
+	b, err := io.ReadAll(c)
+	return string(b), err == nil
+}
+
+const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// TestOrdinaryCallersAreClosedFirst guards against connections of ordinary callers that are closed while others have been idle or sending
+// a head for longer, and against requests that are ended or left without an answer because there are too many.
+func TestOrdinaryCallersAreClosedFirst(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Conns: 4, OperatorConns: 1, HeadBytes: 1 << 20})
+	release := make(chan struct{})
+	handler := func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	}
+	address := startServer(t, g, Options{ForCallers: true}, handler)
+	operators := startServer(t, g, Options{}, handler)
+	idle := open(t, address, get)
+	_, isClosed := answer(idle)
+	is.True(!isClosed)
+	sending := open(t, address, "GET / HT")
+	waiting := []net.Conn{open(t, address, strings.Replace(get, "/", "/wait", 1)), open(t, address, strings.Replace(get, "/", "/wait", 1))}
+	time.Sleep(2 * freshTime)
+	for _, victim := range []net.Conn{sending, idle} {
+		waiting = append(waiting, open(t, address, strings.Replace(get, "/", "/wait", 1)))
+		_, isClosed = answer(victim)
+		is.True(isClosed)
+	}
+	text, _ := answer(open(t, address, get)) // all have requests
+	is.True(strings.HasPrefix(text, "HTTP/1.1 503 "))
+	text, _ = answer(open(t, operators, get))
+	is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
+	close(release)
+	for _, c := range waiting {
+		text, _ = answer(c)
+		is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
+	}
+	s := g.Stats()
+	is.Equal([]int64{s.Refused, s.ClosedSending}, []int64{1, 1})
+}
+
+// TestHeadInsideLimitIsRefused guards against heads that their listener allows and that are refused, however large the site's limit is
+// against the memory for all heads, and against larger ones that aren't.
+func TestHeadInsideLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Conns: 4, HeadBytes: 64 << 10})
+	limit := 4 << 20
+	address := startServer(t, g, Options{HeadLimit: func() int { return limit }}, func(http.ResponseWriter, *http.Request) {})
+	head := func(size int) string { return "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", size) }
+	text, _ := answer(open(t, address, head(limit-4<<10)+"\r\n\r\n"))
+	is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
+	is.Equal(g.Stats().HeadBytes, int64(0))
+	text, _ = answer(open(t, address, head(limit)+"\r\n\r\n"))
+	is.True(strings.HasPrefix(text, "HTTP/1.1 431 "))
+	// Heads that are held back give way to the next one.
+	held := open(t, address, head(12<<10))
+	time.Sleep(freshTime)
+	text, _ = answer(open(t, address, head(12<<10)+"\r\n\r\n"))
+	is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
+	_, isClosed := answer(held)
+	is.True(isClosed)
+}
+
+// TestSlowReaderHoldsStream guards against a stream whose source waits for a slow caller, a stream that takes more memory than allowed,
+// and one that is broken off though its caller reads in time.
+func TestSlowReaderHoldsStream(t *testing.T) {
+	const event = "data: 0123456789\n\n"
+	for name, c := range map[string]struct {
+		events     int
+		limit      int64
+		isComplete bool
+	}{
+		"slow":     {20_000, 1 << 20, true},
+		"own most": {2_000_000, 64 << 20, false},
+		"all":      {2_000_000, 64 << 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := NewGate(Limits{Conns: 4, HeadBytes: 1 << 20, StreamBytes: c.limit})
+			ended := make(chan error, 1)
+			address := startServer(t, g, Options{}, func(w http.ResponseWriter, r *http.Request) {
+				s := StartStream(r)
+				var err error
+				for n := 0; n < c.events && err == nil; n++ {
+					if _, err = fmt.Fprint(w, event); err == nil {
+						err = http.NewResponseController(w).Flush()
+					}
+				}
+				ended <- err
+				if err == nil {
+					err = s.Drain()
+				}
+				if err != nil {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			conn := open(t, address, get)
+			err := <-ended // before the caller has read anything
+			is.Equal(err == nil, c.isComplete)
+			if !c.isComplete {
+				is.Equal(g.Stats().BrokenStreams, int64(1))
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			text := make([]byte, 0, c.events*len(event))
+			for b := make([]byte, 64<<10); !strings.HasSuffix(string(text[max(len(text)-5, 0):]), "0\r\n\r\n"); {
+				n, err := conn.Read(b)
+				text = append(text, b[:n]...)
+				if err != nil {
+					break
+				}
+			}
+			is.Equal(strings.Count(string(text), event) == c.events, c.isComplete)
+			is.Equal(g.Stats().StreamBytes, int64(0))
+		})
+	}
+}
--- /dev/null
+++ b/plantainlane/inbound/limits.go
@@ -0,0 +1,79 @@
+// Package inbound bounds what the connections that others open cost an instance: their number, the memory for heads of requests, and
+// the memory for parts of streams that callers haven't read. At a bound, it closes the connections that have been idle, or have been
+// sending a head, for the longest time.
+package inbound
+
+import (
+	"syscall"
+	"time"
+)
+
+const (
+	// bytesPerConn is the memory of one connection, in the process and its kernel buffers, without large heads and bodies.
+	bytesPerConn = 32 << 10
+	// minConns is the least number of connections, whatever the limits of the process.
+	minConns = 64
+	// The parts of the process's memory for connections, heads, and unread parts of streams.
+	connMemoryParts, headMemoryParts, streamMemoryParts = 4, 8, 16
+	// The memory for heads and unread parts of streams if the process's memory isn't known.
+	defaultHeadBytes, defaultStreamBytes = 64 << 20, 64 << 20
+	// operatorParts is the part of the connections that only listeners for operators, upstreams and instances may use.
+	operatorParts = 16
+	// unknownFDs is the number of descriptors if the process's limit isn't known.
+	unknownFDs = 1024
+)
+
+// Limits are the bounds of all listeners of a process together.
+type Limits struct {
+	// Conns is the number of connections, OperatorConns the number of further ones that only listeners that aren't for callers accept.
+	Conns, OperatorConns int
+	// HeadBytes is the memory for the heads of requests, StreamBytes that for parts of streams that callers haven't read.
+	HeadBytes, StreamBytes int64
+}
+
+// LimitsOf returns the limits of a process with the given memory in bytes, and maxFDs descriptors; 0 where that isn't stated. Half of the
+// descriptors are left for upstreams, connections to other instances and files.
+func LimitsOf(memory int64, maxFDs int) Limits {
+	fds := processFDs()
+	if maxFDs > 0 {
+		fds = min(fds, maxFDs)
+	}
+	conns := fds / 2
+	l := Limits{HeadBytes: defaultHeadBytes, StreamBytes: defaultStreamBytes}
+	if memory > 0 {
+		conns = min(conns, int(memory/connMemoryParts/bytesPerConn))
+		l.HeadBytes, l.StreamBytes = memory/headMemoryParts, memory/streamMemoryParts
+	}
+	conns = max(conns, minConns)
+	l.OperatorConns = conns / operatorParts
+	l.Conns = conns - l.OperatorConns
+	return l
+}
+
+// processFDs returns the number of descriptors that the process may open.
+func processFDs() int {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil || r.Cur > 1<<30 {
+		return unknownFDs
+	}
+	return int(r.Cur) //nolint:gosec // bounded above
+}
+
+// Options are the properties of one listener.
+type Options struct {
+	// Name of the listener, for logs.
+	Name string
+	// ForCallers is set if the listener may not use Limits.OperatorConns.
+	ForCallers bool
+	// HeadLimit returns the largest size of a head in bytes, at least 4,096; 0 for no limit but that of the HTTP server. It may be nil.
+	HeadLimit func() int
+	// Patience returns by how much longer than the HTTP server's limits a head may take, and a connection may be idle. It may be nil.
+	Patience func() (head, idle time.Duration)
+}
+
+func (o *Options) headLimit() int {
+	if o.HeadLimit == nil {
+		return 0
+	}
+	return o.HeadLimit()
+}
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -24,6 +24,7 @@
 	"plantainlane/plantainlane/cost"
 	"plantainlane/plantainlane/engine"
 	"plantainlane/plantainlane/forward"
+	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/operator"
@@ -91,6 +92,8 @@
 	fleet   *engine.Fleet
 	metrics *metric.Metrics
 	runner  *pipeline.Runner
+	// inbound bounds what the connections of all listeners cost.
+	inbound *inbound.Gate
 	servers []*server
 	// callerServers holds the servers that serve callers. A drain waits for their requests in flight.
 	callerServers []*server
@@ -117,6 +120,7 @@
 		ledger:   cost.New(),
 		answers:  caller.NewAnswers(),
 		fleet:    engine.NewFleet(now, newEngineClient()),
+		inbound:  inbound.NewGate(inbound.LimitsOf(int64(s.Instance.MemoryMiB)<<20, s.Instance.MaxDescriptors)),
 		self: wire.InstanceInfo{
 			ID:              s.Instance.ID,
 			Incarnation:     int(now.UnixMilli()),
@@ -237,10 +241,12 @@
 }
 
 // PublishMetrics publishes the instance's metrics by expvar under name, and the statistics of the prefix index under
-// "prefixIndex" and of the quarantine under "quarantine". It panics if one of the names is in use.
+// "prefixIndex", of the quarantine under "quarantine", and of the connections that others open under "inbound". It panics if one of the
+// names is in use.
 func (x *Instance) PublishMetrics(name string) {
 	x.metrics.Publish(name)
 	expvar.Publish("prefixIndex", expvar.Func(func() any { return x.fleet.Index.Stats() }))
+	expvar.Publish("inbound", expvar.Func(func() any { return x.inbound.Stats() }))
 	expvar.Publish("quarantine", expvar.Func(func() any { return x.guard.Stats(time.Now()) }))
 }
 
@@ -279,22 +285,22 @@
 	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
 	operators := &operator.Server{Control: x.loop, Views: x, Gatherer: x, Quarantine: x.guard, Credentials: x.settings.Credentials.Operators}
 	listeners := []struct {
-		address string
-		routes  Registrar
+		name, address string
+		routes        Registrar
 	}{
-		{l.Peers, peerRoutes{x.net}},
-		{l.Upstreams, upstreams},
-		{l.Operators, operators},
-		{l.Callers, callers},
+		{"peers", l.Peers, peerRoutes{x.net}},
+		{"upstreams", l.Upstreams, upstreams},
+		{"operators", l.Operators, operators},
+		{"callers", l.Callers, callers},
 	}
 	for _, e := range x.extraListeners {
 		listeners = append(listeners, struct {
-			address string
-			routes  Registrar
-		}{e.address, e.routes(x)})
+			name, address string
+			routes        Registrar
+		}{"extra", e.address, e.routes(x)})
 	}
 	for _, r := range listeners {
-		s, err := newServer(r.address, x, r.routes, entry.MaxHeaderBytes)
+		s, err := newServer(r.address, x, r.routes, inbound.Options{Name: r.name, ForCallers: r.routes == Registrar(callers)})
 		if err != nil {
 			return err
 		}
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -12,6 +12,7 @@
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/forward"
+	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/logs"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/roster"
@@ -29,6 +30,13 @@
 // upstreamIdleTimeout is how long an idle connection to an upstream is kept.
 const upstreamIdleTimeout = 20 * time.Second
 
+const (
+	// headMargin is the size of a request line, and of what else the site's limit for headers doesn't count.
+	headMargin = 16 << 10
+	// timeoutMargin is the time beyond the site's limits within which a connection isn't closed.
+	timeoutMargin = time.Second
+)
+
 // Proxy describes a listener for opaque requests, which are routed by host and path and forwarded unchanged.
 type Proxy struct {
 	// Address is the address to listen on, as IP:PORT.
@@ -142,6 +150,27 @@
 	return site.Newest
 }
 
+// headLimit returns the largest size of a request's head that is read. The site's limit doesn't count the request line.
+func (s *sites) headLimit() int {
+	current, _ := s.Site()
+	if current == nil || current.Limits.HeaderBytes <= 0 {
+		return forward.UnlimitedHeadBytes
+	}
+	return 2*current.Limits.HeaderBytes + headMargin
+}
+
+// patience returns by how much the site's times for heads and idle connections are longer than the settings'.
+func (s *sites) patience() (head, idle time.Duration) {
+	current, _ := s.Site()
+	if current == nil {
+		return 0, 0
+	}
+	entry := s.instance.settings.Entry
+	head = current.Limits.HeaderTimeout + timeoutMargin - time.Duration(entry.HeaderTimeout)
+	idle = current.Limits.IdleTimeout + timeoutMargin - time.Duration(entry.IdleTimeout)
+	return max(head, 0), max(idle, 0)
+}
+
 // Upstreams returns the known state of all upstreams.
 func (s *sites) Upstreams() roster.View { return s.instance.View().Upstreams }
 
@@ -228,7 +257,9 @@
 		Bodies:      exchange.NewMemory(forward.RequestBytes),
 		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
 	}
-	s, err := listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes)
+	s, err := x.listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes, inbound.Options{
+		Name: "proxy", ForCallers: true, HeadLimit: x.sites.headLimit, Patience: x.sites.patience,
+	})
 	if err != nil {
 		return err
 	}
--- a/plantainlane/instance/server.go
+++ b/plantainlane/instance/server.go
@@ -9,17 +9,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v5"
 
+	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/peer"
 	"plantainlane/plantainlane/problem"
 )
 
-const (
-	// headerTimeout is the maximum time for receiving the headers of a request.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is how long an idle connection is kept open for its next request.
-	idleTimeout = 2 * time.Minute
-)
-
 // Registrar registers the endpoints of a listener.
 type Registrar interface {
 	// Register adds the endpoints to e.
@@ -46,27 +40,35 @@
 
 // newServer opens a listener on address, as IP:PORT, for the endpoints of routes and the health checks /healthz and
 // /readyz.
-func newServer(address string, x *Instance, routes Registrar, maxHeaderBytes int) (*server, error) {
+func newServer(address string, x *Instance, routes Registrar, o inbound.Options) (*server, error) {
 	e := echo.New()
 	e.HTTPErrorHandler = problem.Handler
 	e.GET("/healthz", func(c *echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET("/readyz", x.ready)
 	routes.Register(e)
-	return listenHTTP(address, e, maxHeaderBytes)
+	return x.listenHTTP(address, e, x.settings.Entry.MaxHeaderBytes, o)
 }
 
-// listenHTTP opens a listener on address, as IP:PORT. The server accepts no connections until serve is called.
-func listenHTTP(address string, handler http.Handler, maxHeaderBytes int) (*server, error) {
+// listenHTTP opens a listener on address, as IP:PORT, whose connections count towards the limits of the instance. The server accepts no
+// connections until serve is called.
+func (x *Instance) listenHTTP(address string, handler http.Handler, maxHeaderBytes int, o inbound.Options) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		_ = listener.Close()
+		return nil, errors.Newf("expected a TCP listener, got %T", listener)
+	}
 	ctx, endRequests := context.WithCancelCause(context.Background())
-	return &server{listener: listener, endRequests: endRequests, http: &http.Server{
+	return &server{listener: x.inbound.Listen(tcp, o), endRequests: endRequests, http: &http.Server{
 		Handler:           handler,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ConnContext:       inbound.ConnContext,
+		ConnState:         x.inbound.ConnState,
+		ReadHeaderTimeout: time.Duration(x.settings.Entry.HeaderTimeout),
+		IdleTimeout:       time.Duration(x.settings.Entry.IdleTimeout),
 		MaxHeaderBytes:    maxHeaderBytes,
 	}}, nil
 }
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -24,6 +24,10 @@
 	maxVerbosity      = 9
 	minCores          = 0.01
 	maxCores          = 1024
+	minMemoryMiB      = 64
+	maxMemoryMiB      = 1 << 24
+	minDescriptors    = 128
+	maxDescriptors    = 1 << 30
 	minWeightRate     = 0.001
 	maxWeightRate     = 1000
 )
@@ -41,6 +45,12 @@
 	c.name("instance.zone", s.Instance.Zone)
 	c.name("instance.region", s.Instance.Region)
 	c.number("instance.cores", s.Instance.Cores, minCores, maxCores)
+	if s.Instance.MemoryMiB != 0 {
+		c.integer("instance.memoryMiB", s.Instance.MemoryMiB, minMemoryMiB, maxMemoryMiB)
+	}
+	if s.Instance.MaxDescriptors != 0 {
+		c.integer("instance.maxDescriptors", s.Instance.MaxDescriptors, minDescriptors, maxDescriptors)
+	}
 	c.addresses(s)
 	if s.Data != nil {
 		c.data(*s.Data)
@@ -226,4 +236,6 @@
 	c.duration("entry.drainLimit", e.DrainLimit, time.Millisecond, maxDuration)
 	c.integer("entry.maxBodyBytes", e.MaxBodyBytes, 1, maxBodyBytes)
 	c.integer("entry.maxHeaderBytes", e.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	c.duration("entry.headerTimeout", e.HeaderTimeout, 100*time.Millisecond, time.Minute)
+	c.duration("entry.idleTimeout", e.IdleTimeout, time.Second, time.Hour)
 }
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -51,6 +51,10 @@
 	Region string `json:"region"`
 	// Cores is the number of processor cores that the instance may use; fractions are allowed. Default 1.
 	Cores float64 `json:"cores"`
+	// MemoryMiB is the memory that the instance may use; 0 if it isn't stated. Default 0.
+	MemoryMiB int `json:"memoryMiB"`
+	// MaxDescriptors is the number of descriptors that the instance may open; 0 for the limit of its process. Default 0.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// ControlOnly is set if the instance serves only control and no callers. Default false.
 	ControlOnly bool `json:"controlOnly"`
 }
@@ -153,6 +157,10 @@
 	MaxBodyBytes int `json:"maxBodyBytes"`
 	// MaxHeaderBytes is the largest total size of a request's headers. Default 16 KiB.
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
+	// HeaderTimeout is the maximum time for receiving the headers of a request. Default 5s.
+	HeaderTimeout Duration `json:"headerTimeout"`
+	// IdleTimeout is how long an idle connection of a caller is kept open for its next request. Default 2m.
+	IdleTimeout Duration `json:"idleTimeout"`
 	// DrainLimit is how long a drain waits at most for requests in flight, from the time when no caller's entry
 	// answer names the instance. Default 10m.
 	DrainLimit Duration `json:"drainLimit"`
@@ -206,6 +214,8 @@
 			KeepFor:        Duration(10 * time.Second),
 			MaxBodyBytes:   8 << 20,
 			MaxHeaderBytes: 16 << 10,
+			HeaderTimeout:  Duration(5 * time.Second),
+			IdleTimeout:    Duration(2 * time.Minute),
 			DrainLimit:     Duration(10 * time.Minute),
 		},
 		Upstreams:   Upstreams{IdleConnectionLimit: Duration(30 * time.Second)},
--- a/plantainlane/site/site.go
+++ b/plantainlane/site/site.go
@@ -141,8 +141,9 @@
 	HeaderBytes int
 	// BodyBytes is the maximum size of a request's body, in bytes.
 	BodyBytes int
-	// IdleTimeout is how long a connection may be idle between two requests.
-	IdleTimeout time.Duration
+	// HeaderTimeout is how long a caller may take for the headers of a request, IdleTimeout how long a connection may be idle between two
+	// requests; 0 if the site doesn't say.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Workspace is a customer. Its callers identify themselves by keys.
