--- a/plantainlane/exchange/body.go
+++ b/plantainlane/exchange/body.go
@@ -1,8 +1,10 @@
 package exchange
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
@@ -19,15 +21,22 @@
 	// AnswerBytes bounds the bytes of all answers that are collected at the same time.
 	AnswerBytes = 32 << 20
 	// freeBytes is the size up to which a body doesn't count towards a Memory.
-	freeBytes = 64 << 10
+	freeBytes = 16 << 10
 )
 
 // Memory bounds the memory for bodies that are held at the same time. It is safe for concurrent use.
 type Memory struct {
+	// MakeRoom makes users of the memory give up bytes soon, and returns false if there are none that can. It may be nil, and is set before
+	// the memory is used.
+	MakeRoom func(bytes int64) bool
+
 	bytes int64
 	left  *semaphore.Weighted
 }
 
+// roomTimeout is how long a body waits for memory that others give up.
+const roomTimeout = 200 * time.Millisecond
+
 // NewMemory returns a Memory for a number of bytes.
 func NewMemory(bytes int64) *Memory {
 	return &Memory{bytes: bytes, left: semaphore.NewWeighted(bytes)}
@@ -55,13 +64,26 @@
 	if more <= 0 {
 		return nil
 	}
-	if !r.memory.left.TryAcquire(more) {
+	if !r.memory.left.TryAcquire(more) && !r.memory.waitFor(more) {
 		return errors.Wrapf(ErrNoMemory, "body of %d bytes", size)
 	}
 	r.bytes += more
 	return nil
 }
 
+// waitFor acquires bytes that other users give up.
+func (m *Memory) waitFor(bytes int64) bool {
+	if m.MakeRoom == nil || !m.MakeRoom(bytes) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
+	defer cancel()
+	return m.left.Acquire(ctx, bytes) == nil
+}
+
+// Held returns the number of reserved bytes.
+func (r *Reservation) Held() int64 { return r.bytes }
+
 // Release returns the reserved memory.
 func (r *Reservation) Release() {
 	r.memory.left.Release(r.bytes)
@@ -109,11 +131,18 @@
 // ReadBody reads the whole body of an answer and closes it. It returns an error if the body is truncated, and the errors
 // of ReadAll. After an error the connection must be closed.
 func (m *Memory) ReadBody(res *http.Response, maxBytes int64) ([]byte, error) {
+	reserved := m.Reserve()
+	defer reserved.Release()
+	return reserved.ReadBody(res, maxBytes)
+}
+
+// ReadBody does the same, and keeps the reservation for the body until Release.
+func (r *Reservation) ReadBody(res *http.Response, maxBytes int64) ([]byte, error) {
 	defer res.Body.Close()
 	if res.ContentLength > maxBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, maximum %d bytes", res.ContentLength, maxBytes)
 	}
-	body, err := m.ReadAll(res.Body, maxBytes)
+	body, err := r.ReadAll(res.Body, maxBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read body")
 	}
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -106,6 +106,7 @@
 		last = q.send(ctx, target, permit)
 		switch last.result {
 		case delivered:
+			q.finishStream()
 			return false
 		case inputsGone:
 			return true
@@ -151,7 +152,7 @@
 
 // mayRunAgain reports whether the request may be sent again after a send that may have run. A trial allows one send only.
 func (q *request) mayRunAgain() bool {
-	return !q.trialFailed && !q.isInDoubt && q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
+	return !q.isCallerLost && !q.trialFailed && !q.isInDoubt && q.route.RetryMode != site.AtMostOnce && q.runs < q.route.MaxAttempts && !q.server.Guard.MayCrashAgain(q.content)
 }
 
 // hasNotRun reports whether no send ran and no event was forwarded.
@@ -173,6 +174,8 @@
 		// The upstream wasn't asked, so it may be chosen again.
 		result = route.Cancelled
 		q.tried = q.tried[:len(q.tried)-1]
+	case errors.Is(out.err, errUpstreamFull), q.isCallerLost:
+		result = route.Cancelled
 	case out.result == delivered:
 		result = route.Success
 	case out.result == notRun && errors.Is(out.err, errRefused), out.result == inputsGone, q.asksForPause(out.answer):
@@ -202,6 +205,11 @@
 
 // connectAndSend sends the request to an upstream over a pooled or new connection.
 func (q *request) connectAndSend(ctx context.Context, t route.Target, permit quota.Permit) sendOutcome {
+	size := int64(len(q.body))
+	if !q.server.underWay.begin(t.Address, size) {
+		return sendOutcome{result: notRun, err: errUpstreamFull}
+	}
+	defer q.server.underWay.end(t.Address, size)
 	pool := q.server.Client.Pool
 	maxIdle := pool.IdleLimit
 	if q.route.RetryMode != site.Idempotent {
@@ -365,7 +373,8 @@
 	case isSuccess && q.route.Stream:
 		return q.forwardStream(c, t, res)
 	}
-	body, err := q.server.Client.Pool.Memory.ReadBody(res, maxBodyBytes)
+	q.answerMemory.Release()
+	body, err := q.answerMemory.ReadBody(res, maxBodyBytes)
 	if err != nil {
 		return sendOutcome{result: mayHaveRun, err: err}, false
 	}
@@ -410,7 +419,7 @@
 	if a.Status >= http.StatusBadRequest {
 		outcome = "failed"
 	}
-	if _, err := q.writer.Write(a.Body); err != nil {
+	if err := q.writeAnswer(a.Body); err != nil {
 		outcome = "callerLost"
 	}
 	q.recordEnd(outcome, a.Status, "")
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"plantainlane/plantainlane/exchange"
+	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/route"
 	"plantainlane/plantainlane/site"
 )
@@ -166,8 +167,10 @@
 		q.copyHeader(res.Header)
 		q.writer.WriteHeader(res.StatusCode)
 		_ = q.control.SetWriteDeadline(q.deadline.Add(time.Second))
+		q.unread = inbound.StartStream(q.incoming)
 	}
 	if _, err := q.writer.Write(e.bytes); err != nil {
+		q.isCallerLost = true
 		return errors.Wrap(err, "caller")
 	}
 	q.recordEvent(time.Now())
@@ -175,7 +178,10 @@
 		q.lastEvent = e.id
 	}
 	if flush {
-		return errors.Wrap(q.control.Flush(), "caller")
+		if err := q.control.Flush(); err != nil {
+			q.isCallerLost = true
+			return errors.Wrap(err, "caller")
+		}
 	}
 	return nil
 }
@@ -191,17 +197,34 @@
 	q.lastEventAt = now
 }
 
-// endStream ends the caller's answer after the last event and records the end of the request.
+// endStream ends the caller's answer after the last event. finishStream records the end of the request.
 func (q *request) endStream(res *http.Response) sendOutcome {
 	if !q.headSent {
 		q.headSent, q.statusSent = true, res.StatusCode
 		q.copyHeader(res.Header)
 		q.writer.WriteHeader(res.StatusCode)
 	}
-	q.recordEnd("answered", res.StatusCode, "")
 	return sendOutcome{result: delivered}
 }
 
+// finishStream waits until the caller has been sent the whole stream, if the answer is one, and records the end of the request. The
+// upstream is done by then.
+func (q *request) finishStream() {
+	if !q.route.Stream {
+		return
+	}
+	if q.unread != nil {
+		err := q.control.Flush()
+		if err == nil {
+			err = q.unread.Drain()
+		}
+		if err != nil {
+			q.abort("caller: " + err.Error())
+		}
+	}
+	q.recordEnd("answered", q.statusSent, "")
+}
+
 // logFailedSend logs a send that was not delivered, with its connection and the parts of the prompt that other requests may share.
 func (q *request) logFailedSend(t route.Target, out sendOutcome, took time.Duration) {
 	klog.InfoS("send failed", "request", q.call.ID, "upstream", t.ID, "zone", t.Zone, "send", q.sends,
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -10,6 +10,7 @@
 
 	"plantainlane/plantainlane/batch"
 	"plantainlane/plantainlane/exchange"
+	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/logs"
 	"plantainlane/plantainlane/quarantine"
 	"plantainlane/plantainlane/quota"
@@ -53,6 +54,8 @@
 	// durations are the times of requests from their receipt on, sendDurations those from their first send on.
 	durations, sendDurations durations
 	backlogs                 backlogs
+	underWay                 upstreamLoads
+	deliveries               deliveries
 	// OnTimeLines samples the log lines on requests that were answered on time by their first send; nil logs all.
 	OnTimeLines *logs.Sampler
 }
@@ -97,10 +100,15 @@
 	host   string
 	header http.Header
 	body   []byte
-	// bodyMemory is for the body.
-	bodyMemory *exchange.Reservation
-	writer     http.ResponseWriter
-	control    *http.ResponseController
+	// bodyMemory is for the body, answerMemory for the answer that was read last.
+	bodyMemory, answerMemory *exchange.Reservation
+	// unread holds what the caller hasn't read of a stream; nil unless the answer is one.
+	unread *inbound.Stream
+	// isCallerLost is set once nothing more can be written to the caller.
+	isCallerLost bool
+	writer       http.ResponseWriter
+	control      *http.ResponseController
+	incoming     *http.Request
 	// stages holds the results of the stages until they are released; nil otherwise.
 	stages *stageRun
 	// inputs are the handles of the stage results that the request needs.
@@ -142,8 +150,12 @@
 
 // ServeHTTP forwards one request of a caller and answers it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{server: s, received: time.Now(), writer: w, control: http.NewResponseController(w), bodyMemory: s.Bodies.Reserve()}
+	q := &request{
+		server: s, received: time.Now(), writer: w, control: http.NewResponseController(w), incoming: r,
+		bodyMemory: s.Bodies.Reserve(), answerMemory: s.Client.Pool.Memory.Reserve(),
+	}
 	defer q.bodyMemory.Release()
+	defer q.answerMemory.Release()
 	if refusal := q.admit(r); refusal != nil {
 		q.refuse(*refusal)
 		return
@@ -253,7 +265,7 @@
 // written before are flushed first. It doesn't return: http.ErrAbortHandler makes net/http close the connection.
 func (q *request) abort(reason string) {
 	q.recordEnd("brokenOff", 0, reason)
-	if err := q.control.Flush(); err != nil {
+	if err := errors.CombineErrors(q.control.Flush(), q.unread.Drain()); err != nil {
 		klog.V(1).InfoS("answer not flushed before its connection is closed", "request", q.call.ID, "err", err)
 	}
 	panic(http.ErrAbortHandler)
--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,6 +30,9 @@
 	headCopies, readHeadCopies = 6, 3
 	// unsentBytes is the number of bytes that the kernel holds of an answer beside those that are on their way to the caller.
 	unsentBytes = 128 << 10
+	// stallTimeout is how long a caller may take to read stallBytes of an answer whose owner has set no deadline.
+	stallTimeout = 10 * time.Second
+	stallBytes   = 64 << 10
 	// maxDiscardedBytes bounds what is read of a head that is refused.
 	maxDiscardedBytes = 64 << 10
 )
@@ -44,6 +48,12 @@
 	options *Options
 	// stream is what the caller hasn't read of a stream; nil unless an answer is one.
 	stream atomic.Pointer[Stream]
+	// isHijacked is set once the connection isn't the HTTP server's any more.
+	isHijacked atomic.Bool
+
+	// writing guards hasDeadline, which is set while the owner of an answer has set a deadline for its writes.
+	writing     sync.Mutex
+	hasDeadline bool
 
 	// The gate's mu guards the following fields. list is the list that holds the connection, at its element there; nil while it has a
 	// request. largeAt is its element in the list of large heads.
@@ -140,6 +150,41 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline sets the deadline for writes. The zero time stands for stallTimeout for each stallBytes.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.hasDeadline = !t.IsZero()
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+// extendWrite sets the deadline for the write of a further part of an answer, unless its owner has set one.
+func (c *Conn) extendWrite(t time.Time) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.hasDeadline {
+		return nil
+	}
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+// writeAll writes to the connection, and waits for a caller that reads slowly but not for one that doesn't read.
+func (c *Conn) writeAll(b []byte) (int, error) {
+	n, err := c.tryWrite(b)
+	if err != nil || n == len(b) {
+		return n, err
+	}
+	for n < len(b) && err == nil {
+		if err = c.extendWrite(time.Now().Add(stallTimeout)); err != nil {
+			return n, err
+		}
+		var k int
+		k, err = c.TCPConn.Write(b[n:min(n+stallBytes, len(b))])
+		n += k
+	}
+	return n, errors.CombineErrors(err, c.extendWrite(time.Time{}))
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.gate.mu.Lock()
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -212,6 +212,7 @@
 	switch s {
 	case http.StateActive, http.StateHijacked:
 		c.leave()
+		c.isHijacked.Store(s == http.StateHijacked)
 		g.freeHead(c, int64(max(c.received-freeHeadBytes, 0))*readHeadCopies)
 	case http.StateIdle:
 		g.freeHead(c, 0)
--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -43,11 +44,15 @@
 	return c
 }
 
-// answer reads what comes on a connection for a moment; isClosed is set if the connection was closed meanwhile.
-func answer(c net.Conn) (text string, isClosed bool) {
-	_ = c.SetReadDeadline(time.Now().Add(2 * freshTime))
-	b, err := io.ReadAll(c)
-	return string(b), err == nil
+// status returns the status of the answer on a connection; 0 if the connection is closed before there is one.
+func status(c net.Conn) int {
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	res.Body.Close()
+	return res.StatusCode
 }
 
 const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -66,24 +71,20 @@
 	address := startServer(t, g, Options{ForCallers: true}, handler)
 	operators := startServer(t, g, Options{}, handler)
 	idle := open(t, address, get)
-	_, isClosed := answer(idle)
-	is.True(!isClosed)
+	is.Equal(status(idle), 200)
 	sending := open(t, address, "GET / HT")
 	waiting := []net.Conn{open(t, address, strings.Replace(get, "/", "/wait", 1)), open(t, address, strings.Replace(get, "/", "/wait", 1))}
 	time.Sleep(2 * freshTime)
 	for _, victim := range []net.Conn{sending, idle} {
 		waiting = append(waiting, open(t, address, strings.Replace(get, "/", "/wait", 1)))
-		_, isClosed = answer(victim)
-		is.True(isClosed)
+		is.Equal(status(victim), 0)
+		time.Sleep(2 * freshTime) // the request of the other one is being handled
 	}
-	text, _ := answer(open(t, address, get)) // all have requests
-	is.True(strings.HasPrefix(text, "HTTP/1.1 503 "))
-	text, _ = answer(open(t, operators, get))
-	is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
+	is.Equal(status(open(t, address, get)), 503) // all have requests
+	is.Equal(status(open(t, operators, get)), 200)
 	close(release)
 	for _, c := range waiting {
-		text, _ = answer(c)
-		is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
+		is.Equal(status(c), 200)
 	}
 	s := g.Stats()
 	is.Equal([]int64{s.Refused, s.ClosedSending}, []int64{1, 1})
@@ -97,22 +98,17 @@
 	limit := 4 << 20
 	address := startServer(t, g, Options{HeadLimit: func() int { return limit }}, func(http.ResponseWriter, *http.Request) {})
 	head := func(size int) string { return "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", size) }
-	text, _ := answer(open(t, address, head(limit-4<<10)+"\r\n\r\n"))
-	is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
-	is.Equal(g.Stats().HeadBytes, int64(0))
-	text, _ = answer(open(t, address, head(limit)+"\r\n\r\n"))
-	is.True(strings.HasPrefix(text, "HTTP/1.1 431 "))
+	is.Equal(status(open(t, address, head(limit-4<<10)+"\r\n\r\n")), 200)
+	is.Equal(status(open(t, address, head(limit)+"\r\n\r\n")), 431)
 	// Heads that are held back give way to the next one.
 	held := open(t, address, head(12<<10))
 	time.Sleep(freshTime)
-	text, _ = answer(open(t, address, head(12<<10)+"\r\n\r\n"))
-	is.True(strings.HasPrefix(text, "HTTP/1.1 200 "))
-	_, isClosed := answer(held)
-	is.True(isClosed)
+	is.Equal(status(open(t, address, head(12<<10)+"\r\n\r\n")), 200)
+	is.Equal(status(held), 0)
 }
 
 // TestSlowReaderHoldsStream guards against a stream whose source waits for a slow caller, a stream that takes more memory than allowed,
-// and one that is broken off though its caller reads in time.
+// and one that is broken off though its caller reads.
 func TestSlowReaderHoldsStream(t *testing.T) {
 	const event = "data: 0123456789\n\n"
 	for name, c := range map[string]struct {
@@ -164,3 +160,38 @@
 		})
 	}
 }
+
+// BenchmarkStreamWrite measures the write of an event to a caller that reads, as a stream and without.
+func BenchmarkStreamWrite(b *testing.B) {
+	for name, isStream := range map[string]bool{"direct": false, "stream": true} {
+		b.Run(name, func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+					_, _ = io.Copy(io.Discard, c)
+				}
+			}()
+			accepted, err := NewGate(LimitsOf(0, 0)).Listen(l.(*net.TCPListener), Options{}).Accept()
+			if err != nil {
+				b.Fatal(err)
+			}
+			c := accepted.(*Conn)
+			defer c.Close()
+			var w io.Writer = c.TCPConn
+			if isStream {
+				w = c
+				StartStream((&http.Request{}).WithContext(ConnContext(b.Context(), c)))
+			}
+			event := make([]byte, 120)
+			for b.Loop() {
+				if _, err := w.Write(event); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/plantainlane/inbound/stream.go
+++ b/plantainlane/inbound/stream.go
@@ -17,6 +17,11 @@
 	maxUnreadBytes = 1 << 20
 	// minBlockBytes is the least size of the blocks in which it is held.
 	minBlockBytes = 4 << 10
+	// stalledAfter is the time without progress after which a stream is broken off to make room. Until then, what makes the stream waits,
+	// so that a caller which reads at the speed of its link loses nothing. Upstreams cut off what stays unread for longer.
+	stalledAfter = 2 * time.Second
+	// roomPause is the pause between two attempts to make room.
+	roomPause = 5 * time.Millisecond
 )
 
 // Stream holds the part of an answer that its caller hasn't read yet, so that what makes the answer need not wait for the caller. It
@@ -33,8 +38,10 @@
 	// failed is the reason why nothing more can be written; nil if there is none.
 	failed error
 
-	// held is the size of the blocks, guarded by the gate's mu. isBroken is set once the stream is broken off.
+	// held is the size of the blocks, and progress when a block was last written, or the first one held. isBroken is set once the stream
+	// is broken off. The gate's mu guards all three.
 	held     int64
+	progress time.Time
 	isBroken bool
 }
 
@@ -70,7 +77,10 @@
 	if s := c.stream.Load(); s != nil {
 		return s.write(b)
 	}
-	return c.TCPConn.Write(b)
+	if c.isHijacked.Load() {
+		return c.TCPConn.Write(b)
+	}
+	return c.writeAll(b)
 }
 
 // write writes what the connection accepts at once, and holds the rest for flush.
@@ -120,7 +130,7 @@
 	return n, errors.CombineErrors(err, rawErr)
 }
 
-// hold appends to the blocks. The caller holds mu.
+// hold appends to the blocks, and waits for room. The caller holds mu.
 func (s *Stream) hold(b []byte) error {
 	if last := len(s.blocks) - 1; last >= 0 {
 		room := min(cap(s.blocks[last])-len(s.blocks[last]), len(b))
@@ -131,8 +141,20 @@
 		return nil
 	}
 	size := max(len(b), minBlockBytes)
-	if err := s.conn.gate.growStream(s, int64(size)); err != nil {
-		return err
+	for {
+		hasRoom, err := s.conn.gate.growStream(s, int64(size))
+		if err == nil {
+			err = s.failed
+		}
+		if err != nil {
+			return err
+		}
+		if hasRoom {
+			break
+		}
+		s.mu.Unlock()
+		time.Sleep(roomPause)
+		s.mu.Lock()
 	}
 	s.blocks = append(s.blocks, append(make([]byte, 0, size), b...))
 	return nil
@@ -161,34 +183,40 @@
 // fail lets a write that waits for the caller, and all later ones, fail.
 func (s *Stream) fail() { _ = s.conn.SetWriteDeadline(time.Unix(1, 0)) }
 
-// growStream counts n bytes more that a stream holds. If all streams together hold too much, it breaks off the one that holds most. It
-// returns ErrSlowReader if that is s, if s holds too much by itself, or if it was broken off before.
-func (g *Gate) growStream(s *Stream, n int64) error {
+// growStream counts n bytes more that a stream holds. It returns false if there is no room now: it breaks off the stream that has made no
+// progress for longest, if that is longer than stalledAfter. It returns ErrSlowReader if s is broken off.
+func (g *Gate) growStream(s *Stream, n int64) (hasRoom bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s.isBroken {
-		return ErrSlowReader
-	}
-	if s.held+n > maxUnreadBytes {
-		g.breakOff(s)
-		return ErrSlowReader
-	}
-	s.held += n
-	g.stats.StreamBytes += n
-	g.streams[s] = struct{}{}
-	for g.stats.StreamBytes > g.limits.StreamBytes {
-		largest := s
+	now := time.Now()
+	slowest := s
+	isOwnFull := s.held > 0 && s.held+n > maxUnreadBytes
+	switch {
+	case s.isBroken:
+		return false, ErrSlowReader
+	case isOwnFull:
+	case s.held > 0 && g.stats.StreamBytes+n > g.limits.StreamBytes, g.stats.StreamBytes > g.limits.StreamBytes:
 		for other := range g.streams {
-			if other.held > largest.held {
-				largest = other
+			if other.progress.Before(slowest.progress) || slowest.held == 0 {
+				slowest = other
 			}
 		}
-		g.breakOff(largest)
-		if largest == s {
-			return ErrSlowReader
+	default:
+		if s.held == 0 {
+			s.progress = now
 		}
+		s.held += n
+		g.stats.StreamBytes += n
+		g.streams[s] = struct{}{}
+		return true, nil
 	}
-	return nil
+	if now.Sub(slowest.progress) > stalledAfter {
+		g.breakOff(slowest)
+	}
+	if s.isBroken {
+		return false, ErrSlowReader
+	}
+	return false, nil
 }
 
 // breakOff breaks a stream off. Its memory counts as free, since flush drops it at once. The caller holds mu.
@@ -207,6 +235,7 @@
 	defer g.mu.Unlock()
 	n = min(n, s.held)
 	s.held -= n
+	s.progress = time.Now()
 	g.stats.StreamBytes -= n
 	if s.held == 0 {
 		delete(g.streams, s)
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -33,6 +33,8 @@
 const (
 	// headMargin is the size of a request line, and of what else the site's limit for headers doesn't count.
 	headMargin = 16 << 10
+	// The parts of the instance's memory for the bodies of requests and of answers.
+	requestMemoryParts, answerMemoryParts = 4, 6
 	// timeoutMargin is the time beyond the site's limits within which a connection isn't closed.
 	timeoutMargin = time.Second
 )
@@ -239,6 +241,14 @@
 	}
 }
 
+// partOfMemory returns the bytes of one of a number of parts of the instance's memory, and limit if that is less or the memory isn't stated.
+func (x *Instance) partOfMemory(parts, limit int64) int64 {
+	if memory := int64(x.settings.Instance.MemoryMiB) << 20; memory > 0 {
+		return min(memory/parts, limit)
+	}
+	return limit
+}
+
 // openProxy opens the listener for opaque requests and creates the dispatcher of pieces. It does nothing without
 // WithProxy.
 func (x *Instance) openProxy(ctx context.Context) error {
@@ -248,15 +258,17 @@
 	x.proxyCtx = ctx
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(upstreamIdleTimeout)
+	pool.Memory = exchange.NewMemory(x.partOfMemory(answerMemoryParts, exchange.AnswerBytes))
 	client := quota.NewClient(pool, x.gate, x.proxy.ReadNotice)
 	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, x.self.Zone, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
 	x.proxy.Retries.Instances = x.activeCount
 	handler := &forward.Server{
 		Codec: x.proxy.Codec, Views: x.sites, Picker: x.services, Client: client, Dispatcher: x.dispatcher,
 		Budget: x.proxy.Retries, Observer: x.metrics, Zone: x.self.Zone, Drain: x.drainOfRequests, Guard: x.guard,
-		Bodies:      exchange.NewMemory(forward.RequestBytes),
+		Bodies:      exchange.NewMemory(x.partOfMemory(requestMemoryParts, forward.RequestBytes)),
 		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
 	}
+	pool.Memory.MakeRoom = handler.BreakOffSlowAnswers
 	s, err := x.listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes, inbound.Options{
 		Name: "proxy", ForCallers: true, HeadLimit: x.sites.headLimit, Patience: x.sites.patience,
 	})
