--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"io"
@@ -25,9 +26,12 @@
 const (
 	// freeHeadBytes is the size up to which a head is part of bytesPerConn. It is the size of the HTTP server's buffer.
 	freeHeadBytes = 4 << 10
-	// headCopies is the memory that a larger head takes while it is read, as a multiple of its size: lines grow by copies, and short
-	// ones need more for their entries than for their text. readHeadCopies is that of a head that was read.
-	headCopies, readHeadCopies = 6, 3
+	// headCopies is the memory that a larger head takes while it is read, as a multiple of its size, since lines grow by copies;
+	// readHeadCopies is that of a head that was read.
+	headCopies, readHeadCopies = 4, 2
+	// freeHeadLines is the number of lines up to which a head is part of bytesPerConn, lineBytes what an entry of a further line takes
+	// while the list of entries grows by copies, and readLineBytes afterwards.
+	freeHeadLines, lineBytes, readLineBytes = 100, 96, 32
 	// unsentBytes is the number of bytes that the kernel holds of an answer beside those that are on their way to the caller.
 	unsentBytes = 128 << 10
 	// stallTimeout is how long a caller may take to read stallBytes of an answer whose owner has set no deadline.
@@ -61,10 +65,12 @@
 	at, largeAt *list.Element
 	// since is when the connection was placed in list.
 	since time.Time
-	// received is the size of the head so far, headBytes the memory that it counts for.
-	received  int
-	headBytes int64
-	isRemoved bool
+	// received and lines are the size of the head so far, headBytes the memory that it counts for.
+	received, lines int
+	headBytes       int64
+	isRemoved       bool
+	// removed is closed when isRemoved is set.
+	removed chan struct{}
 }
 
 // newConn returns a connection of a gate.
@@ -77,7 +83,7 @@
 	err = raw.Control(func(fd uintptr) {
 		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
 	})
-	return &Conn{TCPConn: tcp, raw: raw, gate: g, options: o}, errors.CombineErrors(err, optionErr)
+	return &Conn{TCPConn: tcp, raw: raw, gate: g, options: o, removed: make(chan struct{})}, errors.CombineErrors(err, optionErr)
 }
 
 // place moves the connection to the end of a list of its gate. The caller holds the gate's mu.
@@ -104,8 +110,9 @@
 	if n <= 0 {
 		return n, err
 	}
-	refusal := c.gate.growHead(c, n)
+	wait, refusal := c.gate.growHead(c, n, bytes.Count(b[:n], []byte("\n")))
 	if refusal == nil {
+		c.pause(wait)
 		return n, err
 	}
 	c.gate.refuseHead(c)
@@ -120,6 +127,17 @@
 	return 0, io.EOF
 }
 
+// pause waits for a time, or until the connection is closed.
+func (c *Conn) pause(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-c.removed:
+	case <-time.After(wait):
+	}
+}
+
 // answerUnread writes an answer to a request that isn't read, and reads what the caller still sends for a moment, so that a reset doesn't
 // overtake the answer.
 func answerUnread(tcp *net.TCPConn, answer string) {
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -20,6 +20,11 @@
 	freshTime = 100 * time.Millisecond
 	// minWait is the least pause between two attempts to admit a connection while there are new ones only.
 	minWait = time.Millisecond
+	// Large heads are read at a rate of the memory for heads in a second, minHeadRate at least, after a burst of paceBurst. Without it, the
+	// garbage of heads that are refused grows faster than it is collected. A read waits at most maxPace.
+	minHeadRate = 4 << 20
+	paceBurst   = time.Second
+	maxPace     = time.Second
 	// maxRefusals is the number of connections that are kept open at the same time until their callers have read a refusal, and
 	// refusalTime is how long each of them is.
 	maxRefusals = 16
@@ -59,6 +64,8 @@
 	// sending holds the connections without a whole head by the time since when, idle those that wait for a further request, and large
 	// those of sending that have memory for heads. The longest is in front.
 	sending, idle, large *list.List
+	// pacedUntil is the time until which the large heads that were read take at their rate.
+	pacedUntil time.Time
 	// streams holds the streams with unread parts.
 	streams map[*Stream]struct{}
 }
@@ -193,6 +200,7 @@
 		return
 	}
 	c.isRemoved = true
+	close(c.removed)
 	g.stats.Open--
 	c.leave()
 	g.freeHead(c, 0)
@@ -213,10 +221,10 @@
 	case http.StateActive, http.StateHijacked:
 		c.leave()
 		c.isHijacked.Store(s == http.StateHijacked)
-		g.freeHead(c, int64(max(c.received-freeHeadBytes, 0))*readHeadCopies)
+		g.freeHead(c, int64(max(c.received-freeHeadBytes, 0)*readHeadCopies+max(c.lines-freeHeadLines, 0)*readLineBytes))
 	case http.StateIdle:
 		g.freeHead(c, 0)
-		c.received = 0
+		c.received, c.lines = 0, 0
 		c.place(g.idle, time.Now())
 	case http.StateClosed:
 		g.remove(c)
@@ -224,26 +232,27 @@
 	}
 }
 
-// growHead adds n bytes to the head that a connection is sending. It returns ErrLargeHead if the head is larger than its listener allows,
-// and ErrNoMemory if there is no memory for it beside other requests.
-func (g *Gate) growHead(c *Conn, n int) error {
+// growHead adds n bytes with a number of lines to the head that a connection is sending. It returns ErrLargeHead if the head is larger than its listener allows,
+// and ErrNoMemory if there is no memory for it beside other requests; otherwise the time for which the rest of the head must wait.
+func (g *Gate) growHead(c *Conn, n, lines int) (wait time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.isRemoved || c.list == nil {
-		return nil // closed, or its request is being handled
+		return 0, nil // closed, or its request is being handled
 	}
 	now := time.Now()
 	if c.list == g.idle {
 		c.place(g.sending, now)
 	}
 	c.received += n
-	more := int64(max(c.received-freeHeadBytes, 0))*headCopies - c.headBytes
+	c.lines += lines
+	more := int64(max(c.received-freeHeadBytes, 0))*headCopies + int64(max(c.lines-freeHeadLines, 0))*lineBytes - c.headBytes
 	if more <= 0 {
-		return nil
+		return 0, nil
 	}
 	if limit := c.options.headLimit(); limit > 0 && c.received > limit {
 		g.stats.LargeHeads++
-		return ErrLargeHead
+		return 0, ErrLargeHead
 	}
 	if c.largeAt == nil {
 		c.largeAt = g.large.PushBack(c)
@@ -252,14 +261,24 @@
 		oldest := connOf(g.large.Front())
 		if oldest == c {
 			g.stats.ClosedSending++
-			return ErrNoMemory
+			return 0, ErrNoMemory
 		}
 		g.stats.ClosedSending++
 		g.closeConn(oldest, "sending a large head")
 	}
 	c.headBytes += more
 	g.stats.HeadBytes += more
-	return nil
+	return g.pace(n, now), nil
+}
+
+// pace counts n bytes of large heads, and returns the time after which they may be followed by others. The caller holds mu.
+func (g *Gate) pace(n int, now time.Time) time.Duration {
+	perSecond := max(g.limits.HeadBytes, minHeadRate)
+	if start := now.Add(-paceBurst); g.pacedUntil.Before(start) {
+		g.pacedUntil = start
+	}
+	g.pacedUntil = g.pacedUntil.Add(time.Duration(int64(n) * int64(time.Second) / perSecond))
+	return min(g.pacedUntil.Sub(now), maxPace)
 }
 
 // log logs a line on a connection, unless the line is left out by sampling.
--- a/plantainlane/inbound/limits.go
+++ b/plantainlane/inbound/limits.go
@@ -14,7 +14,7 @@
 	// minConns is the least number of connections, whatever the limits of the process.
 	minConns = 64
 	// The parts of the process's memory for connections, heads, and unread parts of streams.
-	connMemoryParts, headMemoryParts, streamMemoryParts = 4, 8, 16
+	connMemoryParts, headMemoryParts, streamMemoryParts = 4, 12, 16
 	// The memory for heads and unread parts of streams if the process's memory isn't known.
 	defaultHeadBytes, defaultStreamBytes = 64 << 20, 64 << 20
 	// operatorParts is the part of the connections that only listeners for operators, upstreams and instances may use.
