--- a/plantainlane/caller/run.go
+++ b/plantainlane/caller/run.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v5"
 
+	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/limit"
 	"plantainlane/plantainlane/pipeline"
 	"plantainlane/plantainlane/problem"
@@ -46,7 +47,7 @@
 // with the first event. A failure before the first event is answered as without a stream, a later failure is sent as a
 // problem event.
 func (s *Server) runStream(c *echo.Context, req *pipeline.Request) error {
-	out := &eventWriter{w: c.Response(), control: http.NewResponseController(c.Response())}
+	out := &eventWriter{w: c.Response(), control: http.NewResponseController(c.Response()), request: c.Request()}
 	req.OnToken = func(offset int, text string) error {
 		return out.write("token", tokenEvent{Offset: offset, Text: text})
 	}
@@ -56,13 +57,13 @@
 		if !out.started {
 			return problem.Write(c, p)
 		}
-		return out.write("problem", p)
+		return out.end("problem", p)
 	}
 	s.finish(req, a)
 	// The end event carries no output: a streamed output was sent as tokens.
 	end := *a
 	end.Output = nil
-	return out.write("end", end)
+	return out.end("end", end)
 }
 
 // fail records the failure of a request and returns its problem.
@@ -90,6 +91,9 @@
 type eventWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	request *http.Request
+	// unread holds what the caller hasn't read; nil before the first event.
+	unread *inbound.Stream
 	// started is set once the status and the headers are sent.
 	started bool
 	// buffer holds the last encoded event. Each event reuses the buffer.
@@ -108,6 +112,7 @@
 		h.Set("Content-Type", "text/event-stream")
 		h.Set("Cache-Control", "no-store")
 		e.w.WriteHeader(http.StatusOK)
+		e.unread = inbound.StartStream(e.request)
 	}
 	e.buffer = append(e.buffer[:0], "event: "...)
 	e.buffer = append(e.buffer, name...)
@@ -120,6 +125,11 @@
 	return e.control.Flush()
 }
 
+// end sends the last event, and waits until the caller has been sent all.
+func (e *eventWriter) end(name string, data any) error {
+	return errors.CombineErrors(e.write(name, data), e.unread.Drain())
+}
+
 // failureProblems maps each reason of a pipeline.Failure to the HTTP status and the kind of its problem.
 var failureProblems = []struct {
 	reason error
--- a/plantainlane/inbound/stream.go
+++ b/plantainlane/inbound/stream.go
@@ -58,7 +58,8 @@
 	return s
 }
 
-// Drain waits until all is written to the connection, or can't be, and ends the stream.
+// Drain waits until all is written to the connection and ends the stream. If that fails, what is written to the connection afterwards fails
+// too, so that no end of the answer follows.
 func (s *Stream) Drain() error {
 	if s == nil {
 		return nil
@@ -68,7 +69,9 @@
 	for s.isFlushing {
 		s.changed.Wait()
 	}
-	s.conn.stream.Store(nil)
+	if s.failed == nil {
+		s.conn.stream.Store(nil)
+	}
 	return s.failed
 }
 
@@ -168,7 +171,7 @@
 		block := s.blocks[0]
 		s.blocks = s.blocks[1:]
 		s.mu.Unlock()
-		_, err := s.conn.TCPConn.Write(block)
+		_, err := s.conn.writeAll(block)
 		s.conn.gate.shrinkStream(s, int64(cap(block)))
 		s.mu.Lock()
 		if err != nil && s.failed == nil {
