--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -12,6 +12,7 @@
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/forward"
+	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/logs"
 	"plantainlane/plantainlane/quota"
 	"plantainlane/plantainlane/roster"
@@ -29,6 +30,15 @@
 // upstreamIdleTimeout is how long an idle connection to an upstream is kept.
 const upstreamIdleTimeout = 20 * time.Second
 
+const (
+	// headMargin is the size of a request line, and of what else the site's limit for headers doesn't count.
+	headMargin = 16 << 10
+	// The parts of the instance's memory for the bodies of requests and of answers.
+	requestMemoryParts, answerMemoryParts = 4, 6
+	// timeoutMargin is the time beyond the site's limits within which a connection isn't closed.
+	timeoutMargin = time.Second
+)
+
 // Proxy describes a listener for opaque requests, which are routed by host and path and forwarded unchanged.
 type Proxy struct {
 	// Address is the address to listen on, as IP:PORT.
@@ -146,6 +156,27 @@
 	return site.Newest
 }
 
+// headLimit returns the largest size of a request's head that is read. The site's limit doesn't count the request line.
+func (s *sites) headLimit() int {
+	current, _ := s.Site()
+	if current == nil || current.Limits.HeaderBytes <= 0 {
+		return forward.UnlimitedHeadBytes
+	}
+	return 2*current.Limits.HeaderBytes + headMargin
+}
+
+// patience returns by how much the site's times for heads and idle connections are longer than the settings'.
+func (s *sites) patience() (head, idle time.Duration) {
+	current, _ := s.Site()
+	if current == nil {
+		return 0, 0
+	}
+	entry := s.instance.settings.Entry
+	head = current.Limits.HeaderTimeout + timeoutMargin - time.Duration(entry.HeaderTimeout)
+	idle = current.Limits.IdleTimeout + timeoutMargin - time.Duration(entry.IdleTimeout)
+	return max(head, 0), max(idle, 0)
+}
+
 // Upstreams returns the known state of all upstreams.
 func (s *sites) Upstreams() roster.View { return s.instance.View().Upstreams }
 
@@ -216,6 +247,14 @@
 	}
 }
 
+// partOfMemory returns the bytes of one of a number of parts of the instance's memory, and limit if that is less or the memory isn't stated.
+func (x *Instance) partOfMemory(parts, limit int64) int64 {
+	if memory := int64(x.settings.Limits.MemoryMB) << 20; memory > 0 {
+		return min(memory/parts, limit)
+	}
+	return limit
+}
+
 // openProxy opens the listener for opaque requests and creates the dispatcher of pieces. It does nothing without
 // WithProxy.
 func (x *Instance) openProxy(ctx context.Context) error {
@@ -225,6 +264,7 @@
 	x.proxyCtx = ctx
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(upstreamIdleTimeout)
+	pool.Memory = exchange.NewMemory(x.partOfMemory(answerMemoryParts, exchange.AnswerBytes))
 	client := quota.NewClient(pool, x.gate, x.proxy.ReadNotice)
 	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, x.self.Zone, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
 	x.dispatcher.OnLoad = x.services.ObserveLoad
@@ -232,11 +272,14 @@
 	handler := &forward.Server{
 		Codec: x.proxy.Codec, Views: x.sites, Picker: x.services, Client: client, Dispatcher: x.dispatcher,
 		Budget: x.proxy.Retries, Observer: x.metrics, Zone: x.self.Zone, Drain: x.drainOfRequests, Guard: x.guard,
-		Bodies:      exchange.NewMemory(forward.RequestBytes),
 		Prompts:     x.prompts,
+		Bodies:      exchange.NewMemory(x.partOfMemory(requestMemoryParts, forward.RequestBytes)),
 		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
 	}
-	s, err := listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes)
+	pool.Memory.MakeRoom = handler.BreakOffSlowAnswers
+	s, err := x.listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes, inbound.Options{
+		Name: "proxy", ForCallers: true, HeadLimit: x.sites.headLimit, Patience: x.sites.patience,
+	})
 	if err != nil {
 		return err
 	}
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -25,6 +25,8 @@
 	minCores          = 0.01
 	maxCores          = 1024
 	maxLimit          = 1 << 30
+	minMemoryMB       = 64
+	minDescriptors    = 128
 	minWeightRate     = 0.001
 	maxWeightRate     = 1000
 )
@@ -42,8 +44,12 @@
 	c.name("instance.zone", s.Instance.Zone)
 	c.name("instance.region", s.Instance.Region)
 	c.number("instance.cores", s.Instance.Cores, minCores, maxCores)
-	c.integer("limits.memoryMB", s.Limits.MemoryMB, 0, maxLimit)
-	c.integer("limits.descriptors", s.Limits.Descriptors, 0, maxLimit)
+	if s.Limits.MemoryMB != 0 {
+		c.integer("limits.memoryMB", s.Limits.MemoryMB, minMemoryMB, maxLimit)
+	}
+	if s.Limits.Descriptors != 0 {
+		c.integer("limits.descriptors", s.Limits.Descriptors, minDescriptors, maxLimit)
+	}
 	c.number("limits.linkMbps", s.Limits.LinkMbps, 0, maxLimit)
 	c.addresses(s)
 	if s.Data != nil {
@@ -231,4 +237,6 @@
 	c.duration("entry.drainLimit", e.DrainLimit, time.Millisecond, maxDuration)
 	c.integer("entry.maxBodyBytes", e.MaxBodyBytes, 1, maxBodyBytes)
 	c.integer("entry.maxHeaderBytes", e.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	c.duration("entry.headerTimeout", e.HeaderTimeout, 100*time.Millisecond, time.Minute)
+	c.duration("entry.idleTimeout", e.IdleTimeout, time.Second, time.Hour)
 }
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -159,6 +159,10 @@
 	MaxBodyBytes int `json:"maxBodyBytes"`
 	// MaxHeaderBytes is the largest total size of a request's headers. Default 16 KiB.
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
+	// HeaderTimeout is the maximum time for receiving the headers of a request. Default 5s.
+	HeaderTimeout Duration `json:"headerTimeout"`
+	// IdleTimeout is how long an idle connection of a caller is kept open for its next request. Default 2m.
+	IdleTimeout Duration `json:"idleTimeout"`
 	// DrainLimit is how long a drain waits at most for requests in flight, from the time when no caller's entry
 	// answer names the instance. Default 10m.
 	DrainLimit Duration `json:"drainLimit"`
@@ -212,6 +216,8 @@
 			KeepFor:        Duration(10 * time.Second),
 			MaxBodyBytes:   8 << 20,
 			MaxHeaderBytes: 16 << 10,
+			HeaderTimeout:  Duration(5 * time.Second),
+			IdleTimeout:    Duration(2 * time.Minute),
 			DrainLimit:     Duration(10 * time.Minute),
 		},
 		Upstreams:   Upstreams{IdleConnectionLimit: Duration(30 * time.Second)},
