--- a/plantainlane/promptcache/weigh.go
+++ b/plantainlane/promptcache/weigh.go
@@ -19,6 +19,9 @@
 	// loadWeight is the weight of an engine's known load above the mean: each call there is delayed by the reading of this
 	// prompt, and delays it by reading a prompt of its own.
 	loadWeight = 0.25
+	// tolerance is the difference of costs that is within the error of the estimates: loads are reported late. The upstream that
+	// has the least to read is chosen then, so that prompts keep their places.
+	tolerance = 50 * time.Millisecond
 	// othersWeight is the weight of a delay of the other requests at an engine, against the same delay of this one.
 	othersWeight = 1
 	// toleratedSlowdown is the slowdown of an upstream's answers up to which it counts as normal.
@@ -64,18 +67,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.of(now, p.service, p.engine)
-	best, least := 0, math.Inf(1)
-	var bestEstimate, last estimate
+	least := math.Inf(1)
 	for i := range list {
 		observe(&s.load, min(list[i].Load, float64(s.engine.Slots)), averageWeight/float64(len(list)))
 	}
+	estimates := make([]estimate, len(list))
 	for i := range list {
-		x := s.estimate(now, p, &list[i])
-		if x.total() < least {
-			best, least, bestEstimate = i, x.total(), x
-		}
-		last = x
+		estimates[i] = s.estimate(now, p, &list[i])
+		least = min(least, estimates[i].total())
 	}
+	best := leastRead(estimates, least+tolerance.Seconds())
+	bestEstimate, last := estimates[best], estimates[len(list)-1]
 	p.chosen = Choice{
 		ReadTokens: int(bestEstimate.read), SavedTokens: int(max(last.read-bestEstimate.read, 0)),
 		ExtraWait: seconds(max(bestEstimate.wait-last.wait, 0)), id: list[best].ID, load: list[best].Load,
@@ -83,6 +85,22 @@
 	return best
 }
 
+// leastRead returns the index of the estimate with the fewest tokens to read, and of these the one with the least total, among those
+// with a total of at most limit.
+func leastRead(list []estimate, limit float64) int {
+	best := -1
+	for i := range list {
+		x := &list[i]
+		if x.total() > limit {
+			continue
+		}
+		if best < 0 || x.read < list[best].read || x.read == list[best].read && x.total() < list[best].total() {
+			best = i
+		}
+	}
+	return max(best, 0)
+}
+
 // estimate estimates the cost of a request at an upstream.
 func (s *service) estimate(now time.Time, p *Plan, u *route.State) estimate {
 	if c := s.caches[u.ID]; c != nil {
