--- a/plantainlane/forward/affinity.go
+++ b/plantainlane/forward/affinity.go
@@ -93,11 +93,12 @@
 	return out
 }
 
-// planOf returns the affinity of a prompt by a plan, if the site describes the engines of the request's service and the
-// prompt's size is known.
+// planOf returns the affinity of a prompt by a plan, if the site describes the engines of the request's service, they report
+// their pace, and the prompt's size is known. Only reports with a pace are passed on between instances: without these an
+// instance knows too little of the loads to weigh them, and prompts would lose their places for nothing.
 func (q *request) planOf(now time.Time, upstreams *upstreamList) (affinity, bool) {
 	service := q.site.Services[q.service]
-	if q.server.Prompts == nil || service == nil || service.Engine == nil {
+	if q.server.Prompts == nil || service == nil || service.Engine == nil || !q.server.Picker.ReportsPace(q.service) {
 		return affinity{}, false
 	}
 	engine := promptcache.Engine{Slots: service.Engine.Slots, CacheTokens: service.Engine.CacheTokens}
--- a/plantainlane/forward/call.go
+++ b/plantainlane/forward/call.go
@@ -119,4 +119,6 @@
 	RestsUntil(now time.Time, q route.Query) (time.Time, bool)
 	// IsEvacuated reports whether a service has upstreams, and all are in evacuated zones.
 	IsEvacuated(service string) bool
+	// ReportsPace reports whether an upstream of a service has reported a pace.
+	ReportsPace(service string) bool
 }
--- a/plantainlane/forward/placement_test.go
+++ b/plantainlane/forward/placement_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
@@ -13,6 +14,7 @@
 	"plantainlane/plantainlane/placement"
 	"plantainlane/plantainlane/promptcache"
 	"plantainlane/plantainlane/site"
+	"plantainlane/wire"
 )
 
 // TestPreferredHaveHighestScores guards against preferred upstreams that other instances, which run earlier versions, don't
@@ -42,7 +44,11 @@
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	_, _, err := h.post("X-Id", "one", "X-Key", "key", "X-Parts", "first,own")
+	_, _, err := h.post("X-Id", "zero", "X-Key", "key", "X-Parts", "first,own")
+	is.NoErr(err)
+	is.Equal(h.server.Prompts.Stats().Decisions, int64(0)) // the engine reports no pace
+	h.balancer.ObserveLoad("a", wire.UpstreamLoad{Pace: 100}, time.Now())
+	_, _, err = h.post("X-Id", "one", "X-Key", "key", "X-Parts", "first,own")
 	is.NoErr(err)
 	is.Equal(h.server.Prompts.Stats().Decisions, int64(1))
 	is.Equal(h.server.Prompts.Stats().ReadTokens, int64(0))
--- a/plantainlane/route/pace.go
+++ b/plantainlane/route/pace.go
@@ -22,6 +22,20 @@
 	return pace.At(int(r>>16), time.Duration(age)*time.Millisecond)
 }
 
+// observePace records a reported pace in percent, above 0.
+func (u *upstream) observePace(at int64, percent int) {
+	u.pace.Store(newPaceReport(at, percent))
+	if !u.service.reportsPace.Load() {
+		u.service.reportsPace.Store(true)
+	}
+}
+
+// ReportsPace reports whether an upstream of a service has reported a pace.
+func (b *Balancer) ReportsPace(service string) bool {
+	s := b.service(service)
+	return s != nil && s.reportsPace.Load()
+}
+
 // paceAt returns the upstream's pace as known now; 1 if it is unknown.
 func (u *upstream) paceAt(now int64) float64 {
 	r := u.pace.Load()
--- a/plantainlane/route/pool.go
+++ b/plantainlane/route/pool.go
@@ -51,6 +51,8 @@
 	capacity atomic.Pointer[ServiceCapacity]
 	// runLimits holds the limits as of the last Review; zero limits before the first.
 	runLimits atomic.Pointer[runLimits]
+	// reportsPace is set once an upstream has reported a pace.
+	reportsPace atomic.Bool
 	// recentCalls counts the recent calls to all members, recentFailures those that failed. Older calls count for less,
 	// see recentCallsRetained. Only Review uses these fields.
 	recentCalls, recentFailures float64
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -110,7 +110,7 @@
 	u.lastProgress.Store(now)
 	u.otherLoad.Store(math.Float32bits(float32(a.Load.InFlight + a.Load.Queued)))
 	if a.Load.Pace > 0 {
-		u.pace.Store(newPaceReport(now, a.Load.Pace))
+		u.observePace(now, a.Load.Pace)
 	}
 	u.setAnnouncement(a)
 	return u
@@ -136,7 +136,7 @@
 	old := float64(math.Float32frombits(u.otherLoad.Load()))
 	u.otherLoad.Store(math.Float32bits(float32(old + otherLoadWeight*(sample-old))))
 	if load.Pace > 0 {
-		u.pace.Store(newPaceReport(now, load.Pace))
+		u.observePace(now, load.Pace)
 	}
 }
 
@@ -147,7 +147,7 @@
 	u.otherLoad.Store(math.Float32bits(float32(old + sharedLoadWeight*(sample-old))))
 	u.sharedAt.Store(at)
 	if load.Pace > 0 {
-		u.pace.Store(newPaceReport(at, load.Pace))
+		u.observePace(at, load.Pace)
 	}
 }
 
