--- a/plantainlane/batch/choose.go
+++ b/plantainlane/batch/choose.go
@@ -27,7 +27,7 @@
 }
 
 // updateDue recomputes effectiveDue and laterQueueLong of a job from the current wait times of the later queues of its
-// request, and from how much longer their calls take than Due provides for.
+// request.
 //
 // In a burst, the queues of later stages fill while a job waits in the first queue. If the wait times were read only
 // when the job was added, every request would be started and none would meet its latency target.
@@ -36,23 +36,11 @@
 	if q.WaitTimesOf == nil {
 		return
 	}
-	var shared time.Duration
-	for i, service := range j.NextServices {
+	for _, service := range j.NextServices {
 		times := q.laterWait(service)
 		j.effectiveDue = j.effectiveDue.Add(-times.OnTime)
-		shared += j.sharedCallTime(i, times.Call)
 		j.laterQueueLong = j.laterQueueLong || times.All > deferralWait
 	}
-	j.effectiveDue = j.effectiveDue.Add(-max(shared-callTimeSlack, 0))
-}
-
-// sharedCallTime returns how much longer the call of the job's i-th later stage takes than Due provides for, since it is shared with
-// the pieces of other jobs. typical is the typical duration of a call there, 0 if it isn't known.
-func (j *Job) sharedCallTime(i int, typical time.Duration) time.Duration {
-	if i >= len(j.NextTimes) {
-		return 0
-	}
-	return max(typical-j.NextTimes[i], 0)
 }
 
 // laterWait returns the wait times of another service's queue, which are read once for each decision.
--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -266,31 +266,12 @@
 	return send, cancel
 }
 
-// milliseconds returns durations as whole milliseconds.
-func milliseconds(list []time.Duration) []int {
-	out := make([]int, 0, len(list))
-	for _, d := range list {
-		out = append(out, int(d/time.Millisecond))
-	}
-	return out
-}
-
-// durations is the inverse of milliseconds.
-func durations(list []int) []time.Duration {
-	out := make([]time.Duration, 0, len(list))
-	for _, ms := range list {
-		out = append(out, time.Duration(ms)*time.Millisecond)
-	}
-	return out
-}
-
 // pieceOrder returns a job as a message that is sent now.
 func pieceOrder(q queueID, j *Job, now time.Time) *wire.PieceOrder {
 	return &wire.PieceOrder{
 		Service: q.service, QueueZone: q.zone, Request: j.Request, Stage: j.Stage, Pieces: j.Pieces, Key: j.Key,
 		Inputs: append([]string{}, j.Inputs...), Next: append([]string{}, j.NextServices...),
 		Zone: j.Zone, CrossBytes: j.CrossBytes, HoldsRoom: j.HoldsMemory, Bytes: j.Bytes, Priority: j.Priority,
-		SubPriority: j.SubPriority, NextMs: milliseconds(j.NextTimes),
 		DueMs:  int(j.Due.Sub(now) / time.Millisecond),
 		LeftMs: int(j.Deadline.Sub(now) / time.Millisecond),
 	}
@@ -352,7 +333,6 @@
 		if m.ID != d.self && m.Owns != "" {
 			d.peers.Send(m.ID, wire.Frame{PieceQueue: &wire.PieceQueue{
 				Service: q.service, QueueZone: q.zone, WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond),
-				CallMs: int(w.Call / time.Millisecond),
 			}})
 		}
 	}
@@ -374,7 +354,6 @@
 		d.recordWaitTimes(queueID{f.PieceQueue.Service, f.PieceQueue.QueueZone}, WaitTimes{
 			OnTime: time.Duration(f.PieceQueue.WaitMs) * time.Millisecond,
 			All:    time.Duration(f.PieceQueue.AllMs) * time.Millisecond,
-			Call:   time.Duration(f.PieceQueue.CallMs) * time.Millisecond,
 		})
 	case f.PieceRelease != nil:
 		d.deliver(d.owner(queueID{f.PieceRelease.Service, f.PieceRelease.QueueZone}), released{f.PieceRelease.Handles})
@@ -397,7 +376,6 @@
 	j := &Job{
 		Request: p.Request, Stage: p.Stage, Pieces: p.Pieces, Key: p.Key, Inputs: p.Inputs, NextServices: p.Next, Zone: p.Zone,
 		CrossBytes: p.CrossBytes, HoldsMemory: p.HoldsRoom, Bytes: p.Bytes, Priority: p.Priority,
-		SubPriority: p.SubPriority, NextTimes: durations(p.NextMs),
 		Due:      now.Add(time.Duration(p.DueMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(p.LeftMs) * time.Millisecond),
 		Remote:   true,
@@ -435,7 +413,7 @@
 	other := d.shortestOther(q, now)
 	d.peers.Send(to, wire.Frame{Call: call, UpstreamLoads: d.loads.news(now, to, false), PieceAnswer: &wire.PieceAnswer{
 		Handles: handles, Zone: out.Zone, Reason: string(out.Reason), RetryAfterMs: int(out.RetryAfter / time.Millisecond),
-		WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond), CallMs: int(w.Call / time.Millisecond),
+		WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond),
 		OtherZone: other.zone, OtherWaitMs: int(other.wait / time.Millisecond),
 	}})
 }
--- a/plantainlane/batch/dispatcher_test.go
+++ b/plantainlane/batch/dispatcher_test.go
@@ -319,7 +319,6 @@
 			n.dispatchers["a"].HandleFrame(f)
 			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(decisionInterval) // an owner may wait for its next decision
 	})
 }
 
--- a/plantainlane/batch/job.go
+++ b/plantainlane/batch/job.go
@@ -31,15 +31,10 @@
 	Remote bool
 	// Priority is the request's priority; 0 is the highest.
 	Priority int
-	// SubPriority orders the requests of the same priority; 0 is the highest.
-	SubPriority int
 	// HoldsMemory is set if the inputs occupy much of their upstreams' result memory, so that they should be read soon.
 	HoldsMemory bool
 	// NextServices lists the services of the request's later stages, in order.
 	NextServices []string
-	// NextTimes holds, for each of NextServices, the time for which Due provides for the stage's call. It may be shorter than
-	// NextServices; what it lacks isn't corrected by the typical duration of calls.
-	NextTimes []time.Duration
 	// OnInputsRead is called at most once, when the upstreams can be assumed to have read the inputs of all pieces. It
 	// may be nil.
 	OnInputsRead func()
@@ -126,8 +121,7 @@
 	if earliest := j.addedAt.Add(minDueDelay); j.HoldsMemory && due.Before(earliest) {
 		due = earliest
 	}
-	later := time.Duration(j.Priority)*priorityStep + time.Duration(min(j.SubPriority, maxSubPriority))*subPriorityStep
-	return due.Add(later)
+	return due.Add(time.Duration(j.Priority) * priorityStep)
 }
 
 // mainZone returns the zone with the most completed pieces, the first by name if there are several.
--- a/plantainlane/batch/layout.go
+++ b/plantainlane/batch/layout.go
@@ -192,7 +192,6 @@
 func (d *Dispatcher) recordAnswer(q queueID, a *wire.PieceAnswer) {
 	d.recordWaitTimes(q, WaitTimes{
 		OnTime: time.Duration(a.WaitMs) * time.Millisecond, All: time.Duration(a.AllMs) * time.Millisecond,
-		Call: time.Duration(a.CallMs) * time.Millisecond,
 	})
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/plantainlane/batch/owner.go
+++ b/plantainlane/batch/owner.go
@@ -239,12 +239,8 @@
 		return
 	}
 	w := o.queue.WaitTimes(now)
-	if w.All < minPublishedWait {
-		// Only how long calls take is of use.
-		w.OnTime, w.All = 0, 0
-		if o.queue.Idle() && o.published.All == 0 {
-			return
-		}
+	if w.All < minPublishedWait && o.published.All < minPublishedWait {
+		return
 	}
 	o.publish(w)
 	o.published = w
--- a/plantainlane/batch/queue.go
+++ b/plantainlane/batch/queue.go
@@ -65,17 +65,10 @@
 	sameZoneSlack = 200 * time.Millisecond
 	// priorityStep is how much later a job counts as due for each priority level below the highest.
 	priorityStep = 300 * time.Millisecond
-	// subPriorityStep is the same for each level of the order among jobs of the same priority. Its maxSubPriority levels are
-	// less than one priorityStep.
-	subPriorityStep = 100 * time.Millisecond
-	maxSubPriority  = 2
 	// minDueDelay is the least time from the addition of a job with HoldsMemory until the job counts as due.
 	minDueDelay = 400 * time.Millisecond
 	// slowdownWeight is the weight of the newest call in the moving average of an upstream's slowdown.
 	slowdownWeight = 0.4
-	// callTimeSlack is how much longer the calls of later stages may take in all than a job's Due provides for. Due is before
-	// the latency target.
-	callTimeSlack = 150 * time.Millisecond
 	// deferralWait is the wait time of a later queue above which late jobs are deferred.
 	deferralWait = 300 * time.Millisecond
 	// firstPause and maxPause bound the time for which an upstream is paused after a failed or refused call.
--- a/plantainlane/batch/rate.go
+++ b/plantainlane/batch/rate.go
@@ -67,8 +67,6 @@
 	OnTime time.Duration
 	// All is the expected time until all waiting pieces are completed. It is at least OnTime.
 	All time.Duration
-	// Call is the typical duration of a call of the queue; 0 if it isn't known.
-	Call time.Duration
 }
 
 // unservedWait is the wait time of a queue whose upstreams all leave, have ended or are paused.
@@ -87,7 +85,7 @@
 // WaitTimes returns the current wait times of the queue.
 func (q *Queue) WaitTimes(now time.Time) WaitTimes {
 	if q.isUnserved(now) {
-		return WaitTimes{OnTime: unservedWait, All: max(unservedWait, q.timeFor(q.waiting)), Call: q.typicalCallTime()}
+		return WaitTimes{OnTime: unservedWait, All: max(unservedWait, q.timeFor(q.waiting))}
 	}
 	onTime, completion := 0, now.Add(q.typicalCallTime())
 	for _, j := range q.jobs {
@@ -95,7 +93,7 @@
 			onTime += j.unsent()
 		}
 	}
-	return WaitTimes{OnTime: q.timeFor(onTime), All: q.timeFor(q.waiting), Call: q.typicalCallTime()}
+	return WaitTimes{OnTime: q.timeFor(onTime), All: q.timeFor(q.waiting)}
 }
 
 // Counts are statistics of a queue since the last TakeCounts.
--- a/plantainlane/forward/admit.go
+++ b/plantainlane/forward/admit.go
@@ -165,7 +165,7 @@
 	}
 	q.workspace = w.Name
 	if w.HasPriority {
-		q.priority, q.subPriority = w.Priority, q.route.Priority
+		q.priority = w.Priority
 	}
 	return nil
 }
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -102,8 +102,6 @@
 	// deadline is when the caller must have the answer, answerMargin before its timeout.
 	deadline time.Time
 	priority int
-	// subPriority is the route's priority if the workspace has one of its own, which comes first; 0 otherwise.
-	subPriority int
 	// workspace of the caller; empty if the request needs no key.
 	workspace string
 	method    string
@@ -219,7 +217,7 @@
 	}
 	q.stages = &stageRun{
 		dispatcher: s.Dispatcher, site: q.site, route: q.route, call: &q.call, zone: zone,
-		received: q.received, deadline: q.firstEventDeadline(), priority: q.priority, subPriority: q.subPriority,
+		received: q.received, deadline: q.firstEventDeadline(), priority: q.priority,
 	}
 	var err error
 	q.inputs, err = q.stages.run(ctx)
--- a/plantainlane/forward/stages.go
+++ b/plantainlane/forward/stages.go
@@ -49,8 +49,7 @@
 	received time.Time
 	// deadline for the request's answer, or for its first event if the route has a FirstEventTimeout.
 	deadline time.Time
-	// priority and subPriority are those of the request's jobs.
-	priority, subPriority int
+	priority int
 
 	// mu guards generation and consumers, and the release of handles while stages are running.
 	mu sync.Mutex
@@ -133,7 +132,7 @@
 		return nil
 	}
 	job := batch.Job{
-		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Bytes: stage.Bytes, Priority: x.priority, SubPriority: x.subPriority,
+		Request: x.call.ID, Stage: i, Pieces: x.pieces(i), Bytes: stage.Bytes, Priority: x.priority,
 	}
 	for _, dep := range stage.After {
 		job.HoldsMemory = job.HoldsMemory || x.hasLargeResults(dep)
@@ -148,10 +147,10 @@
 		job.Key = x.call.PieceKey
 	}
 	job.Zone, job.CrossBytes = x.preferredZone(i)
-	remaining, next, times := x.remainingTime(i)
+	remaining, next := x.remainingTime(i)
 	job.Due = x.received.Add(time.Duration(targetFraction*float64(x.route.TargetLatency)) - remaining)
 	job.Deadline = x.deadline.Add(-remaining)
-	job.NextServices, job.NextTimes = next, times
+	job.NextServices = next
 	consumeInputs := sync.OnceFunc(func() { x.consumeResults(stage.After, generation) })
 	if len(stage.After) > 0 {
 		inputs := x.queuesOf(stage.After)
@@ -283,21 +282,19 @@
 
 // remainingTime returns the time that a request needs after a stage is completed if it waits in no queue: the longest
 // chain of calls of the stages that depend on the stage, and timeToFirstEvent. It also returns the services of this
-// chain in order, and the time of the call of each.
-func (x *stageRun) remainingTime(stage int) (remaining time.Duration, services []string, times []time.Duration) {
+// chain in order.
+func (x *stageRun) remainingTime(stage int) (remaining time.Duration, services []string) {
 	remaining = timeToFirstEvent
 	for j := stage + 1; j < len(x.route.Stages); j++ {
 		if x.pieces(j) == 0 || !slices.Contains(x.route.Stages[j].After, stage) {
 			continue
 		}
-		rest, next, nextTimes := x.remainingTime(j)
-		call := x.typicalCallTime(j)
-		if chain := call + rest; chain > remaining {
+		rest, next := x.remainingTime(j)
+		if chain := x.typicalCallTime(j) + rest; chain > remaining {
 			remaining, services = chain, append([]string{x.route.Stages[j].Service}, next...)
-			times = append([]time.Duration{call}, nextTimes...)
 		}
 	}
-	return remaining, services, times
+	return remaining, services
 }
 
 // typicalCallTime returns the typical time of a call with the pieces of a stage; 0 if not known.
--- a/wire/types.go
+++ b/wire/types.go
@@ -1489,9 +1489,6 @@
 	// Time in milliseconds until all pieces that wait in the queue are completed.
 	AllMs int `json:"allMs" cbor:"allMs"`
 
-	// Typical duration of a call of the queue in milliseconds.
-	CallMs int `json:"callMs" cbor:"callMs"`
-
 	// Handles of the results by piece; empty unless all pieces were completed.
 	Handles []string `json:"handles" cbor:"handles"`
 
@@ -1548,10 +1545,6 @@
 	// Services of the request's later stages, in order.
 	Next []string `json:"next" cbor:"next"`
 
-	// For each service of next, the time in milliseconds for which dueMs provides for
-	// the stage's call.
-	NextMs []int `json:"nextMs" cbor:"nextMs"`
-
 	// Number of pieces.
 	Pieces int `json:"pieces" cbor:"pieces"`
 
@@ -1571,9 +1564,6 @@
 	// Index of the stage in the request's route.
 	Stage int `json:"stage" cbor:"stage"`
 
-	// Order among the jobs of the same priority; 0 is the highest.
-	SubPriority int `json:"subPriority" cbor:"subPriority"`
-
 	// Preferred availability zone for running the pieces; empty for any.
 	Zone string `json:"zone" cbor:"zone"`
 }
@@ -1585,9 +1575,6 @@
 	// waitMs.
 	AllMs int `json:"allMs" cbor:"allMs"`
 
-	// Typical duration of a call of the queue in milliseconds.
-	CallMs int `json:"callMs" cbor:"callMs"`
-
 	// Availability zone whose upstreams the queue serves; empty for the queue of all
 	// zones that have none of their own.
 	QueueZone string `json:"queueZone" cbor:"queueZone"`
