--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -126,7 +126,7 @@
 		ledger:   cost.New(),
 		answers:  caller.NewAnswers(),
 		fleet:    engine.NewFleet(now, newEngineClient()),
-		inbound:  inbound.NewGate(inbound.LimitsOf(int64(s.Limits.MemoryMB)<<20, s.Limits.Descriptors)),
+		inbound:  inbound.NewGate(inbound.LimitsOf(s.Limits.Memory(), s.Limits.Descriptors)),
 		self: wire.InstanceInfo{
 			ID:              s.Instance.ID,
 			Incarnation:     int(now.UnixMilli()),
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -249,7 +249,7 @@
 
 // partOfMemory returns the bytes of one of a number of parts of the instance's memory, and limit if that is less or the memory isn't stated.
 func (x *Instance) partOfMemory(parts, limit int64) int64 {
-	if memory := int64(x.settings.Limits.MemoryMB) << 20; memory > 0 {
+	if memory := x.settings.Limits.Memory(); memory > 0 {
 		return min(memory/parts, limit)
 	}
 	return limit
--- a/plantainlane/settings/capacity.go
+++ b/plantainlane/settings/capacity.go
@@ -8,6 +8,9 @@
 	Descriptors int `json:"descriptors"`
 	// LinkMbps is the rate of the machine's link, in Mbit/s.
 	LinkMbps float64 `json:"linkMbps"`
+	// MemoryShare is the part of MemoryMB that the instance may use for what it holds for others, if another process uses the
+	// rest; 0 counts as 1.
+	MemoryShare float64 `json:"memoryShare"`
 }
 
 // What a processor core of work needs of the other resources. Machines with these proportions have no scarce resource, as
@@ -21,6 +24,15 @@
 	minCapacity = 0.001
 )
 
+// Memory returns the memory that the instance may use for what it holds for others, in bytes; 0 if it isn't known.
+func (l *Limits) Memory() int64 {
+	share := l.MemoryShare
+	if share == 0 {
+		share = 1
+	}
+	return int64(share * float64(int64(l.MemoryMB)<<20))
+}
+
 // Capacity returns the work that an instance can do compared with others, as allowed by the scarcest of its resources. The
 // unit is the work of one processor core. It returns 0 if only the cores are known: they have a default.
 func (s *Settings) Capacity() float64 {
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -50,6 +50,7 @@
 	if s.Limits.Descriptors != 0 {
 		c.integer("limits.descriptors", s.Limits.Descriptors, minDescriptors, maxLimit)
 	}
+	c.number("limits.memoryShare", s.Limits.MemoryShare, 0, 1)
 	c.number("limits.linkMbps", s.Limits.LinkMbps, 0, maxLimit)
 	c.addresses(s)
 	if s.Data != nil {
