--- a/plantainlane/batch/dispatcher.go
+++ b/plantainlane/batch/dispatcher.go
@@ -314,7 +314,7 @@
 	default:
 		d.peers.Send(to, wire.Frame{
 			PieceRelease:  &wire.PieceRelease{Service: q.service, QueueZone: q.zone, Handles: handles},
-			UpstreamLoads: d.loads.news(time.Now(), to, true),
+			UpstreamLoads: d.loads.reportsFor(time.Now(), to, true),
 		})
 	}
 }
@@ -433,7 +433,7 @@
 	now := time.Now()
 	w := d.publishedWait(q, now)
 	other := d.shortestOther(q, now)
-	d.peers.Send(to, wire.Frame{Call: call, UpstreamLoads: d.loads.news(now, to, false), PieceAnswer: &wire.PieceAnswer{
+	d.peers.Send(to, wire.Frame{Call: call, UpstreamLoads: d.loads.reportsFor(now, to, false), PieceAnswer: &wire.PieceAnswer{
 		Handles: handles, Zone: out.Zone, Reason: string(out.Reason), RetryAfterMs: int(out.RetryAfter / time.Millisecond),
 		WaitMs: int(w.OnTime / time.Millisecond), AllMs: int(w.All / time.Millisecond), CallMs: int(w.Call / time.Millisecond),
 		OtherZone: other.zone, OtherWaitMs: int(other.wait / time.Millisecond),
--- a/plantainlane/batch/loads.go
+++ b/plantainlane/batch/loads.go
@@ -12,8 +12,8 @@
 	loadValid = time.Second
 	// maxLoads bounds the reports in one frame and the reports that are kept.
 	maxLoads = 256
-	// loadGrain is the least age by which a frame's reports differ from those of the frame before.
-	loadGrain = 50 * time.Millisecond
+	// minLoadInterval is the least time between two frames with reports to the same instance.
+	minLoadInterval = 50 * time.Millisecond
 )
 
 // loadReport is what an upstream said of its load.
@@ -70,13 +70,13 @@
 	}
 }
 
-// news returns the valid reports that an instance wasn't sent and didn't send; nil if there are none. With onlyOwn, only those
+// reportsFor returns the valid reports that an instance wasn't sent and didn't send; nil if there are none. With onlyOwn, only those
 // that this instance received from the upstreams.
-func (b *loadBoard) news(now time.Time, to string, onlyOwn bool) *wire.UpstreamLoads {
+func (b *loadBoard) reportsFor(now time.Time, to string, onlyOwn bool) *wire.UpstreamLoads {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	since := b.sentAt[to]
-	if now.Sub(since) < loadGrain {
+	if now.Sub(since) < minLoadInterval {
 		return nil
 	}
 	since = later(since, now.Add(-loadValid))
--- a/plantainlane/batch/loads_test.go
+++ b/plantainlane/batch/loads_test.go
@@ -35,7 +35,7 @@
 		others[0].Reported("engine", wire.UpstreamLoad{InFlight: 5, Queued: 2, Pace: 250})
 		others[0].Reported("plain", wire.UpstreamLoad{InFlight: 5}) // without a pace
 		others[0].Release("encode", "", []string{"h"})
-		time.Sleep(2 * loadGrain)
+		time.Sleep(2 * minLoadInterval)
 		is.Equal(others[1].Run(context.Background(), "encode", testJob("second")).Reason, Reason(""))
 		time.Sleep(2 * decisionInterval)
 		is.Equal(learned.Load(), int64(7))
@@ -49,16 +49,16 @@
 	b, now := newLoadBoard(), time.Now()
 	is.True(b.record(now, "u", loadReport{at: now, from: "a"}))
 	is.True(!b.record(now, "u", loadReport{at: now.Add(-time.Millisecond)})) // older
-	is.True(b.news(now, "a", false) == nil)                                  // it is from there
-	is.True(b.news(now, "b", true) == nil)
-	is.Equal(b.news(now, "b", false).Upstreams, []string{"u"})
-	is.True(b.news(now.Add(2*loadGrain), "b", false) == nil) // sent before
+	is.True(b.reportsFor(now, "a", false) == nil)                            // it is from there
+	is.True(b.reportsFor(now, "b", true) == nil)
+	is.Equal(b.reportsFor(now, "b", false).Upstreams, []string{"u"})
+	is.True(b.reportsFor(now.Add(2*minLoadInterval), "b", false) == nil) // sent before
 	for i := range 2 * maxLoads {
 		b.record(now, string(rune('a'+i)), loadReport{at: now})
 	}
 	is.Equal(len(b.reports), maxLoads)
 	later := now.Add(2 * loadValid)
-	is.True(b.news(later, "c", false) == nil)
+	is.True(b.reportsFor(later, "c", false) == nil)
 	is.True(b.record(later, "new", loadReport{at: later}))
 	is.Equal(len(b.reports), 1)
 }
--- a/plantainlane/consensus/election.go
+++ b/plantainlane/consensus/election.go
@@ -140,8 +140,8 @@
 }
 
 // hasRecentLeader reports whether this replica is the leader, received a message from a leader within the last
-// election timeout, or may have done so before its start. It then ignores pre-vote requests, and vote requests other than those of a leader transfer,
-// because a live leader may rely on this voter.
+// election timeout, or may have done so before its start. It then ignores pre-vote requests, and vote requests other
+// than those of a leader transfer, because a live leader may rely on this voter.
 func (n *Node) hasRecentLeader(now time.Time) bool {
 	return n.role == Leader || now.Before(n.votesFrom)
 }
--- a/plantainlane/control/evacuation.go
+++ b/plantainlane/control/evacuation.go
@@ -64,10 +64,10 @@
 	}
 }
 
-// tellEvacuations sends the states of all zones to all instances after an order was committed. Only the leader does so. An
+// sendEvacuations sends the states of all zones to all instances after an order was committed. Only the leader does so. An
 // instance may get the configuration later, if an earlier push to it is unconfirmed; if this frame is lost, its next lease
 // answer has the states.
-func (c *Core) tellEvacuations() {
+func (c *Core) sendEvacuations() {
 	if c.leaderState == nil {
 		return
 	}
--- a/plantainlane/control/replication.go
+++ b/plantainlane/control/replication.go
@@ -92,7 +92,7 @@
 		c.recordChange(revision, cmd, len(e.Data))
 		c.applyConfig(c.state.Config)
 		if cmd.Evacuate != nil {
-			c.tellEvacuations()
+			c.sendEvacuations()
 		}
 	}
 	if cmd.Quarantine != nil {
--- a/plantainlane/forward/underway.go
+++ b/plantainlane/forward/underway.go
@@ -15,8 +15,8 @@
 // errUpstreamFull reports an upstream at which too many requests of this instance are under way.
 var errUpstreamFull = errors.New("too many requests of this instance are under way at the upstream")
 
-// upstreamLoads counts the requests that are under way at each upstream, so that no upstream is ended by what it holds for this instance. It is
-// safe for concurrent use.
+// upstreamLoads counts the requests that are under way at each upstream, so that no upstream runs out of memory by what it
+// holds for this instance. It is safe for concurrent use.
 type upstreamLoads struct {
 	mu sync.Mutex
 	// loads holds the loads that aren't zero, by the address of the upstream.
--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -150,12 +150,12 @@
 }
 
 // SetReadDeadline sets the deadline for reads. While no request is handled, it is the HTTP server's for a head or an idle connection, and
-// is extended by the listener's patience.
+// is extended by the listener's ExtraTimeouts.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	if t.IsZero() || c.options.Patience == nil {
+	if t.IsZero() || c.options.ExtraTimeouts == nil {
 		return c.TCPConn.SetReadDeadline(t)
 	}
-	head, idle := c.options.Patience()
+	head, idle := c.options.ExtraTimeouts()
 	c.gate.mu.Lock()
 	switch c.list {
 	case nil:
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -232,8 +232,9 @@
 	}
 }
 
-// growHead adds n bytes with a number of lines to the head that a connection is sending. It returns ErrLargeHead if the head is larger than its listener allows,
-// and ErrNoMemory if there is no memory for it beside other requests; otherwise the time for which the rest of the head must wait.
+// growHead adds n bytes with a number of lines to the head that a connection is sending. It returns ErrLargeHead if the head is larger
+// than its listener allows, and ErrNoMemory if there is no memory for it beside other requests; otherwise the time for which the rest of
+// the head must wait.
 func (g *Gate) growHead(c *Conn, n, lines int) (wait time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/plantainlane/inbound/limits.go
+++ b/plantainlane/inbound/limits.go
@@ -13,11 +13,12 @@
 	bytesPerConn = 32 << 10
 	// minConns is the least number of connections, whatever the limits of the process.
 	minConns = 64
-	// The parts of the process's memory for connections, heads, and unread parts of streams.
+	// The process's memory is divided by these for connections, for heads, and for unread parts of streams.
 	connMemoryParts, headMemoryParts, streamMemoryParts = 4, 12, 16
 	// The memory for heads and unread parts of streams if the process's memory isn't known.
 	defaultHeadBytes, defaultStreamBytes = 64 << 20, 64 << 20
-	// operatorParts is the part of the connections that only listeners for operators, upstreams and instances may use.
+	// operatorParts divides the connections: one part is for listeners for operators, upstreams and instances only, so that
+	// callers can't keep these out.
 	operatorParts = 16
 	// unknownFDs is the number of descriptors if the process's limit isn't known.
 	unknownFDs = 1024
@@ -67,8 +68,8 @@
 	ForCallers bool
 	// HeadLimit returns the largest size of a head in bytes, at least 4,096; 0 for no limit but that of the HTTP server. It may be nil.
 	HeadLimit func() int
-	// Patience returns by how much longer than the HTTP server's limits a head may take, and a connection may be idle. It may be nil.
-	Patience func() (head, idle time.Duration)
+	// ExtraTimeouts returns by how much longer than the HTTP server's limits a head may take, and a connection may be idle. It may be nil.
+	ExtraTimeouts func() (head, idle time.Duration)
 }
 
 func (o *Options) headLimit() int {
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -33,7 +33,7 @@
 const (
 	// headMargin is the size of a request line, and of what else the site's limit for headers doesn't count.
 	headMargin = 16 << 10
-	// The parts of the instance's memory for the bodies of requests and of answers.
+	// The instance's memory is divided by these for the bodies of requests and of answers.
 	requestMemoryParts, answerMemoryParts = 4, 6
 	// timeoutMargin is the time beyond the site's limits within which a connection isn't closed.
 	timeoutMargin = time.Second
@@ -165,8 +165,8 @@
 	return 2*current.Limits.HeaderBytes + headMargin
 }
 
-// patience returns by how much the site's times for heads and idle connections are longer than the settings'.
-func (s *sites) patience() (head, idle time.Duration) {
+// extraTimeouts returns by how much the site's times for heads and idle connections are longer than the settings'.
+func (s *sites) extraTimeouts() (head, idle time.Duration) {
 	current, _ := s.Site()
 	if current == nil {
 		return 0, 0
@@ -247,7 +247,8 @@
 	}
 }
 
-// partOfMemory returns the bytes of one of a number of parts of the instance's memory, and limit if that is less or the memory isn't stated.
+// partOfMemory returns the bytes of one of a number of equal parts of the instance's memory, and limit if that is less or the memory
+// isn't stated.
 func (x *Instance) partOfMemory(parts, limit int64) int64 {
 	if memory := int64(x.settings.Limits.MemoryMB) << 20; memory > 0 {
 		return min(memory/parts, limit)
@@ -278,7 +279,7 @@
 	}
 	pool.Memory.MakeRoom = handler.BreakOffSlowAnswers
 	s, err := x.listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes, inbound.Options{
-		Name: "proxy", ForCallers: true, HeadLimit: x.sites.headLimit, Patience: x.sites.patience,
+		Name: "proxy", ForCallers: true, HeadLimit: x.sites.headLimit, ExtraTimeouts: x.sites.extraTimeouts,
 	})
 	if err != nil {
 		return err
--- a/plantainlane/instance/server.go
+++ b/plantainlane/instance/server.go
@@ -14,9 +14,9 @@
 	"plantainlane/plantainlane/problem"
 )
 
-// headerSlop is what may be read beyond the limit for headers: the beginning of a body that comes with them. A head over the limit is
+// headerMargin is what may be read beyond the limit for headers: the beginning of a body that comes with them. A head over the limit is
 // refused by the gate before the HTTP server does so, which would keep the connection for half a second.
-const headerSlop = 4 << 10
+const headerMargin = 4 << 10
 
 // Registrar registers the endpoints of a listener.
 type Registrar interface {
@@ -50,8 +50,8 @@
 	e.GET("/healthz", func(c *echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET("/readyz", x.ready)
 	routes.Register(e)
-	o.HeadLimit = func() int { return x.settings.Entry.MaxHeaderBytes + headerSlop }
-	return x.listenHTTP(address, e, x.settings.Entry.MaxHeaderBytes+2*headerSlop, o)
+	o.HeadLimit = func() int { return x.settings.Entry.MaxHeaderBytes + headerMargin }
+	return x.listenHTTP(address, e, x.settings.Entry.MaxHeaderBytes+2*headerMargin, o)
 }
 
 // listenHTTP opens a listener on address, as IP:PORT, whose connections count towards the limits of the instance. The server accepts no
--- a/plantainlane/pace/pace.go
+++ b/plantainlane/pace/pace.go
@@ -5,10 +5,10 @@
 import "time"
 
 const (
-	// validity is the time over which a reported pace reverts to the normal one. Contention lasts about 600 ms, so a report
-	// that is as old says nothing, and the chance that it still holds falls about evenly until then.
+	// validity is the time over which a reported pace reverts to the normal one. Contention lasts about contentionTime, so the
+	// chance that a report still holds falls about evenly with its age.
 	validity = 500 * time.Millisecond
-	// contentionTime is the part of a call, the last, to which the pace at its end is applied.
+	// contentionTime is the typical time for which contention lasts. The pace is applied to that much of a call, the last part.
 	contentionTime = 600 * time.Millisecond
 )
 
@@ -16,7 +16,7 @@
 const (
 	// Min is the lowest pace, in percent: no report makes an upstream look much better than its load does.
 	Min = 25
-	// Max is the highest pace, in percent.
+	// Max is the highest pace, in percent; a higher one counts as this.
 	Max = 1000
 )
 
--- a/plantainlane/roster/digest.go
+++ b/plantainlane/roster/digest.go
@@ -11,8 +11,8 @@
 const digestBuckets = 64
 
 // Digest returns the hash of each bucket. It covers the announcements of the upstreams that are not expired, without
-// sequence, cache sequence, load and the rest of a warm-up, so that instances that differ only in renewals send nothing to each other. It covers the
-// departures without their time.
+// sequence, cache sequence, load and the rest of a warm-up, so that instances that differ only in renewals send nothing to
+// each other. It covers the departures without their time.
 func (r *Roster) Digest() []int {
 	out := make([]int, digestBuckets)
 	for i, h := range r.hashes {
--- a/plantainlane/roster/roster.go
+++ b/plantainlane/roster/roster.go
@@ -126,7 +126,8 @@
 }
 
 // Merge applies announcements from another instance. It returns those that were newer than the known ones: renewals in
-// renewed, all others, among them those of upstreams that turned cold, in changed. late lists the departures of upstreams whose announcements were made before.
+// renewed, all others, among them those of upstreams that turned cold, in changed. late lists the departures of upstreams
+// whose announcements were made before.
 func (r *Roster) Merge(list []wire.Announcement, now time.Time) (changed, renewed []wire.Announcement, late []wire.Departure) {
 	for _, a := range list {
 		if r.isLate(a) {
--- a/plantainlane/route/pool.go
+++ b/plantainlane/route/pool.go
@@ -56,7 +56,8 @@
 	recentCalls, recentFailures float64
 	// isEvacuated is set if the service has upstreams, and all are in evacuated zones.
 	isEvacuated atomic.Bool
-	// members holds the upstreams that are neither leaving nor in an evacuated zone, by ID. Only the goroutine that applies announcements uses it.
+	// members holds the upstreams that are neither leaving nor in an evacuated zone, by ID. Only the goroutine that applies
+	// announcements uses it.
 	members map[string]*upstream
 }
 
--- a/plantainlane/warmup/tracker.go
+++ b/plantainlane/warmup/tracker.go
@@ -1,7 +1,7 @@
 // Package warmup knows which upstreams are cold: for some seconds after their start, or later, they take few requests.
 //
 // A Tracker learns of warm-ups from announcements, from answers of upstreams, and from the ends of evacuations, after which
-// upstreams may have turned cold without having said so yet. It tells the balancer, and package quota, which keeps the
+// upstreams may have turned cold without having said so yet. It notifies the balancer, and package quota, which keeps the
 // requests of all instances to a cold upstream within a limit.
 package warmup
 
@@ -41,8 +41,8 @@
 	peer    quota.Peer
 	service string
 	until   time.Time
-	// told is the end that the balancer was told last; zero if it wasn't told. isLogged is set once the begin was logged.
-	told     time.Time
+	// notified is the end that the balancer was last notified of; zero if there was none. isLogged is set once the begin was logged.
+	notified time.Time
 	isLogged bool
 }
 
@@ -124,7 +124,7 @@
 		t.remove(id)
 	}
 	t.endEvacuations(now)
-	t.tell(now)
+	t.notifyBalancer(now)
 }
 
 // announced records an announcement. t.mu must be held.
@@ -197,9 +197,10 @@
 	}
 }
 
-// tell tells the balancer of changed ends, logs the begin and the end of warm-ups, and forgets those that have ended. t.mu
+// notifyBalancer passes changed ends to the balancer, logs the begin and the end of warm-ups, and forgets those that have
+// ended. t.mu
 // must be held.
-func (t *Tracker) tell(now time.Time) {
+func (t *Tracker) notifyBalancer(now time.Time) {
 	for id, c := range t.cold {
 		w := t.warmupOf(c.service)
 		if w == (site.Warmup{}) {
@@ -215,8 +216,8 @@
 				"forMs", c.until.Sub(now).Milliseconds(), "perSecond", w.PerSecond)
 		}
 		// A new upstream becomes known to the balancer after this.
-		if !c.told.Equal(c.until) && t.balancer.SetCold(now, id, c.peer.Incarnation, c.until) {
-			c.told = c.until
+		if !c.notified.Equal(c.until) && t.balancer.SetCold(now, id, c.peer.Incarnation, c.until) {
+			c.notified = c.until
 		}
 		if !now.Before(c.until) {
 			t.stats.Ended++
