--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -106,6 +106,7 @@
 		}
 		c, err := newConn(tcp, l.gate, &l.options)
 		if err != nil {
+			l.gate.log("connection not set up", &l.options, tcp, "err", err)
 			_ = tcp.Close()
 			continue
 		}
