--- a/plantainlane/upstream/transport.go
+++ b/plantainlane/upstream/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -70,7 +71,7 @@
 	refusal atomic.Pointer[error]
 	// conn is the connection of the call; nil if it has none yet.
 	conn atomic.Pointer[countingConn]
-	// written receives the result of writing the whole call.
+	// written receives the result of writing the whole call on the newest connection.
 	written chan error
 	// before is the number of bytes written to conn before the call.
 	before atomic.Int64
@@ -85,6 +86,12 @@
 		}
 	}
 	return &httptrace.ClientTrace{WroteRequest: wrote, GotConn: func(info httptrace.GotConnInfo) {
+		// The transport may have failed to write the call on a connection that was closed while idle.
+		select {
+		case err := <-t.written:
+			klog.V(1).InfoS("call written again", "err", err)
+		default:
+		}
 		if c, ok := info.Conn.(*countingConn); ok {
 			t.before.Store(c.written.Load())
 			t.conn.Store(c)
