--- a/plantainlane/forward/admit.go
+++ b/plantainlane/forward/admit.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -35,12 +36,7 @@
 // admit reads and checks a request and sets the fields of q. It returns a refusal if the request must not be forwarded.
 func (q *request) admit(r *http.Request) *Refusal {
 	s := q.server
-	var freshness site.Freshness
-	q.site, freshness = s.Views.Site()
-	if q.site == nil {
-		s.awaitSite(r.Context())
-		q.site, freshness = s.Views.Site()
-	}
+	freshness := q.readSite(r.Context())
 	switch {
 	case q.site == nil:
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no configuration yet", RetryAfter: longRetryAfter}
@@ -85,6 +81,18 @@
 	return nil
 }
 
+// readSite sets the site configuration of the request, for which it may wait if none is known yet.
+func (q *request) readSite(ctx context.Context) site.Freshness {
+	s := q.server
+	var freshness site.Freshness
+	q.site, freshness = s.Views.Site()
+	if q.site == nil {
+		s.awaitSite(ctx)
+		q.site, freshness = s.Views.Site()
+	}
+	return freshness
+}
+
 // headBytes returns the least size that the headers of a request can have had, in bytes.
 func headBytes(r *http.Request) int {
 	const separators = len(":\r\n")
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -127,20 +127,7 @@
 		answers:  caller.NewAnswers(),
 		fleet:    engine.NewFleet(now, newEngineClient()),
 		inbound:  inbound.NewGate(inbound.LimitsOf(int64(s.Limits.MemoryMB)<<20, s.Limits.Descriptors)),
-		self: wire.InstanceInfo{
-			ID:              s.Instance.ID,
-			Incarnation:     int(now.UnixMilli()),
-			Zone:            s.Instance.Zone,
-			Region:          s.Instance.Region,
-			CallerAddress:   s.Advertise.Callers,
-			UpstreamAddress: s.Advertise.Upstreams,
-			OperatorAddress: s.Advertise.Operators,
-			PeerAddress:     s.Advertise.Peers,
-			HasData:         s.Data != nil,
-			ControlOnly:     s.Instance.ControlOnly,
-			Cores:           s.Instance.Cores,
-			Capacity:        s.Capacity(),
-		},
+		self:     newInstanceInfo(now, s),
 	}
 	for _, o := range opts {
 		o(x)
@@ -177,6 +164,24 @@
 	return x, x.listen(ctx)
 }
 
+// newInstanceInfo returns the description of an instance that starts at the time now.
+func newInstanceInfo(now time.Time, s *settings.Settings) wire.InstanceInfo {
+	return wire.InstanceInfo{
+		ID:              s.Instance.ID,
+		Incarnation:     int(now.UnixMilli()),
+		Zone:            s.Instance.Zone,
+		Region:          s.Instance.Region,
+		CallerAddress:   s.Advertise.Callers,
+		UpstreamAddress: s.Advertise.Upstreams,
+		OperatorAddress: s.Advertise.Operators,
+		PeerAddress:     s.Advertise.Peers,
+		HasData:         s.Data != nil,
+		ControlOnly:     s.Instance.ControlOnly,
+		Cores:           s.Instance.Cores,
+		Capacity:        s.Capacity(),
+	}
+}
+
 // newEngineClient returns the client for calls to engines other than generation, such as exports, orders and reads of their state. Each
 // has a connection of its own: nothing in the answers ties them to the calls, so on a kept connection a late copy of one would be taken
 // for the answer to the next call. These calls are rare.
--- a/plantainlane/promptcache/placement.go
+++ b/plantainlane/promptcache/placement.go
@@ -1,6 +1,7 @@
 package promptcache
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,12 +67,7 @@
 			out = append(out, r)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b ranked) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(out, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	return out[:min(len(out), count)]
 }
 
--- a/plantainlane/promptcache/plan.go
+++ b/plantainlane/promptcache/plan.go
@@ -1,6 +1,7 @@
 package promptcache
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -113,12 +114,7 @@
 	shared := best[:p.width]
 	if p.width > 1 {
 		session := p.Prompt.prefixes[len(p.Prompt.prefixes)-1].hash
-		slices.SortFunc(shared, func(a, b ranked) int {
-			if mix(session, a.hash) > mix(session, b.hash) {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(shared, func(a, b ranked) int { return cmp.Compare(mix(session, b.hash), mix(session, a.hash)) })
 	}
 	p.Zone = best[0].zone
 	p.Preferred = make([]string, 0, maxPreferred+maxKnown)
