--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -106,6 +106,7 @@
 		}
 		c, err := newConn(tcp, l.gate, &l.options)
 		if err != nil {
+			l.gate.log("connection not set up", &l.options, tcp, "err", err)
 			_ = tcp.Close()
 			continue
 		}
@@ -232,8 +233,9 @@
 	}
 }
 
-// growHead adds n bytes with a number of lines to the head that a connection is sending. It returns ErrLargeHead if the head is larger than its listener allows,
-// and ErrNoMemory if there is no memory for it beside other requests; otherwise the time for which the rest of the head must wait.
+// growHead adds n bytes with a number of lines to the head that a connection is sending. It returns ErrLargeHead if the head is larger
+// than its listener allows, and ErrNoMemory if there is no memory for it beside other requests; otherwise the time for which the rest of
+// the head must wait.
 func (g *Gate) growHead(c *Conn, n, lines int) (wait time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
