--- a/plantainlane/batch/loads.go
+++ b/plantainlane/batch/loads.go
@@ -20,22 +20,30 @@
 type loadReport struct {
 	calls, pace int
 	at          time.Time
+	// recordedAt is when this instance learned of it.
+	recordedAt time.Time
 	// from is the instance that passed the report on; empty if this instance received it from the upstream.
 	from string
 }
 
+// loadReceiver is an instance that is sent all reports, or only those that this instance received from the upstreams.
+type loadReceiver struct {
+	id      string
+	onlyOwn bool
+}
+
 // loadBoard holds the newest load reports of upstreams that report a pace. One of many instances sends few requests to each
 // upstream and would know little of its load. Jobs and their answers pass through the owners of queues anyway: instances give
 // owners the reports that they receive, and owners give them to all whose jobs they complete. It is safe for concurrent use.
 type loadBoard struct {
 	mu      sync.Mutex
 	reports map[string]loadReport
-	// sentAt is when reports were last sent to an instance.
-	sentAt map[string]time.Time
+	// sentAt is when reports were last sent.
+	sentAt map[loadReceiver]time.Time
 }
 
 func newLoadBoard() *loadBoard {
-	return &loadBoard{reports: make(map[string]loadReport), sentAt: make(map[string]time.Time)}
+	return &loadBoard{reports: make(map[string]loadReport), sentAt: make(map[loadReceiver]time.Time)}
 }
 
 // record records a report, and returns false if a newer one is known or there are too many.
@@ -52,6 +60,7 @@
 			return false
 		}
 	}
+	r.recordedAt = now
 	b.reports[upstream] = r
 	return true
 }
@@ -75,14 +84,14 @@
 func (b *loadBoard) reportsFor(now time.Time, to string, onlyOwn bool) *wire.UpstreamLoads {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	since := b.sentAt[to]
+	receiver := loadReceiver{to, onlyOwn}
+	since := b.sentAt[receiver]
 	if now.Sub(since) < minLoadInterval {
 		return nil
 	}
-	since = later(since, now.Add(-loadValid))
 	out := &wire.UpstreamLoads{}
 	for id, r := range b.reports {
-		if !r.at.After(since) || r.from == to || onlyOwn && r.from != "" {
+		if !r.recordedAt.After(since) || now.Sub(r.at) > loadValid || r.from == to || onlyOwn && r.from != "" {
 			continue
 		}
 		out.Upstreams = append(out.Upstreams, id)
@@ -93,7 +102,7 @@
 	if len(out.Upstreams) == 0 {
 		return nil
 	}
-	b.sentAt[to] = now
+	b.sentAt[receiver] = now
 	return out
 }
 
--- a/plantainlane/promptcache/estimator_test.go
+++ b/plantainlane/promptcache/estimator_test.go
@@ -189,3 +189,12 @@
 		is.Equal(e.services["s"].caches["e0"].unread > 0, hasEvents)
 	}
 }
+
+// TestHugePromptIsNotCounted guards against one caller that states a size beyond all bounds, by which everything else would count as
+// read long ago.
+func TestHugePromptIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	e := &Estimator{}
+	is.True(plan(e, epoch, 8, Part{"first", math.MaxInt}, Part{"own", math.MaxInt}) == nil)
+	is.True(plan(e, epoch, 8, Part{"first", 1000}, Part{"own", 100}) != nil)
+}
--- a/plantainlane/promptcache/plan.go
+++ b/plantainlane/promptcache/plan.go
@@ -45,9 +45,10 @@
 	chosen     Choice
 }
 
-// Plan counts a request and returns where it may run. It returns nil if the prompt is nil or there is no upstream.
+// Plan counts a request and returns where it may run. It returns nil if the prompt is nil, larger than the memory of an engine, or
+// there is no upstream.
 func (e *Estimator) Plan(now time.Time, name string, engine Engine, prompt *Prompt, upstreams *Placement) *Plan {
-	if prompt == nil || upstreams.Size() == 0 {
+	if prompt == nil || prompt.tokens > engine.CacheTokens || upstreams.Size() == 0 {
 		return nil
 	}
 	e.mu.Lock()
--- a/plantainlane/promptcache/prompt.go
+++ b/plantainlane/promptcache/prompt.go
@@ -8,6 +8,8 @@
 	// MinSharedTokens is the total size of a prompt's shared parts from which the prompt is placed by a shared part. Below
 	// this size it is placed by its last part, which belongs to one request or session.
 	MinSharedTokens = 64
+	// maxPartTokens bounds the size of a part, which callers state. Larger ones count as this, which no engine has room for.
+	maxPartTokens = 1 << 30
 )
 
 // Part is a part of a prompt that requests may share.
@@ -36,14 +38,15 @@
 	p := &Prompt{prefixes: make([]prefix, 0, min(len(parts), maxParts))}
 	hash := uint64(0)
 	for i := range parts {
-		p.tokens += parts[i].Tokens
+		tokens := min(max(parts[i].Tokens, 0), maxPartTokens)
+		p.tokens += tokens
 		hash = mix(hash, xxhash.Sum64String(parts[i].ID))
 		if i < maxParts {
-			p.prefixes = append(p.prefixes, prefix{hash, parts[i].Tokens})
+			p.prefixes = append(p.prefixes, prefix{hash, tokens})
 			continue
 		}
 		last := &p.prefixes[maxParts-1]
-		last.hash, last.tokens = hash, last.tokens+parts[i].Tokens
+		last.hash, last.tokens = hash, last.tokens+tokens
 	}
 	if p.tokens == 0 {
 		return nil
--- a/plantainlane/route/evacuation.go
+++ b/plantainlane/route/evacuation.go
@@ -24,6 +24,7 @@
 		return
 	}
 	u.evacuated.Store(isEvacuated)
+	u.pace.Store(0) // Review drops old reports of members only
 	if u.state.Load() == leaving {
 		return
 	}
--- a/plantainlane/route/pick_test.go
+++ b/plantainlane/route/pick_test.go
@@ -382,7 +382,10 @@
 	now := afterSlowStart
 	b.ObserveLoad(list[0].ID, wire.UpstreamLoad{InFlight: 20, Pace: 100}, now)
 	u := b.index.get(list[0].ID)
-	is.True(u.load() > 5)
+	load := u.load()
+	is.True(load > 5)
+	b.ObserveLoad(list[0].ID, wire.UpstreamLoad{InFlight: 90, Pace: 100}, now.Add(-time.Millisecond)) // older
+	is.Equal(u.load(), load)
 	for range 40 {
 		now = now.Add(ReviewInterval)
 		b.Review(now)
--- a/plantainlane/route/upstream.go
+++ b/plantainlane/route/upstream.go
@@ -99,7 +99,7 @@
 	samplesAtReview int32
 	// coldUntil is when the upstream's warm-up ends; 0 while it is warm. Review resets this field.
 	coldUntil atomic.Int64
-	// sharedAt is when the newest load that another instance passed on was reported; 0 if there was none.
+	// sharedAt is when the newest load with a pace was reported, to this instance or another one; 0 if there was none.
 	sharedAt atomic.Int64
 }
 
@@ -137,11 +137,15 @@
 	u.otherLoad.Store(math.Float32bits(float32(old + otherLoadWeight*(sample-old))))
 	if load.Pace > 0 {
 		u.observePace(now, load.Pace)
+		u.sharedAt.Store(now)
 	}
 }
 
-// observeShared records a load that another instance received from the upstream at a time.
+// observeShared records a load that another instance received from the upstream at a time, unless a newer one is known.
 func (u *upstream) observeShared(at int64, load wire.UpstreamLoad) {
+	if at <= u.sharedAt.Load() {
+		return
+	}
 	sample := float64(load.InFlight+load.Queued) - float64(math.Float32frombits(u.averageInFlight.Load()))
 	old := float64(math.Float32frombits(u.otherLoad.Load()))
 	u.otherLoad.Store(math.Float32bits(float32(old + sharedLoadWeight*(sample-old))))
