--- a/plantainlane/quota/warmup_test.go
+++ b/plantainlane/quota/warmup_test.go
@@ -40,7 +40,10 @@
 		time.Sleep(d)
 	}
 	delay(80 * time.Millisecond)
-	if since := time.Since(l.change); since > 0 && since < 1100*time.Millisecond {
+	l.mu.Lock()
+	since := time.Since(l.change)
+	l.mu.Unlock()
+	if since > 0 && since < 1100*time.Millisecond {
 		<-ctx.Done()
 		return wire.PermitAnswer{}, false
 	}
--- a/plantainlane/replica/evacuation_test.go
+++ b/plantainlane/replica/evacuation_test.go
@@ -46,14 +46,10 @@
 
 // loseLeader loses the leader once it has committed an order that it hasn't answered.
 func (p *evacuationPlay) loseLeader() {
-	p.mu.Lock()
-	p.losesAnswers = true
-	p.mu.Unlock()
+	p.loseAnswers(true)
 	time.Sleep(300 * time.Millisecond)
 	p.leader().crash()
-	p.mu.Lock()
-	p.losesAnswers = false
-	p.mu.Unlock()
+	p.loseAnswers(false)
 }
 
 // require requires that all instances obey an order once there was a leader for 2 s, and if they have started since, before they may
@@ -74,6 +70,13 @@
 	}
 }
 
+// loseAnswers sets whether no order is answered.
+func (p *evacuationPlay) loseAnswers(loses bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losesAnswers = loses
+}
+
 // TestAcknowledgedEvacuationIsForgotten guards against an acknowledged order for a zone that is lost with the leader, a disk, the memory
 // of all instances or in a snapshot, that late copies of earlier orders undo, or that isn't acknowledged though it is committed.
 func TestAcknowledgedEvacuationIsForgotten(t *testing.T) {
@@ -83,13 +86,15 @@
 			defer func() { p.close(); time.Sleep(10 * time.Second) }()
 			p.timing.SnapshotEvery = 5
 			p.close()
-			p.heal()
+			p.mu.Lock()
 			p.isLost = func(_, _ string, f wire.Frame) bool {
 				if f.Propose != nil && f.Propose.Command.Evacuate != nil {
 					p.orders = append(p.orders, f)
 				}
 				return p.losesAnswers && f.ProposeAnswer != nil
 			}
+			p.mu.Unlock()
+			p.heal()
 			p.run(20 * time.Second)
 			for round := range 8 {
 				isActive := round%2 == 0
