--- a/plantainlane/inbound/limits.go
+++ b/plantainlane/inbound/limits.go
@@ -14,7 +14,7 @@
 	// minConns is the least number of connections, whatever the limits of the process.
 	minConns = 64
 	// The process's memory is divided by these for connections, for heads, and for unread parts of streams.
-	connMemoryParts, headMemoryParts, streamMemoryParts = 4, 12, 16
+	connMemoryParts, headMemoryParts, streamMemoryParts = 1, 12, 16
 	// The memory for heads and unread parts of streams if the process's memory isn't known.
 	defaultHeadBytes, defaultStreamBytes = 64 << 20, 64 << 20
 	// operatorParts divides the connections: one part is for listeners for operators, upstreams and instances only, so that
