--- a/plantainlane/batch/loads.go
+++ b/plantainlane/batch/loads.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"plantainlane/wire"
 )
 
@@ -116,7 +118,12 @@
 
 // learnLoads records the reports of another instance, and passes the new ones on to OnLoad.
 func (d *Dispatcher) learnLoads(from string, l *wire.UpstreamLoads) {
-	if l == nil || len(l.Upstreams) > maxLoads || len(l.Calls) != len(l.Upstreams) || len(l.Paces) != len(l.Upstreams) || len(l.AgoMs) != len(l.Upstreams) {
+	if l == nil {
+		return
+	}
+	n := len(l.Upstreams)
+	if n > maxLoads || len(l.Calls) != n || len(l.Paces) != n || len(l.AgoMs) != n {
+		klog.InfoS("malformed load reports", "from", from, "upstreams", n)
 		return
 	}
 	now := time.Now()
--- a/plantainlane/forward/affinity.go
+++ b/plantainlane/forward/affinity.go
@@ -33,7 +33,7 @@
 	// slack is the number of calls by which the load of a preferred upstream may exceed that of the upstream chosen
 	// otherwise.
 	slack float64
-	// plan replaces the slack if the site describes the engines of the service; nil otherwise.
+	// plan replaces the slack where prompts are weighed, see planOf; nil otherwise.
 	plan *promptcache.Plan
 }
 
@@ -56,7 +56,7 @@
 // The more usable upstreams of the stages a zone has, the more prompts prefer the upstreams in that zone, because the
 // results of the stages are transferred to where the request runs.
 //
-// It is used for services whose engines aren't described by the site, see planOf for the others.
+// It is used for services whose engines aren't described by the site or report no pace, see planOf for the others.
 func affinityOf(upstreams []listedUpstream, parts []PromptPart) affinity {
 	if len(parts) < 2 || len(upstreams) == 0 {
 		return affinity{}
--- a/plantainlane/forward/delivery.go
+++ b/plantainlane/forward/delivery.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -37,11 +38,8 @@
 func (d *deliveries) end(x *delivery) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i := range d.list {
-		if d.list[i] == x {
-			d.list = append(d.list[:i], d.list[i+1:]...)
-			return
-		}
+	if i := slices.Index(d.list, x); i >= 0 {
+		d.list = slices.Delete(d.list, i, i+1)
 	}
 }
 
