--- a/review/kit-2/cluster.go
+++ b/review/kit-2/cluster.go
@@ -98,7 +98,7 @@
 
 // choosePorts finds a range of free ports, the same on all machines.
 func (c *cluster) choosePorts() error {
-	for first := 20000 + os.Getpid()%2000*10; first < 60000; first += 40 {
+	for first := 20000 + os.Getpid()%1000*10; first < 60000; first += 40 {
 		if c.isFree(first, 24) {
 			c.front, c.ready, c.control, c.directory, c.internal = first, first+1, first+2, first+3, first+8
 			return nil
