inbound: close connections whose bodies don't arrive in favor of others

What callers saw: beside a crowd that sends a whole head and then chunks of one byte without end, or a body that stops, no ordinary request was answered for 20 s; refusals with 401 or 404 waited for the body without a limit.

Cause: the gate counted a connection as one with a request once its head was read, and such connections are never closed in favor of others. On all listeners but the one for opaque requests nothing bounded the time for a body, and net/http reads up to 256 KiB of an unread body before it answers. It is neither the processor (3 to 7 s of 16 s on 8 cores) nor memory.

Why it works: until its body has arrived a request hasn't run, so its connection can be closed like one that sends a head. Progress is measured by parts of 16 KiB of the body itself, so chunks of one byte don't count as progress. entry.bodyTimeout (1m) bounds bodies without a shorter deadline; what a handler leaves of a body is read for 300 ms. A connection whose caller is still sending is closed after a moment, so that a reset doesn't overtake the answer.

--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -68,7 +68,9 @@
 	// received and lines are the size of the head so far, headBytes the memory that it counts for.
 	received, lines int
 	headBytes       int64
-	isRemoved       bool
+	// isBodyLeft is set if the request's handler didn't read the whole body.
+	isBodyLeft bool
+	isRemoved  bool
 	// removed is closed when isRemoved is set.
 	removed chan struct{}
 }
@@ -141,10 +143,17 @@
 // answerUnread writes an answer to a request that isn't read, and reads what the caller still sends for a moment, so that a reset doesn't
 // overtake the answer.
 func answerUnread(tcp *net.TCPConn, answer string) {
-	if tcp.SetDeadline(time.Now().Add(refusalTime)) != nil {
+	if tcp.SetWriteDeadline(time.Now().Add(refusalTime)) != nil {
 		return
 	}
-	if _, err := io.WriteString(tcp, answer); err == nil && tcp.CloseWrite() == nil {
+	if _, err := io.WriteString(tcp, answer); err == nil {
+		readUnsent(tcp)
+	}
+}
+
+// readUnsent ends the answer on a connection, and reads what the caller still sends for a moment.
+func readUnsent(tcp *net.TCPConn) {
+	if tcp.SetReadDeadline(time.Now().Add(refusalTime)) == nil && tcp.CloseWrite() == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(tcp, maxDiscardedBytes))
 	}
 }
@@ -158,10 +167,9 @@
 	head, idle := c.options.ExtraTimeouts()
 	c.gate.mu.Lock()
 	switch c.list {
-	case nil:
 	case c.gate.idle:
 		t = t.Add(idle)
-	default:
+	case c.gate.sending:
 		t = t.Add(head)
 	}
 	c.gate.mu.Unlock()
@@ -203,11 +211,15 @@
 	return n, errors.CombineErrors(err, c.extendWrite(time.Time{}))
 }
 
-// Close closes the connection.
+// Close closes the connection, after a moment if its caller is still sending a body.
 func (c *Conn) Close() error {
 	c.gate.mu.Lock()
+	isSending := c.isBodyLeft && !c.isRemoved
 	c.gate.remove(c)
 	c.gate.mu.Unlock()
+	if isSending {
+		return c.gate.linger(c.TCPConn)
+	}
 	return c.TCPConn.Close()
 }
 
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// freshTime is the time within which an ordinary caller has sent its head. A connection that sends one for longer is closed before
-	// idle ones are, one that doesn't is never closed in favor of others.
+	// freshTime is the time within which an ordinary caller has sent its head, or a block of its body. A connection that takes longer may be
+	// closed in favor of others.
 	freshTime = 100 * time.Millisecond
 	// minWait is the least pause between two attempts to admit a connection while there are new ones only.
 	minWait = time.Millisecond
@@ -41,12 +41,13 @@
 	StreamBytes int64 `json:"streamBytes"`
 	// Limits are the bounds of these three.
 	Limits Limits `json:"limits"`
-	// Refused is the number of connections that were refused since there were too many. ClosedIdle and ClosedSending are the numbers of
-	// those closed in favor of others while they were idle, or sending a head. LargeHeads is the number of heads over the limit of their
-	// listener, BrokenStreams that of streams broken off because their callers read too slowly.
+	// Refused is the number of connections that were refused since there were too many. ClosedIdle, ClosedSending and ClosedBodies are the
+	// numbers of those closed in favor of others while they were idle, sending a head, or sending a body. LargeHeads is the number of heads
+	// over the limit of their listener, BrokenStreams that of streams broken off because their callers read too slowly.
 	Refused       int64 `json:"refused"`
 	ClosedIdle    int64 `json:"closedIdle"`
 	ClosedSending int64 `json:"closedSending"`
+	ClosedBodies  int64 `json:"closedBodies"`
 	LargeHeads    int64 `json:"largeHeads"`
 	BrokenStreams int64 `json:"brokenStreams"`
 }
@@ -61,9 +62,10 @@
 	mu sync.Mutex
 	// stats are the counters but for Limits and Refused.
 	stats Stats
-	// sending holds the connections without a whole head by the time since when, idle those that wait for a further request, and large
-	// those of sending that have memory for heads. The longest is in front.
-	sending, idle, large *list.List
+	// sending holds the connections without a whole head by the time since when, bodies those whose body is being received by the time of
+	// the last block, idle those that wait for a further request, and large those of sending that have memory for heads. The longest is in
+	// front.
+	sending, bodies, idle, large *list.List
 	// pacedUntil is the time until which the large heads that were read take at their rate.
 	pacedUntil time.Time
 	// streams holds the streams with unread parts.
@@ -74,7 +76,7 @@
 func NewGate(l Limits) *Gate {
 	return &Gate{
 		limits: l, lines: logs.Sampler{PerSecond: linesPerSecond}, refusals: make(chan struct{}, maxRefusals),
-		sending: list.New(), idle: list.New(), large: list.New(), streams: make(map[*Stream]struct{}),
+		sending: list.New(), bodies: list.New(), idle: list.New(), large: list.New(), streams: make(map[*Stream]struct{}),
 	}
 }
 
@@ -149,26 +151,38 @@
 	return 0, nil
 }
 
-// evict closes a connection in favor of another one: the one that has been sending a head for the longest time, or the one that has been
-// idle for the longest time if no head has taken longer than freshTime. If there are new connections only, it returns the time until one
-// isn't any more; errFull if all have requests. The caller holds mu.
+// evict closes a connection in favor of another one, of those that have no request as a whole: the one that has been sending a head for the
+// longest time, then the one that has been idle for the longest time, then the one that has been sending a block of a body for the longest
+// time. One that has been sending for less than freshTime isn't closed: if there are only such ones, evict returns the time until one isn't
+// any more. It returns errFull if all have requests. The caller holds mu.
 func (g *Gate) evict(now time.Time) (wait time.Duration, err error) {
-	oldest := g.sending.Front()
+	headWait, bodyWait := waitForFront(g.sending, now), waitForFront(g.bodies, now)
 	switch {
-	case oldest != nil && now.Sub(connOf(oldest).since) > freshTime:
+	case headWait <= 0:
 		g.stats.ClosedSending++
-		g.closeConn(connOf(oldest), "sending a head")
+		g.closeConn(connOf(g.sending.Front()), "sending a head")
 	case g.idle.Len() > 0:
 		g.stats.ClosedIdle++
 		g.closeConn(connOf(g.idle.Front()), "idle")
-	case oldest != nil:
-		return max(freshTime-now.Sub(connOf(oldest).since), minWait), nil
+	case bodyWait <= 0:
+		g.stats.ClosedBodies++
+		g.closeConn(connOf(g.bodies.Front()), "sending a body")
+	case g.sending.Len()+g.bodies.Len() > 0:
+		return max(min(headWait, bodyWait), minWait), nil
 	default:
 		return 0, errFull
 	}
 	return 0, nil
 }
 
+// waitForFront returns the time until the connection in front of a list has been there for freshTime; freshTime if the list is empty.
+func waitForFront(l *list.List, now time.Time) time.Duration {
+	if l.Len() == 0 {
+		return freshTime
+	}
+	return freshTime - now.Sub(connOf(l.Front()).since)
+}
+
 // refuseHead moves a connection that is refused because of its head to those that are closed first.
 func (g *Gate) refuseHead(c *Conn) {
 	g.mu.Lock()
@@ -225,7 +239,7 @@
 		g.freeHead(c, int64(max(c.received-freeHeadBytes, 0)*readHeadCopies+max(c.lines-freeHeadLines, 0)*readLineBytes))
 	case http.StateIdle:
 		g.freeHead(c, 0)
-		c.received, c.lines = 0, 0
+		c.received, c.lines, c.isBodyLeft = 0, 0, false
 		c.place(g.idle, time.Now())
 	case http.StateClosed:
 		g.remove(c)
@@ -239,8 +253,8 @@
 func (g *Gate) growHead(c *Conn, n, lines int) (wait time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.isRemoved || c.list == nil {
-		return 0, nil // closed, or its request is being handled
+	if c.isRemoved || c.list == nil || c.list == g.bodies {
+		return 0, nil // closed, or its head was read
 	}
 	now := time.Now()
 	if c.list == g.idle {
--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := httptest.NewUnstartedServer(h)
+	s := httptest.NewUnstartedServer(Handler(h, time.Minute))
 	s.Listener.Close()
 	s.Listener = g.Listen(l.(*net.TCPListener), o)
 	s.Config.ConnState, s.Config.ConnContext, s.Config.MaxHeaderBytes = g.ConnState, ConnContext, 16<<20
--- a/plantainlane/instance/server.go
+++ b/plantainlane/instance/server.go
@@ -68,7 +68,7 @@
 	}
 	ctx, endRequests := context.WithCancelCause(context.Background())
 	return &server{listener: x.inbound.Listen(tcp, o), endRequests: endRequests, http: &http.Server{
-		Handler:           handler,
+		Handler:           inbound.Handler(handler, time.Duration(x.settings.Entry.BodyTimeout)),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		ConnContext:       inbound.ConnContext,
 		ConnState:         x.inbound.ConnState,
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -239,5 +239,6 @@
 	c.integer("entry.maxBodyBytes", e.MaxBodyBytes, 1, maxBodyBytes)
 	c.integer("entry.maxHeaderBytes", e.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	c.duration("entry.headerTimeout", e.HeaderTimeout, 100*time.Millisecond, time.Minute)
+	c.duration("entry.bodyTimeout", e.BodyTimeout, time.Second, time.Hour)
 	c.duration("entry.idleTimeout", e.IdleTimeout, time.Second, time.Hour)
 }
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -161,6 +161,8 @@
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
 	// HeaderTimeout is the maximum time for receiving the headers of a request. Default 5s.
 	HeaderTimeout Duration `json:"headerTimeout"`
+	// BodyTimeout is the maximum time for receiving the body of a request to which no shorter deadline applies. Default 1m.
+	BodyTimeout Duration `json:"bodyTimeout"`
 	// IdleTimeout is how long an idle connection of a caller is kept open for its next request. Default 2m.
 	IdleTimeout Duration `json:"idleTimeout"`
 	// DrainLimit is how long a drain waits at most for requests in flight, from the time when no caller's entry
@@ -217,6 +219,7 @@
 			MaxBodyBytes:   8 << 20,
 			MaxHeaderBytes: 16 << 10,
 			HeaderTimeout:  Duration(5 * time.Second),
+			BodyTimeout:    Duration(time.Minute),
 			IdleTimeout:    Duration(2 * time.Minute),
 			DrainLimit:     Duration(10 * time.Minute),
 		},
