inbound: take the places of connections that were reset

What callers saw: beside a crowd that sends 40 KiB of a head and resets the connection after 5 ms, no ordinary request was answered for 20 s.

Cause: a large head waits for its turn to be read, up to a second, and nothing reads the connection meanwhile, so that the reset isn't seen. Such connections kept their places until they could be closed after 100 ms, and those that were reset before they were accepted took places too. 2,000 a second were admitted at most, of some 37,000. Neither the processor (1.5 and 1.7 s in 16 s on 8 cores) nor memory is the bottleneck.

TestResetConnectionsKeepOthersOut fails without it: the reset connection is accepted in place of the next one.

Why it works: while there are as many connections as allowed, one poll of those that are sending a head finds the ones that were reset, and a new one is looked at before another is closed for it. With room for all, nothing is polled.

--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -48,6 +48,7 @@
 type Conn struct {
 	*net.TCPConn
 	raw     syscall.RawConn
+	fd      int32
 	gate    *Gate
 	options *Options
 	// stream is what the caller hasn't read of a stream; nil unless an answer is one.
@@ -81,11 +82,13 @@
 	if err != nil {
 		return nil, err
 	}
+	c := &Conn{TCPConn: tcp, raw: raw, gate: g, options: o, removed: make(chan struct{})}
 	var optionErr error
 	err = raw.Control(func(fd uintptr) {
+		c.fd = int32(fd) //nolint:gosec // descriptors are small
 		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
 	})
-	return &Conn{TCPConn: tcp, raw: raw, gate: g, options: o, removed: make(chan struct{})}, errors.CombineErrors(err, optionErr)
+	return c, errors.CombineErrors(err, optionErr)
 }
 
 // place moves the connection to the end of a list of its gate. The caller holds the gate's mu.
--- /dev/null
+++ b/plantainlane/inbound/evict.go
@@ -0,0 +1,87 @@
+package inbound
+
+import (
+	"container/list"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
+)
+
+// resetInterval is the least time between two searches for connections that their callers have reset.
+const resetInterval = 5 * time.Millisecond
+
+// evict closes a connection in favor of another one, of those that have no request as a whole: those that their callers have reset, or the one that has been sending a head for the
+// longest time, then the one that has been idle for the longest time, then the one that has been sending a block of a body for the longest
+// time. One that has been sending for less than freshTime isn't closed: if there are only such ones, evict returns the time after which there
+// may be others. It returns errFull if all have requests. The caller holds mu.
+func (g *Gate) evict(now time.Time) (wait time.Duration, err error) {
+	if g.closeReset(now) {
+		return 0, nil
+	}
+	headWait, bodyWait := waitForFront(g.sending, now), waitForFront(g.bodies, now)
+	switch {
+	case headWait <= 0:
+		g.stats.ClosedSending++
+		g.closeConn(connOf(g.sending.Front()), "sending a head")
+	case g.idle.Len() > 0:
+		g.stats.ClosedIdle++
+		g.closeConn(connOf(g.idle.Front()), "idle")
+	case bodyWait <= 0:
+		g.stats.ClosedBodies++
+		g.closeConn(connOf(g.bodies.Front()), "sending a body")
+	case g.sending.Len()+g.bodies.Len() > 0:
+		return max(min(headWait, bodyWait, resetInterval), minWait), nil
+	default:
+		return 0, errFull
+	}
+	return 0, nil
+}
+
+// waitForFront returns the time until the connection in front of a list has been there for freshTime; freshTime if the list is empty.
+func waitForFront(l *list.List, now time.Time) time.Duration {
+	if l.Len() == 0 {
+		return freshTime
+	}
+	return freshTime - now.Sub(connOf(l.Front()).since)
+}
+
+// closeReset closes the connections that their callers have reset while they were sending a head, and reports whether there were any. Their
+// goroutines may be waiting for the rate of large heads, and don't learn of the reset until they read again. The caller holds mu.
+func (g *Gate) closeReset(now time.Time) bool {
+	if now.Sub(g.resetsSoughtAt) < resetInterval {
+		return false
+	}
+	g.resetsSoughtAt = now
+	conns := make([]*Conn, 0, g.sending.Len())
+	for e := g.sending.Front(); e != nil; e = e.Next() {
+		conns = append(conns, connOf(e))
+	}
+	// A connection in a list isn't closed yet, so its descriptor is its own.
+	resets := findReset(conns)
+	for _, c := range resets {
+		g.remove(c)
+		_ = c.TCPConn.Close()
+	}
+	g.stats.ClosedReset += int64(len(resets))
+	return len(resets) > 0
+}
+
+// findReset returns the connections that their callers have reset.
+func findReset(conns []*Conn) []*Conn {
+	polled := make([]unix.PollFd, len(conns))
+	for i, c := range conns {
+		polled[i].Fd = c.fd
+	}
+	if _, err := unix.Poll(polled, 0); err != nil {
+		klog.V(1).InfoS("connections that were reset not found", "err", err)
+		return nil
+	}
+	var out []*Conn
+	for i, p := range polled {
+		if p.Revents&(unix.POLLERR|unix.POLLHUP) != 0 {
+			out = append(out, conns[i])
+		}
+	}
+	return out
+}
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -48,6 +48,8 @@
 	ClosedIdle    int64 `json:"closedIdle"`
 	ClosedSending int64 `json:"closedSending"`
 	ClosedBodies  int64 `json:"closedBodies"`
+	// ClosedReset is the number of connections that their callers had reset, and that were closed to make room.
+	ClosedReset   int64 `json:"closedReset"`
 	LargeHeads    int64 `json:"largeHeads"`
 	BrokenStreams int64 `json:"brokenStreams"`
 }
@@ -66,6 +68,8 @@
 	// the last block, idle those that wait for a further request, and large those of sending that have memory for heads. The longest is in
 	// front.
 	sending, bodies, idle, large *list.List
+	// resetsSoughtAt is when connections that their callers have reset were last searched for.
+	resetsSoughtAt time.Time
 	// pacedUntil is the time until which the large heads that were read take at their rate.
 	pacedUntil time.Time
 	// streams holds the streams with unread parts.
@@ -112,15 +116,12 @@
 			_ = tcp.Close()
 			continue
 		}
-		for {
-			var wait time.Duration
-			if wait, err = l.gate.admit(c); wait == 0 {
-				break
-			}
-			time.Sleep(wait)
-		}
-		if err == nil {
+		switch err := l.gate.waitForRoom(c); {
+		case err == nil:
 			return c, nil
+		case errors.Is(err, errReset):
+			_ = tcp.Close()
+			continue
 		}
 		l.gate.refused.Add(1)
 		l.gate.log("connection refused", &l.options, tcp)
@@ -128,11 +129,26 @@
 	}
 }
 
-// errFull reports that there are too many connections, all with requests.
-var errFull = errors.New("inbound: too many connections with requests")
+var (
+	// errFull reports that there are too many connections, all with requests.
+	errFull = errors.New("inbound: too many connections with requests")
+	// errReset reports a connection that its caller has reset.
+	errReset = errors.New("inbound: connection reset by its caller")
+)
+
+// waitForRoom admits a connection once the limits allow it. It returns errFull or errReset if it isn't admitted.
+func (g *Gate) waitForRoom(c *Conn) error {
+	for {
+		wait, err := g.admit(c)
+		if wait == 0 {
+			return err
+		}
+		time.Sleep(wait)
+	}
+}
 
-// admit adds a connection, and closes another one if there are too many. If all others are new ones, it returns the time after which one
-// may be closed.
+// admit adds a connection, and closes another one if there are too many. If all others are new ones, it returns the time after which it
+// is to be called again.
 func (g *Gate) admit(c *Conn) (wait time.Duration, err error) {
 	limit := g.limits.Conns
 	if !c.options.ForCallers {
@@ -142,6 +158,9 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	if g.stats.Open >= limit {
+		if len(findReset([]*Conn{c})) > 0 {
+			return 0, errReset
+		}
 		if wait, err := g.evict(now); wait > 0 || err != nil {
 			return wait, err
 		}
@@ -151,38 +170,6 @@
 	return 0, nil
 }
 
-// evict closes a connection in favor of another one, of those that have no request as a whole: the one that has been sending a head for the
-// longest time, then the one that has been idle for the longest time, then the one that has been sending a block of a body for the longest
-// time. One that has been sending for less than freshTime isn't closed: if there are only such ones, evict returns the time until one isn't
-// any more. It returns errFull if all have requests. The caller holds mu.
-func (g *Gate) evict(now time.Time) (wait time.Duration, err error) {
-	headWait, bodyWait := waitForFront(g.sending, now), waitForFront(g.bodies, now)
-	switch {
-	case headWait <= 0:
-		g.stats.ClosedSending++
-		g.closeConn(connOf(g.sending.Front()), "sending a head")
-	case g.idle.Len() > 0:
-		g.stats.ClosedIdle++
-		g.closeConn(connOf(g.idle.Front()), "idle")
-	case bodyWait <= 0:
-		g.stats.ClosedBodies++
-		g.closeConn(connOf(g.bodies.Front()), "sending a body")
-	case g.sending.Len()+g.bodies.Len() > 0:
-		return max(min(headWait, bodyWait), minWait), nil
-	default:
-		return 0, errFull
-	}
-	return 0, nil
-}
-
-// waitForFront returns the time until the connection in front of a list has been there for freshTime; freshTime if the list is empty.
-func waitForFront(l *list.List, now time.Time) time.Duration {
-	if l.Len() == 0 {
-		return freshTime
-	}
-	return freshTime - now.Sub(connOf(l.Front()).since)
-}
-
 // refuseHead moves a connection that is refused because of its head to those that are closed first.
 func (g *Gate) refuseHead(c *Conn) {
 	g.mu.Lock()
--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -195,3 +195,29 @@
 		})
 	}
 }
+
+// TestResetConnectionsKeepOthersOut guards against connections that their callers have reset and that keep their places, so that others are
+// closed or wait.
+func TestResetConnectionsKeepOthersOut(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Conns: 1, HeadBytes: 1 << 20})
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer tcp.Close()
+	l := g.Listen(tcp.(*net.TCPListener), Options{ForCallers: true})
+	reset := func(c net.Conn) {
+		is.NoErr(c.(*net.TCPConn).SetLinger(0))
+		is.NoErr(c.Close())
+	}
+	first := open(t, tcp.Addr().String(), "GET /")
+	_, err = l.Accept()
+	is.NoErr(err)
+	reset(first)
+	reset(open(t, tcp.Addr().String(), "GET /")) // before it is accepted
+	second := open(t, tcp.Addr().String(), "GET /")
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	is.Equal(accepted.RemoteAddr().String(), second.LocalAddr().String())
+	s := g.Stats()
+	is.Equal([]int64{s.ClosedReset, s.ClosedSending}, []int64{1, 0})
+}
