inbound: end connections with their answers while others wait for a place

What callers saw: beside callers that send requests one after another without a pause (pipelined), others were refused with 503 or closed for as long as those stayed, since all connections had requests.

Cause: a connection whose next request is already there is idle for an instant only, so that it's never found when a place is sought.

Evidence: TestPipelinedRequestsKeepOthersOut fails without this (the second answer doesn't say that it's the connection's last one).

Why it works: for a second after a connection was closed or refused because there are too many, each answer carries Connection: close, so that places change hands and no request is lost by it. With room for all, connections are kept.

--- a/plantainlane/inbound/body.go
+++ b/plantainlane/inbound/body.go
@@ -21,10 +21,14 @@
 
 // Handler returns a handler for the requests on connections of a gate. Until a request's body has arrived, its connection may be closed in
 // favor of others, since nothing of the request has run. The whole body must arrive within timeout, unless next sets another read deadline;
-// what next leaves of it is read for discardTime at most.
+// what next leaves of it is read for discardTime at most. While connections are closed in favor of others, each answer ends its connection:
+// callers that always have a next request would otherwise keep all places.
 func Handler(next http.Handler, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOfRequest(r)
+		if c != nil && c.gate.isCrowded(time.Now()) {
+			w.Header().Set("Connection", "close")
+		}
 		if c == nil || r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
--- a/plantainlane/inbound/evict.go
+++ b/plantainlane/inbound/evict.go
@@ -8,6 +8,9 @@
 	"k8s.io/klog/v2"
 )
 
+// crowdedTime is how long each answer ends its connection after a connection was closed or refused because there are too many.
+const crowdedTime = time.Second
+
 // resetInterval is the least time between two searches for connections that their callers have reset.
 const resetInterval = 5 * time.Millisecond
 
@@ -16,6 +19,7 @@
 // time. One that has been sending for less than freshTime isn't closed: if there are only such ones, evict returns the time after which there
 // may be others. It returns errFull if all have requests. The caller holds mu.
 func (g *Gate) evict(now time.Time) (wait time.Duration, err error) {
+	g.crowdedUntil.Store(now.Add(crowdedTime).UnixNano())
 	if g.closeReset(now) {
 		return 0, nil
 	}
@@ -38,6 +42,9 @@
 	return 0, nil
 }
 
+// isCrowded reports whether a connection was closed or refused within crowdedTime because there are too many.
+func (g *Gate) isCrowded(now time.Time) bool { return now.UnixNano() < g.crowdedUntil.Load() }
+
 // waitForFront returns the time until the connection in front of a list has been there for freshTime; freshTime if the list is empty.
 func waitForFront(l *list.List, now time.Time) time.Duration {
 	if l.Len() == 0 {
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -60,6 +60,8 @@
 	lines    logs.Sampler
 	refusals chan struct{}
 	refused  atomic.Int64
+	// crowdedUntil is when the gate stops ending connections with their answers, in nanoseconds since the epoch.
+	crowdedUntil atomic.Int64
 
 	mu sync.Mutex
 	// stats are the counters but for Limits and Refused.
--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -221,3 +221,26 @@
 	s := g.Stats()
 	is.Equal([]int64{s.ClosedReset, s.ClosedSending}, []int64{1, 0})
 }
+
+// TestPipelinedRequestsKeepOthersOut guards against callers that always have a next request, and so keep their connections while others are
+// refused.
+func TestPipelinedRequestsKeepOthersOut(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Conns: 1, HeadBytes: 1 << 20})
+	handled, release := make(chan struct{}, 3), make(chan struct{})
+	address := startServer(t, g, Options{ForCallers: true}, func(http.ResponseWriter, *http.Request) {
+		handled <- struct{}{}
+		<-release
+	})
+	pipelining := open(t, address, strings.Repeat(get, cap(handled)))
+	<-handled
+	is.Equal(status(open(t, address, get)), 503)
+	close(release)
+	answers := bufio.NewReader(pipelining)
+	for _, isLast := range []bool{false, true} { // the first request was read before the other caller came
+		res, err := http.ReadResponse(answers, nil)
+		is.NoErr(err)
+		is.Equal(res.Close, isLast)
+	}
+	is.Equal(status(open(t, address, get)), 200)
+}
