inbound: reserve places for each listener, admit listeners in turn

What callers saw: beside pipelined requests at all listeners, requests to the listener for callers waited up to 13 s to be accepted, those to the others were answered (16 of 16 attempts within 20 s failed).

Cause: listeners that aren't for callers may use OperatorConns more places. Beside a crowd they kept the process above the limit of the listener for callers, which then got a place only when a connection could be closed for it at the instant at which it tried; the others took free places first.

TestListenerKeepsReservedPlaces fails without it: another listener takes the last place.

Why it works: each listener has a 64th of the places for itself (2 at least), so one that has few connections is never kept out, and connections of other instances get through beside any crowd at another listener. Listeners that wait for room get it in the order in which they began to wait.

--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -51,6 +51,8 @@
 	fd      int32
 	gate    *Gate
 	options *Options
+	// listener has accepted the connection.
+	listener *listener
 	// stream is what the caller hasn't read of a stream; nil unless an answer is one.
 	stream atomic.Pointer[Stream]
 	// isHijacked is set once the connection isn't the HTTP server's any more.
@@ -76,13 +78,13 @@
 	removed chan struct{}
 }
 
-// newConn returns a connection of a gate.
-func newConn(tcp *net.TCPConn, g *Gate, o *Options) (*Conn, error) {
+// newConn returns a connection of a listener.
+func newConn(tcp *net.TCPConn, l *listener) (*Conn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{TCPConn: tcp, raw: raw, gate: g, options: o, removed: make(chan struct{})}
+	c := &Conn{TCPConn: tcp, raw: raw, gate: l.gate, options: &l.options, listener: l, removed: make(chan struct{})}
 	var optionErr error
 	err = raw.Control(func(fd uintptr) {
 		c.fd = int32(fd) //nolint:gosec // descriptors are small
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -63,7 +63,12 @@
 	// crowdedUntil is when the gate stops ending connections with their answers, in nanoseconds since the epoch.
 	crowdedUntil atomic.Int64
 
+	// admission is held by the listener that waits for room, so that room goes to the listeners in the order in which they wait.
+	admission sync.Mutex
+
 	mu sync.Mutex
+	// listeners are all listeners that were opened.
+	listeners []*listener
 	// stats are the counters but for Limits and Refused.
 	stats Stats
 	// sending holds the connections without a whole head by the time since when, bodies those whose body is being received by the time of
@@ -96,13 +101,21 @@
 }
 
 // Listen returns a listener whose connections count towards the limits of the gate. The server that accepts them must call ConnState.
-func (g *Gate) Listen(l *net.TCPListener, o Options) net.Listener { return &listener{l, g, o} }
+func (g *Gate) Listen(tcp *net.TCPListener, o Options) net.Listener {
+	l := &listener{TCPListener: tcp, gate: g, options: o}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listeners = append(g.listeners, l)
+	return l
+}
 
 // listener is a listener of a gate.
 type listener struct {
 	*net.TCPListener
 	gate    *Gate
 	options Options
+	// open is the number of open connections that aren't hijacked. The gate's mu guards it.
+	open int
 }
 
 // Accept returns the next connection that the limits allow, and refuses those before it.
@@ -112,7 +125,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c, err := newConn(tcp, l.gate, &l.options)
+		c, err := newConn(tcp, l)
 		if err != nil {
 			l.gate.log("connection not set up", &l.options, tcp, "err", err)
 			_ = tcp.Close()
@@ -140,6 +153,11 @@
 
 // waitForRoom admits a connection once the limits allow it. It returns errFull or errReset if it isn't admitted.
 func (g *Gate) waitForRoom(c *Conn) error {
+	if g.admitReserved(c) {
+		return nil
+	}
+	g.admission.Lock()
+	defer g.admission.Unlock()
 	for {
 		wait, err := g.admit(c)
 		if wait == 0 {
@@ -149,17 +167,24 @@
 	}
 }
 
+// admitReserved adds a connection if its listener has fewer than are reserved for it.
+func (g *Gate) admitReserved(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.listener.open >= g.limits.ReservedConns {
+		return false
+	}
+	g.add(c, time.Now())
+	return true
+}
+
 // admit adds a connection, and closes another one if there are too many. If all others are new ones, it returns the time after which it
 // is to be called again.
 func (g *Gate) admit(c *Conn) (wait time.Duration, err error) {
-	limit := g.limits.Conns
-	if !c.options.ForCallers {
-		limit += g.limits.OperatorConns
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if g.stats.Open >= limit {
+	if g.stats.Open >= g.limitFor(c.listener) {
 		if len(findReset([]*Conn{c})) > 0 {
 			return 0, errReset
 		}
@@ -167,9 +192,30 @@
 			return wait, err
 		}
 	}
+	g.add(c, now)
+	return 0, nil
+}
+
+// limitFor returns the number of open connections at which a listener accepts no others: the limit less what is reserved for the other
+// listeners and not in use. The caller holds mu.
+func (g *Gate) limitFor(l *listener) int {
+	limit := g.limits.Conns
+	if !l.options.ForCallers {
+		limit += g.limits.OperatorConns
+	}
+	for _, other := range g.listeners {
+		if other != l {
+			limit -= max(g.limits.ReservedConns-other.open, 0)
+		}
+	}
+	return limit
+}
+
+// add adds a connection. The caller holds mu.
+func (g *Gate) add(c *Conn, now time.Time) {
 	g.stats.Open++
+	c.listener.open++
 	c.place(g.sending, now)
-	return 0, nil
 }
 
 // refuseHead moves a connection that is refused because of its head to those that are closed first.
@@ -206,6 +252,9 @@
 	c.isRemoved = true
 	close(c.removed)
 	g.stats.Open--
+	if !c.isHijacked.Load() {
+		c.listener.open--
+	}
 	c.leave()
 	g.freeHead(c, 0)
 }
@@ -224,7 +273,10 @@
 	switch s {
 	case http.StateActive, http.StateHijacked:
 		c.leave()
-		c.isHijacked.Store(s == http.StateHijacked)
+		if s == http.StateHijacked {
+			c.isHijacked.Store(true)
+			c.listener.open--
+		}
 		g.freeHead(c, int64(max(c.received-freeHeadBytes, 0)*readHeadCopies+max(c.lines-freeHeadLines, 0)*readLineBytes))
 	case http.StateIdle:
 		g.freeHead(c, 0)
--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -244,3 +245,25 @@
 	}
 	is.Equal(status(open(t, address, get)), 200)
 }
+
+// TestListenerKeepsReservedPlaces guards against a listener whose connections take the places of all others.
+func TestListenerKeepsReservedPlaces(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Conns: 3, OperatorConns: 1, ReservedConns: 1, HeadBytes: 1 << 20})
+	ended := make(chan struct{})
+	release := sync.OnceFunc(func() { close(ended) })
+	operators := startServer(t, g, Options{}, func(http.ResponseWriter, *http.Request) { <-ended })
+	callers := startServer(t, g, Options{ForCallers: true}, func(http.ResponseWriter, *http.Request) {})
+	defer release()
+	var waiting []net.Conn
+	for range 3 {
+		waiting = append(waiting, open(t, operators, get))
+	}
+	time.Sleep(2 * freshTime) // their requests are being handled
+	is.Equal(status(open(t, operators, get)), 503)
+	is.Equal(status(open(t, callers, get)), 200)
+	release()
+	for _, c := range waiting {
+		is.Equal(status(c), 200)
+	}
+}
--- a/plantainlane/inbound/limits.go
+++ b/plantainlane/inbound/limits.go
@@ -22,12 +22,16 @@
 	operatorParts = 16
 	// unknownFDs is the number of descriptors if the process's limit isn't known.
 	unknownFDs = 1024
+	// reservedParts divides the connections: each listener has one part for itself, minReserved at least.
+	reservedParts, minReserved = 64, 2
 )
 
 // Limits are the bounds of all listeners of a process together.
 type Limits struct {
 	// Conns is the number of connections, OperatorConns the number of further ones that only listeners that aren't for callers accept.
 	Conns, OperatorConns int
+	// ReservedConns is the number of connections of each listener that others can't take, however many come to those.
+	ReservedConns int
 	// HeadBytes is the memory for the heads of requests, StreamBytes that for parts of streams that callers haven't read.
 	HeadBytes, StreamBytes int64
 }
@@ -46,6 +50,7 @@
 		l.HeadBytes, l.StreamBytes = memory/headMemoryParts, memory/streamMemoryParts
 	}
 	conns = max(conns, minConns)
+	l.ReservedConns = max(conns/reservedParts, minReserved)
 	l.OperatorConns = conns / operatorParts
 	l.Conns = conns - l.OperatorConns
 	return l
