exchange: bound the connections that carry requests to upstreams

What callers saw: beside callers that send whole requests with a key that is held, one after another, and read no answer, the entry process had all of its 400 descriptors in use; then it reaches no upstream and accepts nobody.

Cause: half of the descriptors are for connections that others open, and each of these can need one to an upstream; nothing bounded those.

TestPoolOpensTooManyConnections fails without it (it doesn't build: there is no bound).

Why it works: a quarter of the descriptors, 1,025 of the 4,100 that a machine has, are for requests to upstreams. At the bound the connection that has been idle for longest is closed; if all are in use, the request is refused as not run. An instance is planned to have 85 requests a second, so no client within the limits meets it.

--- a/plantainlane/exchange/conn.go
+++ b/plantainlane/exchange/conn.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,9 @@
 // ErrNotSent marks the errors of requests that failed before any byte was written to a connection.
 var ErrNotSent = errors.New("exchange: request not sent")
 
+// ErrNoConnection reports that a pool has as many connections as it may, all in use.
+var ErrNoConnection = errors.New("exchange: too many connections")
+
 // ErrRepeatedAnswer reports a second copy of the answer to an earlier request on the connection.
 var ErrRepeatedAnswer = errors.New("exchange: repeated answer to an earlier request")
 
@@ -76,7 +80,12 @@
 // Conn is a connection to an upstream. It carries one request at a time, and must not be used concurrently except for
 // Close.
 type Conn struct {
-	raw    *net.TCPConn
+	raw *net.TCPConn
+	// pool is the pool that counts the connection; nil if none does.
+	pool *Pool
+	// isClosed is set once the connection is closed.
+	isClosed atomic.Bool
+
 	head   *headLimiter
 	reader *bufio.Reader
 	// address is the host and port of the upstream.
@@ -207,7 +216,12 @@
 }
 
 // Close closes the connection immediately. A Read or Write in progress fails. Close may be called concurrently.
-func (c *Conn) Close() { _ = c.raw.Close() }
+func (c *Conn) Close() {
+	_ = c.raw.Close()
+	if !c.isClosed.Swap(true) && c.pool != nil {
+		c.pool.open.Add(-1)
+	}
+}
 
 // Request is a request to an upstream.
 type Request struct {
--- a/plantainlane/exchange/exchange_test.go
+++ b/plantainlane/exchange/exchange_test.go
@@ -274,3 +274,39 @@
 	is.Equal(countIdle(p, address), maxIdlePerAddress)
 	is.True(int64(after.HeapAlloc)-int64(before.HeapAlloc) < 2<<20) // 15 MB if they are kept
 }
+
+// TestPoolOpensTooManyConnections guards against a pool that takes all descriptors of the process, and against one that refuses a connection
+// while others are idle.
+func TestPoolOpensTooManyConnections(t *testing.T) {
+	is := is.New(t)
+	var addresses []string
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	p := NewPool(time.Minute)
+	p.MaxConns = 2
+	get := func(address string) (*Conn, error) { return p.Get(t.Context(), address, "", time.Minute) }
+	first, err := get(addresses[0])
+	is.NoErr(err)
+	second, err := get(addresses[0])
+	is.NoErr(err)
+	defer second.Close()
+	_, err = get(addresses[1])
+	is.True(errors.Is(err, ErrNoConnection))
+	is.True(errors.Is(err, ErrNotSent))
+	p.Put(first, time.Minute)
+	third, err := get(addresses[1]) // in place of the idle one
+	is.NoErr(err)
+	third.Close()
+	third.Close() // counts once
+	for _, isOpened := range []bool{true, false} {
+		c, err := get(addresses[1])
+		is.Equal(err == nil, isOpened)
+		if isOpened {
+			defer c.Close()
+		}
+	}
+}
--- a/plantainlane/exchange/pool.go
+++ b/plantainlane/exchange/pool.go
@@ -5,7 +5,10 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -23,6 +26,11 @@
 	IdleLimit time.Duration
 	// Memory is for the answers that are being collected.
 	Memory *Memory
+	// MaxConns is the largest number of open connections, in use and idle; 0 for no bound. It is set before the pool is used.
+	MaxConns int
+
+	// open is the number of open connections.
+	open atomic.Int64
 
 	mu sync.Mutex
 	// idle holds the idle connections by address. The one that was returned last comes last.
@@ -38,7 +46,8 @@
 
 // Get returns a connection to an address for the request with an ID: the most recently used idle connection that is still
 // open, has been idle for no longer than maxAge and hasn't carried the request before, or a new connection if there is none.
-// Get closes the idle connections that it finds closed or idle for longer. All its errors are marked with ErrNotSent.
+// Get closes the idle connections that it finds closed or idle for longer. If there are MaxConns connections, it closes the one that has
+// been idle for longest; it returns ErrNoConnection if all are in use. All its errors are marked with ErrNotSent.
 func (p *Pool) Get(ctx context.Context, address, request string, maxAge time.Duration) (*Conn, error) {
 	now := time.Now()
 	p.closeExpired(now)
@@ -53,9 +62,47 @@
 		}
 		c.Close()
 	}
+	if !p.reserve() {
+		return nil, errors.Mark(errors.Wrapf(ErrNoConnection, "maximum %d", p.MaxConns), ErrNotSent)
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return dial(ctx, address)
+	c, err := dial(ctx, address)
+	if err != nil {
+		p.open.Add(-1)
+		return nil, err
+	}
+	c.pool = p
+	return c, nil
+}
+
+// reserve counts a connection that is about to be opened, and makes room for it. It returns false if there is none.
+func (p *Pool) reserve() bool {
+	for p.open.Add(1) > int64(p.MaxConns) && p.MaxConns > 0 {
+		p.open.Add(-1)
+		c := p.popOldest()
+		if c == nil {
+			return false
+		}
+		c.Close()
+	}
+	return true
+}
+
+// popOldest removes the connection that has been idle for longest and returns it; nil if there is none.
+func (p *Pool) popOldest() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *Conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.idle[oldest.address] = slices.Delete(p.idle[oldest.address], 0, 1)
+	}
+	return oldest
 }
 
 // pop removes the most recently used idle connection to an address that hasn't carried a request and returns it; nil if there
--- a/plantainlane/forward/attempt.go
+++ b/plantainlane/forward/attempt.go
@@ -179,7 +179,7 @@
 		// The upstream wasn't asked, so it may be chosen again.
 		result = route.Cancelled
 		q.tried = q.tried[:len(q.tried)-1]
-	case errors.Is(out.err, errUpstreamFull), q.isCallerLost:
+	case errors.IsAny(out.err, errUpstreamFull, exchange.ErrNoConnection), q.isCallerLost:
 		result = route.Cancelled
 	case out.result == delivered:
 		result = route.Success
--- a/plantainlane/inbound/limits.go
+++ b/plantainlane/inbound/limits.go
@@ -39,11 +39,7 @@
 // LimitsOf returns the limits of a process with the given memory in bytes, and maxFDs descriptors; 0 where that isn't stated. Half of the
 // descriptors are left for upstreams, connections to other instances and files.
 func LimitsOf(memory int64, maxFDs int) Limits {
-	fds := processFDs()
-	if maxFDs > 0 {
-		fds = min(fds, maxFDs)
-	}
-	conns := fds / 2
+	conns := Descriptors(maxFDs) / 2
 	l := Limits{HeadBytes: defaultHeadBytes, StreamBytes: defaultStreamBytes}
 	if memory > 0 {
 		conns = min(conns, int(memory/connMemoryParts/bytesPerConn))
@@ -56,6 +52,14 @@
 	return l
 }
 
+// Descriptors returns the number of descriptors that the process may open, at most maxFDs unless that is 0.
+func Descriptors(maxFDs int) int {
+	if maxFDs > 0 {
+		return min(processFDs(), maxFDs)
+	}
+	return processFDs()
+}
+
 // processFDs returns the number of descriptors that the process may open.
 func processFDs() int {
 	var r syscall.Rlimit
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -35,6 +35,8 @@
 	headMargin = 16 << 10
 	// The instance's memory is divided by these for the bodies of requests and of answers.
 	requestMemoryParts, answerMemoryParts = 4, 6
+	// upstreamDescriptorParts divides the descriptors: one part is for connections that carry callers' requests to upstreams.
+	upstreamDescriptorParts = 4
 	// timeoutMargin is the time beyond the site's limits within which a connection isn't closed.
 	timeoutMargin = time.Second
 )
@@ -265,6 +267,7 @@
 	x.proxyCtx = ctx
 	x.sites = &sites{instance: x}
 	pool := exchange.NewPool(upstreamIdleTimeout)
+	pool.MaxConns = inbound.Descriptors(x.settings.Limits.Descriptors) / upstreamDescriptorParts
 	pool.Memory = exchange.NewMemory(x.partOfMemory(answerMemoryParts, exchange.AnswerBytes))
 	client := quota.NewClient(pool, x.gate, x.proxy.ReadNotice)
 	x.dispatcher = batch.NewDispatcher(ctx, x.self.ID, x.self.Zone, control.FirstCall(x.self.Incarnation), queuePeers{x}, x.proxy.Executor(client), x.batchSource)
