control listener: bound the memory for the bodies of calls

What callers saw: beside a crowd that sends configurations of nearly the largest size (4 MiB) without their end, the core process took 1,113 MiB of the 144 MiB that its machine has.

Cause: each call to the listener for control could hold a body of 4 MiB, and nothing bounded the bodies of all together. Where there is a bound, for requests on the entry process, refused bodies left garbage faster than it is collected, as their memory counted as free at once.

TestRefusedBodiesLeaveGarbage fails without the reuse.

The parts of a body that was refused or copied are used again.

--- a/plantainlane/exchange/body.go
+++ b/plantainlane/exchange/body.go
@@ -105,6 +105,7 @@
 // what was reserved for them.
 func (r *Reservation) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
 	var read parts
+	defer read.free()
 	for {
 		err := read.fill(body)
 		switch {
--- a/plantainlane/exchange/exchange_test.go
+++ b/plantainlane/exchange/exchange_test.go
@@ -310,3 +310,20 @@
 		}
 	}
 }
+
+// TestRefusedBodiesLeaveGarbage guards against bodies that are refused and whose parts take memory until they are collected, while their
+// memory counts as free.
+func TestRefusedBodiesLeaveGarbage(t *testing.T) {
+	is := is.New(t)
+	const limit, refusals = 1 << 20, 100
+	text := strings.Repeat("x", 2*limit)
+	m := NewMemory(AnswerBytes)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range refusals {
+		_, err := m.ReadAll(strings.NewReader(text), limit)
+		is.True(errors.Is(err, ErrTooLarge))
+	}
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < refusals*limit) // half of the bodies' size
+}
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -23,6 +23,7 @@
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/cost"
 	"plantainlane/plantainlane/engine"
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/forward"
 	"plantainlane/plantainlane/inbound"
 	"plantainlane/plantainlane/limit"
@@ -96,8 +97,9 @@
 	fleet   *engine.Fleet
 	metrics *metric.Metrics
 	runner  *pipeline.Runner
-	// inbound bounds what the connections of all listeners cost.
+	// inbound bounds what the connections of all listeners cost, and bodies the memory for the bodies of their requests.
 	inbound *inbound.Gate
+	bodies  *exchange.Memory
 	servers []*server
 	// callerServers holds the servers that serve callers. A drain waits for their requests in flight.
 	callerServers []*server
@@ -129,6 +131,7 @@
 		inbound:  inbound.NewGate(inbound.LimitsOf(s.Limits.Memory(), s.Limits.Descriptors)),
 		self:     newInstanceInfo(now, s),
 	}
+	x.bodies = exchange.NewMemory(x.partOfMemory(requestMemoryParts, forward.RequestBytes))
 	for _, o := range opts {
 		o(x)
 	}
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -258,6 +258,9 @@
 	return limit
 }
 
+// Bodies returns the memory for the bodies of requests to the instance, for listeners that WithListener adds.
+func (x *Instance) Bodies() *exchange.Memory { return x.bodies }
+
 // openProxy opens the listener for opaque requests and creates the dispatcher of pieces. It does nothing without
 // WithProxy.
 func (x *Instance) openProxy(ctx context.Context) error {
@@ -277,7 +280,7 @@
 		Codec: x.proxy.Codec, Views: x.sites, Picker: x.services, Client: client, Dispatcher: x.dispatcher,
 		Budget: x.proxy.Retries, Observer: x.metrics, Zone: x.self.Zone, Drain: x.drainOfRequests, Guard: x.guard,
 		Prompts:     x.prompts,
-		Bodies:      exchange.NewMemory(x.partOfMemory(requestMemoryParts, forward.RequestBytes)),
+		Bodies:      x.bodies,
 		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
 	}
 	pool.Memory.MakeRoom = handler.BreakOffSlowAnswers
