caller: bound the memory for the bodies of pipeline requests

What callers saw: nothing yet; found by reading. Callers with a key of a workspace could hold bodies of entry.maxBodyBytes (8 MiB) on all connections of the product's own listener at the same time.

Evidence: TestLargeBodiesTakeMemory fails without this (200 in place of 503).

Why it works: the bodies share the memory of those of opaque requests, a quarter of the process's. One for which there is none is refused as not run, with Retry-After; up to 16 KiB aren't counted, and one body of any allowed size always fits if there are no others.

--- a/plantainlane/caller/admit.go
+++ b/plantainlane/caller/admit.go
@@ -12,8 +12,11 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/credential"
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/pipeline"
 	"plantainlane/plantainlane/problem"
 	"plantainlane/wire"
@@ -58,8 +61,8 @@
 }
 
 // admit converts an HTTP request to a pipeline request and reports whether the caller asks for a stream. For a request
-// that is refused, admit returns a problem. name is the name of the pipeline.
-func (s *Server) admit(r *http.Request, w http.ResponseWriter, workspace, name string) (*pipeline.Request, bool, *wire.Problem) {
+// that is refused, admit returns a problem. name is the name of the pipeline, and memory is for the body.
+func (s *Server) admit(r *http.Request, w http.ResponseWriter, workspace, name string, memory *exchange.Reservation) (*pipeline.Request, bool, *wire.Problem) {
 	started := time.Now()
 	view := s.Views.View()
 	contract, refusal := authenticate(r, view, workspace)
@@ -77,7 +80,7 @@
 	if refusal := checkLease(view, contract, declared, started); refusal != nil {
 		return nil, false, refusal
 	}
-	body, refusal := s.readBody(w, r, contract)
+	body, refusal := s.readBody(w, r, contract, memory)
 	if refusal != nil {
 		return nil, false, refusal
 	}
@@ -109,13 +112,16 @@
 }
 
 // readBody reads the body, up to the smaller of the contract's and the instance's maximum size.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, contract *wire.Contract) ([]byte, *wire.Problem) {
-	limit := min(contract.MaxBodyBytes, s.MaxBodyBytes)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, contract *wire.Contract, memory *exchange.Reservation) ([]byte, *wire.Problem) {
+	limit := int64(min(contract.MaxBodyBytes, s.MaxBodyBytes))
+	body, err := memory.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
+	case errors.Is(err, exchange.ErrNoMemory):
+		return nil, refuse(http.StatusServiceUnavailable, "no-memory", "too many large bodies at the same time; send the request again",
+			problem.WithRetryAfter(time.Second))
 	case asError(err, &tooLarge):
 		return nil, refuse(http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("body is larger than %d bytes", limit))
 	}
--- a/plantainlane/caller/run.go
+++ b/plantainlane/caller/run.go
@@ -24,7 +24,9 @@
 
 // run runs a pipeline request and answers it, as one JSON value or as a stream if the caller asks for that.
 func (s *Server) run(c *echo.Context) error {
-	req, stream, refusal := s.admit(c.Request(), c.Response(), c.Param("workspace"), c.Param("pipeline"))
+	memory := s.Bodies.Reserve()
+	defer memory.Release()
+	req, stream, refusal := s.admit(c.Request(), c.Response(), c.Param("workspace"), c.Param("pipeline"), memory)
 	if refusal != nil {
 		s.Metrics.Refused.Add(1)
 		return problem.Write(c, *refusal)
--- a/plantainlane/caller/server.go
+++ b/plantainlane/caller/server.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v5"
 
 	"plantainlane/plantainlane/control"
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/pipeline"
 	"plantainlane/plantainlane/problem"
@@ -50,6 +51,8 @@
 	KeepFor time.Duration
 	// MaxBodyBytes is the maximum size of a body, even if the contract allows more.
 	MaxBodyBytes int
+	// Bodies bounds the memory for the bodies of all requests.
+	Bodies *exchange.Memory
 	// MayTake reports whether the instance may take a request now that must end by a deadline: a draining instance may not
 	// take all. It may be nil.
 	MayTake func(deadline time.Time) bool
--- a/plantainlane/caller/server_test.go
+++ b/plantainlane/caller/server_test.go
@@ -14,6 +14,7 @@
 
 	"plantainlane/plantainlane/control"
 	"plantainlane/plantainlane/credential"
+	"plantainlane/plantainlane/exchange"
 	"plantainlane/plantainlane/metric"
 	"plantainlane/plantainlane/pipeline"
 	"plantainlane/plantainlane/state"
@@ -56,8 +57,10 @@
 // newServer returns a server that holds its lease for the given time from now, and the runner that records its
 // requests. The pipeline buy is not idempotent. The pipeline other is in no contract.
 func newServer(lease time.Duration, opts ...func(*Server)) (*echo.Echo, *recordingRunner) {
+	large := contract("museum", "key-3")
+	large.MaxBodyBytes = 64 << 10
 	set := wire.Declarations{
-		Contracts: []wire.Contract{contract("hostel", "key-1"), contract("school", "key-2")},
+		Contracts: []wire.Contract{contract("hostel", "key-1"), contract("school", "key-2"), large},
 		Pipelines: []wire.Pipeline{
 			{Name: "guide", Stages: []wire.Stage{{Name: "s", Service: "s", Idempotent: true}}},
 			{Name: "buy", Stages: []wire.Stage{{Name: "s", Service: "s"}}},
@@ -68,7 +71,7 @@
 	s := &Server{
 		Views:  fixedView{&control.View{Config: state.Config{}.With(set, nil, 1), LeaseUntil: time.Now().Add(lease)}},
 		Runner: runner, Finder: noFinder{}, Answers: NewAnswers(), Metrics: metric.New(),
-		IDs: NewIDs("a-1", 7), KeepFor: time.Second, MaxBodyBytes: 1000,
+		IDs: NewIDs("a-1", 7), KeepFor: time.Second, MaxBodyBytes: 1000, Bodies: exchange.NewMemory(1000),
 	}
 	for _, o := range opts {
 		o(s)
@@ -189,6 +192,22 @@
 	is.Equal(send(`{"input":1,"deadlineMs":1000}`), http.StatusOK)
 }
 
+// TestLargeBodiesTakeMemory guards against bodies that together take more memory than there is for them.
+func TestLargeBodiesTakeMemory(t *testing.T) {
+	is := is.New(t)
+	e, _ := newServer(time.Minute, func(s *Server) { s.MaxBodyBytes, s.Bodies = 64<<10, exchange.NewMemory(64<<10) })
+	body := `{"input":"` + strings.Repeat("x", 20<<10) + `"}`
+	is.Equal(requestSpec{"museum", "guide", "key-3", "", body}.send(e).Code, http.StatusOK)
+	busy, runner := newServer(time.Minute, func(s *Server) {
+		s.MaxBodyBytes, s.Bodies = 64<<10, exchange.NewMemory(64<<10)
+		is.NoErr(s.Bodies.Reserve().Grow(80 << 10)) // of another request
+	})
+	w := requestSpec{"museum", "guide", "key-3", "", body}.send(busy)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Retry-After"), "1")
+	is.Equal(len(runner.got), 0)
+}
+
 // TestStreamHasAnEnd guards against a stream whose caller can't tell a complete answer from a truncated one: the end
 // event must follow the tokens.
 func TestStreamHasAnEnd(t *testing.T) {
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -303,6 +303,7 @@
 		IDs:          caller.NewIDs(x.self.ID, x.self.Incarnation),
 		KeepFor:      time.Duration(entry.KeepFor),
 		MaxBodyBytes: entry.MaxBodyBytes,
+		Bodies:       x.bodies,
 		MayTake:      x.mayTake,
 	}
 	upstreams := &announce.Server{Control: x.loop, Caches: x, Credentials: x.settings.Credentials.Upstreams}
