inbound: bound the connections also if no memory is stated

What callers saw: nothing yet; found by reading. Without limits in the settings, half of the descriptors were allowed as connections, whatever the machine has of memory: half a million at 32 KiB each with the usual limit.

Why it works: a quarter of the machine's memory counts as that for connections then. Heads, bodies and streams had fixed bounds already.

--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -267,3 +267,11 @@
 		is.Equal(status(c), 200)
 	}
 }
+
+// TestUnstatedMemoryAllowsAllDescriptors guards against a process whose memory isn't stated, and that accepts more connections than its
+// machine has memory for.
+func TestUnstatedMemoryAllowsAllDescriptors(t *testing.T) {
+	is := is.New(t)
+	l := LimitsOf(0, 0)
+	is.True(int64(l.Conns+l.OperatorConns)*bytesPerConn <= max(machineMemory()/unstatedMemoryParts, minConns*bytesPerConn))
+}
--- a/plantainlane/inbound/limits.go
+++ b/plantainlane/inbound/limits.go
@@ -6,6 +6,8 @@
 import (
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -15,6 +17,10 @@
 	minConns = 64
 	// The process's memory is divided by these for connections, for heads, and for unread parts of streams.
 	connMemoryParts, headMemoryParts, streamMemoryParts = 1, 12, 16
+	// unstatedMemoryParts divides the machine's memory: one part is the memory for connections if the process's memory isn't stated.
+	unstatedMemoryParts = 4
+	// unknownMemory is the machine's memory if that isn't known either.
+	unknownMemory = 1 << 30
 	// The memory for heads and unread parts of streams if the process's memory isn't known.
 	defaultHeadBytes, defaultStreamBytes = 64 << 20, 64 << 20
 	// operatorParts divides the connections: one part is for listeners for operators, upstreams and instances only, so that
@@ -42,9 +48,11 @@
 	conns := Descriptors(maxFDs) / 2
 	l := Limits{HeadBytes: defaultHeadBytes, StreamBytes: defaultStreamBytes}
 	if memory > 0 {
-		conns = min(conns, int(memory/connMemoryParts/bytesPerConn))
 		l.HeadBytes, l.StreamBytes = memory/headMemoryParts, memory/streamMemoryParts
+	} else {
+		memory = machineMemory() / unstatedMemoryParts
 	}
+	conns = min(conns, int(memory/connMemoryParts/bytesPerConn))
 	conns = max(conns, minConns)
 	l.ReservedConns = max(conns/reservedParts, minReserved)
 	l.OperatorConns = conns / operatorParts
@@ -60,6 +68,15 @@
 	return processFDs()
 }
 
+// machineMemory returns the memory of the machine, in bytes.
+func machineMemory() int64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return unknownMemory
+	}
+	return int64(info.Totalram) * int64(info.Unit) //nolint:gosec // less than an exbibyte
+}
+
 // processFDs returns the number of descriptors that the process may open.
 func processFDs() int {
 	var r syscall.Rlimit
