instance: share the text of a configuration among its readers

What callers saw: nothing yet; found by reading. Each read of the configuration (Config.Read) held a copy of up to 4 MiB for as long as its caller didn't read the answer.

Evidence: TestReadsOfOneDocumentTakeMemory fails without this (it doesn't build: there is nothing that is shared). No crowd was played with a large configuration in force.

Why it works: the text that was read last is kept and shared while its encoded form is the same, so that any number of readers hold one copy.

--- a/plantainlane/instance/document.go
+++ b/plantainlane/instance/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,6 +35,32 @@
 	return wire.Site{Version: s.Version, Document: b.Bytes(), Encoding: &encoding}
 }
 
+// documents keeps the text of the document that was read last, so that concurrent reads of one share a copy of it. It is safe for concurrent
+// use.
+type documents struct {
+	mu   sync.Mutex
+	last wire.Site
+	text []byte
+}
+
+// documentOf returns the text of a site's document, which must not be changed. It returns errBadDocument if the document can't be read.
+func (d *documents) documentOf(s *wire.Site) ([]byte, error) {
+	if s.Encoding == nil {
+		return s.Document, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.text != nil && s.Version == d.last.Version && bytes.Equal(s.Document, d.last.Document) {
+		return d.text, nil
+	}
+	text, err := documentOf(s)
+	if err != nil {
+		return nil, err
+	}
+	d.last, d.text = *s, text
+	return text, nil
+}
+
 // documentOf returns the document of a site as the operator wrote it. It returns errBadDocument if the document can't be
 // read.
 func documentOf(s *wire.Site) ([]byte, error) {
--- a/plantainlane/instance/document_test.go
+++ b/plantainlane/instance/document_test.go
@@ -53,3 +53,21 @@
 	is.NoErr(err)
 	is.Equal(string(got), "x")
 }
+
+// TestReadsOfOneDocumentTakeMemory guards against concurrent reads of a configuration that each hold a copy of it, as long as their callers
+// don't read the answers.
+func TestReadsOfOneDocumentTakeMemory(t *testing.T) {
+	is := is.New(t)
+	var d documents
+	first := compressed(wire.Site{Version: 1, Document: []byte(strings.Repeat("routes ", 100))})
+	a, err := d.documentOf(&first)
+	is.NoErr(err)
+	again := compressed(wire.Site{Version: 1, Document: []byte(strings.Repeat("routes ", 100))})
+	b, err := d.documentOf(&again)
+	is.NoErr(err)
+	is.True(&a[0] == &b[0])
+	other := compressed(wire.Site{Version: 2, Document: []byte(strings.Repeat("others ", 100))})
+	c, err := d.documentOf(&other)
+	is.NoErr(err)
+	is.Equal(string(c), strings.Repeat("others ", 100))
+}
--- a/plantainlane/instance/instance.go
+++ b/plantainlane/instance/instance.go
@@ -106,6 +106,7 @@
 	// proxy, sites and dispatcher are nil unless the instance serves opaque requests.
 	proxy      *Proxy
 	sites      *sites
+	documents  documents
 	dispatcher *batch.Dispatcher
 	// prompts weighs kept prompts of opaque requests against waiting.
 	prompts        *promptcache.Estimator
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -342,7 +342,7 @@
 	if newest == nil {
 		return nil, nil
 	}
-	text, err := documentOf(newest)
+	text, err := x.documents.documentOf(newest)
 	if err != nil {
 		return nil, err
 	}
