--- a/plantainlane/forward/log_test.go
+++ b/plantainlane/forward/log_test.go
@@ -107,3 +107,25 @@
 	is.Equal(lines[1]["request"], "id1")
 	is.Equal(lines[1]["reused"], false)
 }
+
+// TestRefusedRequestsFillTheLog guards against callers that make an instance write a line for each request that it refuses, and against
+// lines that are left out without being counted.
+func TestRefusedRequestsFillTheLog(t *testing.T) {
+	is := is.New(t)
+	defer klog.CaptureState().Restore()
+	e := logLines{message: "request ended"}
+	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(&e, nil)))
+	h := newHarness(t, &site.Route{TargetLatency: time.Minute, RetryMode: site.AtMostOnce})
+	h.server.RefusedLines = &logs.Sampler{PerSecond: 0}
+	for range 5 {
+		_, _, err := h.post()
+		is.NoErr(err) // there is no upstream
+	}
+	is.Equal(len(e.all()), 0)
+	h.server.RefusedLines.PerSecond = 1
+	_, _, err := h.post()
+	is.NoErr(err)
+	is.Equal(len(e.all()), 1)
+	is.Equal(e.all()[0]["outcome"], "refused")
+	is.Equal(e.all()[0]["leftOut"], 5.0)
+}
--- a/plantainlane/forward/relay.go
+++ b/plantainlane/forward/relay.go
@@ -230,7 +230,15 @@
 
 // logFailedSend logs a send that was not delivered, with its connection and the parts of the prompt that other requests may share.
 func (q *request) logFailedSend(t route.Target, out sendOutcome, took time.Duration) {
+	hasNotRun := out.result == notRun || out.result == inputsGone
+	leftOut := 0
+	if hasNotRun {
+		var log bool
+		if log, leftOut = q.server.RefusedLines.Allow(time.Now()); !log {
+			return
+		}
+	}
 	klog.InfoS("send failed", "request", q.call.ID, "upstream", t.ID, "zone", t.Zone, "send", q.sends,
-		"notRun", out.result == notRun || out.result == inputsGone, "events", q.events, "parts", q.call.sharedParts(),
-		"port", out.port, "reused", out.reused, "ms", took.Milliseconds(), "err", out.err.Error())
+		"notRun", hasNotRun, "events", q.events, "parts", q.call.sharedParts(),
+		"port", out.port, "reused", out.reused, "ms", took.Milliseconds(), "err", out.err.Error(), "leftOut", leftOut)
 }
--- a/plantainlane/forward/server.go
+++ b/plantainlane/forward/server.go
@@ -65,6 +65,8 @@
 	deliveries               deliveries
 	// OnTimeLines samples the log lines on requests that were answered on time by their first send; nil logs all.
 	OnTimeLines *logs.Sampler
+	// RefusedLines samples the log lines on requests that were refused and on sends that didn't run; nil logs all.
+	RefusedLines *logs.Sampler
 }
 
 const (
@@ -297,10 +299,14 @@
 	if q.server.Observer != nil {
 		q.server.Observer.Forwarded(name, outcome, took)
 	}
-	log, leftOut := true, 0
-	if q.isOnTime(outcome, took) && q.server.OnTimeLines != nil {
-		log, leftOut = q.server.OnTimeLines.Allow(time.Now())
+	var lines *logs.Sampler
+	switch {
+	case q.isOnTime(outcome, took):
+		lines = q.server.OnTimeLines
+	case outcome == "refused":
+		lines = q.server.RefusedLines
 	}
+	log, leftOut := lines.Allow(time.Now())
 	if !log {
 		return
 	}
--- a/plantainlane/instance/proxy.go
+++ b/plantainlane/instance/proxy.go
@@ -281,7 +281,7 @@
 		Budget: x.proxy.Retries, Observer: x.metrics, Zone: x.self.Zone, Drain: x.drainOfRequests, Guard: x.guard,
 		Prompts:     x.prompts,
 		Bodies:      x.bodies,
-		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond},
+		OnTimeLines: &logs.Sampler{PerSecond: x.settings.Log.UsualPerSecond}, RefusedLines: &logs.Sampler{PerSecond: x.settings.Log.RefusedPerSecond},
 	}
 	pool.Memory.MakeRoom = handler.BreakOffSlowAnswers
 	s, err := x.listenHTTP(x.proxy.Address, handler, forward.MaxHeaderBytes, inbound.Options{
--- a/plantainlane/logs/sampler.go
+++ b/plantainlane/logs/sampler.go
@@ -19,8 +19,11 @@
 }
 
 // Allow reports whether a line may be logged at the time now. If it may, leftOut is the number of lines left out since
-// the previous line that was allowed.
+// the previous line that was allowed. A nil Sampler allows all lines.
 func (s *Sampler) Allow(now time.Time) (ok bool, leftOut int) {
+	if s == nil {
+		return true, 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if second := now.Unix(); second != s.second {
--- a/plantainlane/settings/check.go
+++ b/plantainlane/settings/check.go
@@ -67,6 +67,7 @@
 	}
 	c.integer("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
 	c.integer("log.usualPerSecond", s.Log.UsualPerSecond, 0, maxUsualPerSecond)
+	c.integer("log.refusedPerSecond", s.Log.RefusedPerSecond, 0, maxUsualPerSecond)
 	if s.Log.Format != "json" && s.Log.Format != "text" {
 		c.fail("log.format", `"json" or "text"`, strconv.Quote(s.Log.Format))
 	}
--- a/plantainlane/settings/settings.go
+++ b/plantainlane/settings/settings.go
@@ -199,6 +199,9 @@
 	// UsualPerSecond is the number of lines logged each second for requests that were answered on time by their first
 	// send. Lines for other requests are always logged. Default 20.
 	UsualPerSecond int `json:"usualPerSecond"`
+	// RefusedPerSecond is the number of lines logged each second for requests that were refused, and for sends that didn't run. Default
+	// 1000.
+	RefusedPerSecond int `json:"refusedPerSecond"`
 }
 
 // Default returns the settings that apply where the settings file has no value.
@@ -226,7 +229,7 @@
 		Upstreams:   Upstreams{IdleConnectionLimit: Duration(30 * time.Second)},
 		WeightStore: WeightStore{PerSecond: 1, Burst: 1},
 		Timeline:    Timeline{Events: 65536},
-		Log:         Log{Format: "json", UsualPerSecond: 20},
+		Log:         Log{Format: "json", UsualPerSecond: 20, RefusedPerSecond: 1000},
 	}
 }
 
