inbound: close connections with unread answers in favor of others

Cause: a connection whose answer is being written counts as one with a request, which is never closed in favor of others.

Evidence: TestUnreadAnswersKeepOthersOut fails without this (503).

Why it works: if there are too many connections and no other can be closed, the one whose caller has read nothing for longest, 2 s at least, is closed. A caller that reads, however slowly, is at the end of that list again with each 64 KiB. With room for all, nothing changes.

--- a/plantainlane/inbound/body.go
+++ b/plantainlane/inbound/body.go
@@ -34,13 +34,13 @@
 			return
 		}
 		b := &requestBody{ReadCloser: r.Body, conn: c}
-		c.beginBody()
+		c.enterList(c.gate.bodies)
 		setReadDeadline(w, time.Now().Add(timeout))
 		r = r.WithContext(r.Context())
 		r.Body = b
 		next.ServeHTTP(w, r)
 		if !b.isComplete {
-			c.leaveBody()
+			c.setBodyLeft()
 			setReadDeadline(w, time.Now().Add(discardTime))
 		}
 	})
@@ -70,36 +70,18 @@
 	case b.isComplete:
 	case errors.Is(err, io.EOF):
 		b.isComplete = true
-		b.conn.endBody()
+		b.conn.leaveList(b.conn.gate.bodies)
 	default:
 		if b.blockBytes += n; b.blockBytes >= bodyBlockBytes {
 			b.blockBytes = 0
-			b.conn.beginBody()
+			b.conn.enterList(b.conn.gate.bodies)
 		}
 	}
 	return n, err
 }
 
-// beginBody places the connection among those that are sending a body, as the one that has begun a block last.
-func (c *Conn) beginBody() {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	if !c.isRemoved {
-		c.place(c.gate.bodies, time.Now())
-	}
-}
-
-// endBody records that the connection's request is whole.
-func (c *Conn) endBody() {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	if !c.isRemoved && c.list == c.gate.bodies {
-		c.leave()
-	}
-}
-
-// leaveBody records that the rest of a body isn't needed.
-func (c *Conn) leaveBody() {
+// setBodyLeft records that the rest of a body isn't needed.
+func (c *Conn) setBodyLeft() {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.isBodyLeft = true
--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -99,6 +99,24 @@
 	c.list, c.at, c.since = l, l.PushBack(c), now
 }
 
+// enterList places the connection at the end of a list of its gate, unless it's closed.
+func (c *Conn) enterList(l *list.List) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if !c.isRemoved {
+		c.place(l, time.Now())
+	}
+}
+
+// leaveList removes the connection from a list of its gate, if it's in that one.
+func (c *Conn) leaveList(l *list.List) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.list == l {
+		c.leave()
+	}
+}
+
 // leave removes the connection from the lists of its gate. The caller holds the gate's mu.
 func (c *Conn) leave() {
 	if c.list != nil {
@@ -205,10 +223,12 @@
 	if err != nil || n == len(b) {
 		return n, err
 	}
+	defer c.leaveList(c.gate.unread)
 	for n < len(b) && err == nil {
 		if err = c.extendWrite(time.Now().Add(stallTimeout)); err != nil {
 			return n, err
 		}
+		c.enterList(c.gate.unread)
 		var k int
 		k, err = c.TCPConn.Write(b[n:min(n+stallBytes, len(b))])
 		n += k
--- a/plantainlane/inbound/evict.go
+++ b/plantainlane/inbound/evict.go
@@ -14,16 +14,22 @@
 // resetInterval is the least time between two searches for connections that their callers have reset.
 const resetInterval = 5 * time.Millisecond
 
-// evict closes a connection in favor of another one, of those that have no request as a whole: those that their callers have reset, or the one that has been sending a head for the
-// longest time, then the one that has been idle for the longest time, then the one that has been sending a block of a body for the longest
-// time. One that has been sending for less than freshTime isn't closed: if there are only such ones, evict returns the time after which there
-// may be others. It returns errFull if all have requests. The caller holds mu.
+// evict closes a connection in favor of another one. It takes those that their callers have reset, or else the first one of:
+//
+//   - the one that has been sending a head for the longest time, if that is more than freshTime,
+//   - the one that has been idle for the longest time,
+//   - the one that has been sending a block of a body for the longest time, if that is more than freshTime,
+//   - the one whose caller has read nothing of its answer for the longest time, if that is more than stalledAfter.
+//
+// If there are only newer ones that send, evict returns the time after which to call it again. It returns errFull if the requests of all are
+// being handled. The caller holds mu.
 func (g *Gate) evict(now time.Time) (wait time.Duration, err error) {
 	g.crowdedUntil.Store(now.Add(crowdedTime).UnixNano())
 	if g.closeReset(now) {
 		return 0, nil
 	}
-	headWait, bodyWait := waitForFront(g.sending, now), waitForFront(g.bodies, now)
+	headWait, bodyWait := waitForFront(g.sending, now, freshTime), waitForFront(g.bodies, now, freshTime)
+	unreadWait := waitForFront(g.unread, now, stalledAfter)
 	switch {
 	case headWait <= 0:
 		g.stats.ClosedSending++
@@ -34,6 +40,9 @@
 	case bodyWait <= 0:
 		g.stats.ClosedBodies++
 		g.closeConn(connOf(g.bodies.Front()), "sending a body")
+	case unreadWait <= 0:
+		g.stats.ClosedUnread++
+		g.closeConn(connOf(g.unread.Front()), "not reading an answer")
 	case g.sending.Len()+g.bodies.Len() > 0:
 		return max(min(headWait, bodyWait, resetInterval), minWait), nil
 	default:
@@ -45,12 +54,12 @@
 // isCrowded reports whether a connection was closed or refused within crowdedTime because there are too many.
 func (g *Gate) isCrowded(now time.Time) bool { return now.UnixNano() < g.crowdedUntil.Load() }
 
-// waitForFront returns the time until the connection in front of a list has been there for freshTime; freshTime if the list is empty.
-func waitForFront(l *list.List, now time.Time) time.Duration {
+// waitForFront returns the time until the connection in front of a list has been there for limit; limit if the list is empty.
+func waitForFront(l *list.List, now time.Time, limit time.Duration) time.Duration {
 	if l.Len() == 0 {
-		return freshTime
+		return limit
 	}
-	return freshTime - now.Sub(connOf(l.Front()).since)
+	return limit - now.Sub(connOf(l.Front()).since)
 }
 
 // closeReset closes the connections that their callers have reset while they were sending a head, and reports whether there were any. Their
--- a/plantainlane/inbound/gate.go
+++ b/plantainlane/inbound/gate.go
@@ -48,6 +48,8 @@
 	ClosedIdle    int64 `json:"closedIdle"`
 	ClosedSending int64 `json:"closedSending"`
 	ClosedBodies  int64 `json:"closedBodies"`
+	// ClosedUnread is the number of connections closed in favor of others while their callers didn't read an answer.
+	ClosedUnread int64 `json:"closedUnread"`
 	// ClosedReset is the number of connections that their callers had reset, and that were closed to make room.
 	ClosedReset   int64 `json:"closedReset"`
 	LargeHeads    int64 `json:"largeHeads"`
@@ -72,9 +74,9 @@
 	// stats are the counters but for Limits and Refused.
 	stats Stats
 	// sending holds the connections without a whole head by the time since when, bodies those whose body is being received by the time of
-	// the last block, idle those that wait for a further request, and large those of sending that have memory for heads. The longest is in
-	// front.
-	sending, bodies, idle, large *list.List
+	// the last block, unread those whose callers don't read an answer by the time of the last progress, idle those that wait for a further
+	// request, and large those of sending that have memory for heads. The longest is in front.
+	sending, bodies, unread, idle, large *list.List
 	// resetsSoughtAt is when connections that their callers have reset were last searched for.
 	resetsSoughtAt time.Time
 	// pacedUntil is the time until which the large heads that were read take at their rate.
@@ -87,7 +89,7 @@
 func NewGate(l Limits) *Gate {
 	return &Gate{
 		limits: l, lines: logs.Sampler{PerSecond: linesPerSecond}, refusals: make(chan struct{}, maxRefusals),
-		sending: list.New(), bodies: list.New(), idle: list.New(), large: list.New(), streams: make(map[*Stream]struct{}),
+		sending: list.New(), bodies: list.New(), unread: list.New(), idle: list.New(), large: list.New(), streams: make(map[*Stream]struct{}),
 	}
 }
 
@@ -294,7 +296,7 @@
 func (g *Gate) growHead(c *Conn, n, lines int) (wait time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.isRemoved || c.list == nil || c.list == g.bodies {
+	if c.list != g.sending && c.list != g.idle {
 		return 0, nil // closed, or its head was read
 	}
 	now := time.Now()
--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -275,3 +275,18 @@
 	l := LimitsOf(0, 0)
 	is.True(int64(l.Conns+l.OperatorConns)*bytesPerConn <= max(machineMemory()/unstatedMemoryParts, minConns*bytesPerConn))
 }
+
+// TestUnreadAnswersKeepOthersOut guards against callers that don't read a large answer, and keep out others until it can be given up.
+func TestUnreadAnswersKeepOthersOut(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Conns: 1, HeadBytes: 1 << 20})
+	address := startServer(t, g, Options{ForCallers: true}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, 32<<20))
+		}
+	})
+	open(t, address, strings.Replace(get, "/", "/large", 1))
+	time.Sleep(stalledAfter + freshTime)
+	is.Equal(status(open(t, address, get)), 200)
+	is.Equal(g.Stats().ClosedUnread, int64(1))
+}
