inbound: don't run requests whose connections were closed for others

What callers saw: nothing yet; found by reading. A connection can be closed in favor of another one in the instant in which the rest of its request arrives. The request then ran, though its caller took the close for a request that wasn't read, and may send one again that must not run twice.

Cause: the gate closes the connection, while the HTTP server already has the head, or the handler the end of the body.

Evidence: TestRequestOfClosedConnectionRuns fails without this (the body ends with io.EOF, and the handler is called).

Why it works: both instants are decided under the gate's lock. Before the handler is called, and at the end of the body, a request whose connection was closed is given up, so that nothing of it has run.

--- a/plantainlane/inbound/body.go
+++ b/plantainlane/inbound/body.go
@@ -26,10 +26,17 @@
 func Handler(next http.Handler, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOfRequest(r)
-		if c != nil && c.gate.isCrowded(time.Now()) {
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if c.isClosed() { // in favor of another one, while the server was parsing the head
+			panic(http.ErrAbortHandler)
+		}
+		if c.gate.isCrowded(time.Now()) {
 			w.Header().Set("Connection", "close")
 		}
-		if c == nil || r.ContentLength == 0 {
+		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -63,14 +70,17 @@
 	isComplete bool
 }
 
-// Read reads from the body, and records its progress.
+// Read reads from the body, and records its progress. If the connection was closed in favor of another one, Read returns net.ErrClosed in
+// place of the end of the body, so that the request isn't run: its caller takes the close for a request that wasn't read.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case b.isComplete:
 	case errors.Is(err, io.EOF):
 		b.isComplete = true
-		b.conn.leaveList(b.conn.gate.bodies)
+		if !b.conn.endBody() {
+			return n, net.ErrClosed
+		}
 	default:
 		if b.blockBytes += n; b.blockBytes >= bodyBlockBytes {
 			b.blockBytes = 0
@@ -80,6 +90,23 @@
 	return n, err
 }
 
+// isClosed reports whether the connection is closed.
+func (c *Conn) isClosed() bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return c.isRemoved
+}
+
+// endBody records that the connection's request is whole. It returns false if the connection is closed.
+func (c *Conn) endBody() bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.list == c.gate.bodies {
+		c.leave()
+	}
+	return !c.isRemoved
+}
+
 // setBodyLeft records that the rest of a body isn't needed.
 func (c *Conn) setBodyLeft() {
 	c.gate.mu.Lock()
--- a/plantainlane/inbound/body_test.go
+++ b/plantainlane/inbound/body_test.go
@@ -4,9 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -40,3 +43,25 @@
 	is.Equal(status(held[0]), 0)
 	is.Equal(g.Stats().ClosedBodies, int64(1))
 }
+
+// TestRequestOfClosedConnectionRuns guards against a request that runs though its connection was closed in favor of another one, just after
+// its head or the end of its body had arrived.
+func TestRequestOfClosedConnectionRuns(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Conns: 1, HeadBytes: 1 << 20})
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer tcp.Close()
+	open(t, tcp.Addr().String(), "")
+	accepted, err := g.Listen(tcp.(*net.TCPListener), Options{ForCallers: true}).Accept()
+	is.NoErr(err)
+	c := accepted.(*Conn)
+	c.enterList(g.bodies)
+	is.NoErr(c.Close())
+	_, err = io.ReadAll(&requestBody{ReadCloser: io.NopCloser(strings.NewReader("body")), conn: c})
+	is.True(errors.Is(err, net.ErrClosed))
+	defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	handler := Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request has run") }), time.Minute)
+	handler.ServeHTTP(httptest.NewRecorder(), r.WithContext(ConnContext(t.Context(), c)))
+}
