inbound: split the gate into listener, heads and eviction

Moves only: gate.go keeps the accounting, listener.go accepts and refuses, head.go bounds heads, evict.go chooses who gives way, each with its constants.

--- a/plantainlane/inbound/body.go
+++ b/plantainlane/inbound/body.go
@@ -113,19 +113,3 @@
 	defer c.gate.mu.Unlock()
 	c.isBodyLeft = true
 }
-
-// linger closes a connection whose caller is still sending a body, after a moment in which the caller can read the answer: unread data
-// would turn the end of the connection into a reset, which overtakes the answer.
-func (g *Gate) linger(tcp *net.TCPConn) error {
-	select {
-	case g.refusals <- struct{}{}:
-	default:
-		return tcp.Close()
-	}
-	go func() {
-		defer func() { <-g.refusals }()
-		readUnsent(tcp)
-		_ = tcp.Close()
-	}()
-	return nil
-}
--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -24,26 +24,13 @@
 )
 
 const (
-	// freeHeadBytes is the size up to which a head is part of bytesPerConn. It is the size of the HTTP server's buffer.
-	freeHeadBytes = 4 << 10
-	// headCopies is the memory that a larger head takes while it is read, as a multiple of its size, since lines grow by copies;
-	// readHeadCopies is that of a head that was read.
-	headCopies, readHeadCopies = 4, 2
-	// freeHeadLines is the number of lines up to which a head is part of bytesPerConn, lineBytes what an entry of a further line takes
-	// while the list of entries grows by copies, and readLineBytes afterwards.
-	freeHeadLines, lineBytes, readLineBytes = 100, 96, 32
 	// unsentBytes is the number of bytes that the kernel holds of an answer beside those that are on their way to the caller.
 	unsentBytes = 128 << 10
 	// stallTimeout is how long a caller may take to read stallBytes of an answer whose owner has set no deadline.
 	stallTimeout = 10 * time.Second
 	stallBytes   = 64 << 10
-	// maxDiscardedBytes bounds what is read of a head that is refused.
-	maxDiscardedBytes = 64 << 10
 )
 
-// largeHeadAnswer is the answer to a request with a head over the limit.
-const largeHeadAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // Conn is a connection that another party has opened.
 type Conn struct {
 	*net.TCPConn
@@ -163,24 +150,6 @@
 	}
 }
 
-// answerUnread writes an answer to a request that isn't read, and reads what the caller still sends for a moment, so that a reset doesn't
-// overtake the answer.
-func answerUnread(tcp *net.TCPConn, answer string) {
-	if tcp.SetWriteDeadline(time.Now().Add(refusalTime)) != nil {
-		return
-	}
-	if _, err := io.WriteString(tcp, answer); err == nil {
-		readUnsent(tcp)
-	}
-}
-
-// readUnsent ends the answer on a connection, and reads what the caller still sends for a moment.
-func readUnsent(tcp *net.TCPConn) {
-	if tcp.SetReadDeadline(time.Now().Add(refusalTime)) == nil && tcp.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(tcp, maxDiscardedBytes))
-	}
-}
-
 // SetReadDeadline sets the deadline for reads. While no request is handled, it is the HTTP server's for a head or an idle connection, and
 // is extended by the listener's ExtraTimeouts.
 func (c *Conn) SetReadDeadline(t time.Time) error {
--- a/plantainlane/inbound/evict.go
+++ b/plantainlane/inbound/evict.go
@@ -8,11 +8,17 @@
 	"k8s.io/klog/v2"
 )
 
-// crowdedTime is how long each answer ends its connection after a connection was closed or refused because there are too many.
-const crowdedTime = time.Second
-
-// resetInterval is the least time between two searches for connections that their callers have reset.
-const resetInterval = 5 * time.Millisecond
+const (
+	// freshTime is the time within which an ordinary caller has sent its head, or a block of its body. A connection that takes longer may be
+	// closed in favor of others.
+	freshTime = 100 * time.Millisecond
+	// minWait is the least pause between two attempts to admit a connection while there are new ones only.
+	minWait = time.Millisecond
+	// crowdedTime is how long each answer ends its connection after a connection was closed or refused because there are too many.
+	crowdedTime = time.Second
+	// resetInterval is the least time between two searches for connections that their callers have reset.
+	resetInterval = 5 * time.Millisecond
+)
 
 // evict closes a connection in favor of another one. It takes those that their callers have reset, or else the first one of:
 //
