--- a/plantainlane/inbound/gate_test.go
+++ b/plantainlane/inbound/gate_test.go
@@ -241,6 +241,7 @@
 	for _, isLast := range []bool{false, true} { // the first request was read before the other caller came
 		res, err := http.ReadResponse(answers, nil)
 		is.NoErr(err)
+		is.NoErr(res.Body.Close())
 		is.Equal(res.Close, isLast)
 	}
 	is.Equal(status(open(t, address, get)), 200)
