--- a/plantainlane/inbound/conn.go
+++ b/plantainlane/inbound/conn.go
@@ -212,7 +212,8 @@
 	c.gate.remove(c)
 	c.gate.mu.Unlock()
 	if isSending {
-		return c.gate.linger(c.TCPConn)
+		c.gate.closeAfter(c.TCPConn, func() { readUnsent(c.TCPConn) })
+		return nil
 	}
 	return c.TCPConn.Close()
 }
--- a/plantainlane/inbound/listener.go
+++ b/plantainlane/inbound/listener.go
@@ -140,37 +140,25 @@
 
 // refuse answers on a connection without reading its request, and closes it.
 func (g *Gate) refuse(tcp *net.TCPConn) {
-	select {
-	case g.refusals <- struct{}{}:
-	default:
-		_ = tcp.Close()
-		return
-	}
-	go func() {
-		defer func() { <-g.refusals }()
-		answerUnread(tcp, busyAnswer)
-		_ = tcp.Close()
-	}()
+	g.closeAfter(tcp, func() { answerUnread(tcp, busyAnswer) })
 }
 
-// linger closes a connection whose caller is still sending a body, after a moment in which the caller can read the answer: unread data
-// would turn the end of the connection into a reset, which overtakes the answer.
-func (g *Gate) linger(tcp *net.TCPConn) error {
+// closeAfter closes a connection after a last exchange with its caller, which takes a moment, or at once if there are too many of these.
+func (g *Gate) closeAfter(tcp *net.TCPConn, exchange func()) {
 	select {
 	case g.refusals <- struct{}{}:
 	default:
-		return tcp.Close()
+		_ = tcp.Close()
+		return
 	}
 	go func() {
 		defer func() { <-g.refusals }()
-		readUnsent(tcp)
+		exchange()
 		_ = tcp.Close()
 	}()
-	return nil
 }
 
-// answerUnread writes an answer to a request that isn't read, and reads what the caller still sends for a moment, so that a reset doesn't
-// overtake the answer.
+// answerUnread writes an answer to a request that isn't read.
 func answerUnread(tcp *net.TCPConn, answer string) {
 	if tcp.SetWriteDeadline(time.Now().Add(refusalTime)) != nil {
 		return
@@ -180,7 +168,8 @@
 	}
 }
 
-// readUnsent ends the answer on a connection, and reads what the caller still sends for a moment.
+// readUnsent ends the answer on a connection, and reads what the caller still sends for a moment: unread data would turn the end of the
+// connection into a reset, which overtakes the answer.
 func readUnsent(tcp *net.TCPConn) {
 	if tcp.SetReadDeadline(time.Now().Add(refusalTime)) == nil && tcp.CloseWrite() == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(tcp, maxDiscardedBytes))
